--- /dev/null
+++ b/siskinspoke/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: membership, routing, limits, retries, claims and replication."""
--- /dev/null
+++ b/siskinspoke/coordination/claims.py
@@ -0,0 +1,104 @@
+"""Claims on non-idempotent requests, as replicated state: each key runs at most once.
+
+A claim is never taken over by time: a frozen VM that thaws still holds its claim, so it can
+do no harm by using it.  A claim whose attempt never began is freed only by proof: the target
+server has confirmed that it never will.  Keys expire by the clock of the log, which never
+goes back, and an expired key is refused, so forgetting it is safe.
+"""
+
+import heapq
+from typing import NamedTuple
+
+from siskinspoke.core.codes import ResultCode
+from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest, Target
+
+MAX_KEPT_BODY = 1_024
+CLOCK_SLACK_MS = 1_000
+
+
+class Claim(NamedTuple):
+    """One key's state; ``state`` is claimed, free or ran."""
+
+    expires_ms: int
+    state: str
+    attempt: int
+    owner: str
+    target: Target
+    status: int = 0
+    body: str = ""
+
+
+CLAIMED, FREE, RAN = "claimed", "free", "ran"
+
+
+class ClaimBook:
+    """Apply claim commands in log order; the same log gives the same book everywhere."""
+
+    def __init__(self) -> None:
+        self._claims: dict[str, Claim] = {}
+        self._expiries: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def claim(self, request: ClaimRequest, clock_ms: int) -> ClaimAnswer:
+        """Grant a claim, or tell who holds it or how it ended."""
+        self.forget(clock_ms)
+        if request.expires_ms <= clock_ms:
+            return ClaimAnswer(int(ResultCode.KEY_EXPIRED))
+        if request.expires_ms > clock_ms + request.lifetime_ms + CLOCK_SLACK_MS:
+            return ClaimAnswer(int(ResultCode.INVALID_KEY))
+        held = self._claims.get(request.key)
+        if held is None or held.state == FREE:
+            return self._grant(request, 1 if held is None else held.attempt + 1)
+        if held.state == CLAIMED and held.owner == request.owner and held.target == request.target:
+            # The answer to the first try was lost; the owner string names one request of one
+            # incarnation of one VM, so this is the same attempt asking again.
+            return self._answer(ResultCode.OK, held)
+        code = ResultCode.IN_PROGRESS if held.state == CLAIMED else ResultCode.ALREADY_RAN
+        return self._answer(code, held)
+
+    def _grant(self, request: ClaimRequest, attempt: int) -> ClaimAnswer:
+        claim = Claim(request.expires_ms, CLAIMED, attempt, request.owner, request.target)
+        if request.key not in self._claims:
+            heapq.heappush(self._expiries, (request.expires_ms, request.key))
+        self._claims[request.key] = claim
+        return self._answer(ResultCode.OK, claim)
+
+    def _answer(self, code: ResultCode, claim: Claim) -> ClaimAnswer:
+        return ClaimAnswer(
+            int(code), claim.attempt, claim.owner, claim.target, claim.status, claim.body
+        )
+
+    def settle(self, request: SettleRequest, clock_ms: int) -> ClaimAnswer:
+        """Record how an attempt ended; a word on an older attempt changes nothing."""
+        self.forget(clock_ms)
+        held = self._claims.get(request.key)
+        if held is None:
+            return ClaimAnswer(int(ResultCode.KEY_EXPIRED))
+        if held.attempt != request.attempt or held.state != CLAIMED:
+            return self._answer(ResultCode.CLAIM_CONFLICT, held)
+        state = RAN if request.ran else FREE
+        body = request.body if len(request.body) <= MAX_KEPT_BODY else ""
+        settled = held._replace(state=state, status=request.status, body=body)
+        self._claims[request.key] = settled
+        return self._answer(ResultCode.OK, settled)
+
+    def forget(self, clock_ms: int) -> None:
+        """Drop expired keys."""
+        while self._expiries and self._expiries[0][0] <= clock_ms:
+            _, key = heapq.heappop(self._expiries)
+            self._claims.pop(key, None)
+
+    def to_document(self) -> dict:
+        """Return the whole book for a snapshot."""
+        return {key: list(claim) for key, claim in self._claims.items()}
+
+    def load(self, document: dict) -> None:
+        """Replace the book by one from a snapshot."""
+        self._claims = {}
+        for key, fields in document.items():
+            expires, state, attempt, owner, target, status, body = fields
+            self._claims[key] = Claim(expires, state, attempt, owner, Target(*target), status, body)
+        self._expiries = [(claim.expires_ms, key) for key, claim in self._claims.items()]
+        heapq.heapify(self._expiries)
--- /dev/null
+++ b/siskinspoke/coordination/directory.py
@@ -0,0 +1,135 @@
+"""What one entry VM knows of backend servers, from their announcements alone.
+
+An announcement is a lease: without a later one the server is gone when it runs out.  Leaving
+is final for an incarnation, so an older announcement that arrives late cannot bring the
+server back.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from siskinspoke.protocol.announcements import Announcement
+
+FORGET_MS = 60_000
+REMEMBER_CAPACITY_MS = 3_600_000
+
+
+class Heard(Enum):
+    """What an announcement changed."""
+
+    JOINED = "joined"
+    RENEWED = "renewed"
+    LEFT = "left"
+    STALE = "stale"
+
+
+@dataclass(slots=True)
+class ServerRecord:
+    """The latest announcement of a server and when it was heard."""
+
+    announcement: Announcement
+    heard_at: float
+    suspected_until: float = 0.0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what decides which of two announcements is the later one."""
+        return self.announcement.incarnation, self.announcement.seq
+
+
+class Directory:
+    """Keep the backend servers that announce themselves; times are in milliseconds."""
+
+    def __init__(self, lease_ms: float):
+        self._lease_ms = lease_ms
+        self._records: dict[str, ServerRecord] = {}
+
+    def hear(self, announcement: Announcement, now: float) -> Heard:
+        """Take in one announcement, however late it comes."""
+        known = self._records.get(announcement.server)
+        if known is not None and self._is_stale(known, announcement):
+            return Heard.STALE
+        was_live = known is not None and self._is_live(known, now)
+        same = known is not None and known.announcement.incarnation == announcement.incarnation
+        record = ServerRecord(announcement, now)
+        if same:
+            record.suspected_until = known.suspected_until
+        self._records[announcement.server] = record
+        if announcement.leaving:
+            return Heard.LEFT if was_live else Heard.RENEWED
+        return Heard.RENEWED if was_live and same else Heard.JOINED
+
+    def _is_stale(self, known: ServerRecord, announcement: Announcement) -> bool:
+        """Tell whether a later word of the server is known already.
+
+        A leaving announcement overtaken by an older one would otherwise be undone, and new
+        work would go to a server that has left.
+        """
+        same = known.announcement.incarnation == announcement.incarnation
+        if same and known.announcement.leaving:
+            return True
+        return (announcement.incarnation, announcement.seq) <= known.order
+
+    def suspect(self, server: str, incarnation: int, now: float) -> None:
+        """Keep new work from a server that refused a connection, for one lease.
+
+        Its announcement may outlive it by a lease; without this every request of that time
+        would first try the dead server.
+        """
+        record = self._records.get(server)
+        if record is not None and record.announcement.incarnation == incarnation:
+            record.suspected_until = now + self._lease_ms
+
+    def _is_live(self, record: ServerRecord, now: float) -> bool:
+        fresh = now - record.heard_at < self._lease_ms
+        return fresh and not record.announcement.leaving
+
+    def live(self, now: float) -> list[ServerRecord]:
+        """Return the servers that may get new work."""
+        return [
+            record
+            for record in self._records.values()
+            if self._is_live(record, now) and record.suspected_until <= now
+        ]
+
+    def serving(self, service: str, now: float) -> list[ServerRecord]:
+        """Return the servers of one service that may get new work."""
+        return [item for item in self.live(now) if item.announcement.service == service]
+
+    def find(self, server: str, incarnation: int) -> ServerRecord | None:
+        """Return the record of one incarnation of a server, live or not."""
+        record = self._records.get(server)
+        if record is None or record.announcement.incarnation != incarnation:
+            return None
+        return record
+
+    def superseded(self, server: str, incarnation: int) -> bool:
+        """Tell whether a later incarnation of a server has announced itself."""
+        record = self._records.get(server)
+        return record is not None and record.announcement.incarnation > incarnation
+
+    def known_services(self) -> set[str]:
+        """Return the services that any remembered server offers."""
+        return {item.announcement.service for item in self._records.values()}
+
+    def remembered_capacity(self, service: str) -> int:
+        """Return the KV memory of all remembered servers of a service, live or not."""
+        return sum(
+            item.announcement.total_tokens
+            for item in self._records.values()
+            if item.announcement.service == service and not item.announcement.leaving
+        )
+
+    def forget(self, now: float) -> list[str]:
+        """Drop records too old to matter and return their servers' names.
+
+        A record outlives its lease, since a datagram that was delayed in the network must
+        still meet the later word that it would undo.
+        """
+        gone = []
+        for name, record in list(self._records.items()):
+            keep_ms = FORGET_MS if record.announcement.leaving else REMEMBER_CAPACITY_MS
+            if now - record.heard_at > keep_ms:
+                del self._records[name]
+                gone.append(name)
+        return gone
--- /dev/null
+++ b/siskinspoke/coordination/fairness.py
@@ -0,0 +1,69 @@
+"""Share the fleet between customers by tokens of work, not by requests."""
+
+import math
+from dataclasses import dataclass
+
+OUTPUT_TOKEN_WEIGHT = 4
+IDLE_USAGE = 1.0
+EXCESS_PENALTY = 8.0
+
+
+def work_tokens(prompt_tokens: int, max_tokens: int) -> int:
+    """Return the work of a request in prefill tokens; an output token costs several."""
+    return prompt_tokens + OUTPUT_TOKEN_WEIGHT * max_tokens
+
+
+@dataclass(slots=True)
+class _Usage:
+    amount: float
+    at: float
+
+
+class FairShares:
+    """Remember each customer's recent work, which fades with a time constant.
+
+    The customer with the least work per weight is always let in while the fleet can serve at
+    all; one above its fair share is let in only while waiting times are short.
+    """
+
+    def __init__(self, window_ms: float):
+        self._window_ms = window_ms
+        self._usage: dict[str, _Usage] = {}
+
+    def usage(self, customer: str, now: float) -> float:
+        """Return a customer's recent work, faded to ``now``."""
+        item = self._usage.get(customer)
+        if item is None:
+            return 0.0
+        return item.amount * math.exp(-(now - item.at) / self._window_ms)
+
+    def record(self, customer: str, work: float, now: float) -> None:
+        """Add admitted work."""
+        self._usage[customer] = _Usage(self.usage(customer, now) + work, now)
+
+    def ratio(self, customer: str, weights: dict[str, float], now: float) -> float:
+        """Return a customer's work over its fair share among the active ones; 1 is fair."""
+        active = {}
+        for name in list(self._usage):
+            used = self.usage(name, now)
+            if used < IDLE_USAGE:
+                del self._usage[name]
+            elif name in weights:
+                active[name] = used
+        total = sum(active.values())
+        if not total or customer not in active:
+            return 0.0
+        weight_sum = sum(weights[name] for name in active)
+        share = weights[customer] / weight_sum
+        return active[customer] / (total * share)
+
+
+def patience_ms(ratio: float, remaining_ms: float) -> float:
+    """Return the longest wait for which a customer is let in, by its work over its fair share.
+
+    Up to its share a customer may use its whole deadline; beyond it the queue must be shorter
+    the further it is above, so that a burst waits behind nobody else's requests.
+    """
+    if ratio <= 1:
+        return remaining_ms
+    return remaining_ms / (1 + EXCESS_PENALTY * (ratio - 1))
--- /dev/null
+++ b/siskinspoke/coordination/prefixes.py
@@ -0,0 +1,44 @@
+"""A hint of which server caches which prompt prefix, from own dispatches and cache events."""
+
+from collections import OrderedDict
+
+MAX_BLOCKS_PER_SERVER = 16_384
+
+
+class PrefixIndex:
+    """Remember prefix blocks per server, least recently used first to go.
+
+    It is a hint: a wrong entry costs a slower first token and never a wrong answer.
+    """
+
+    def __init__(self) -> None:
+        self._blocks: dict[str, OrderedDict[int, None]] = {}
+
+    def stored(self, server: str, blocks: list[int]) -> None:
+        """Note that a server holds these blocks."""
+        held = self._blocks.setdefault(server, OrderedDict())
+        for block in blocks:
+            held[block] = None
+            held.move_to_end(block)
+        while len(held) > MAX_BLOCKS_PER_SERVER:
+            held.popitem(last=False)
+
+    def removed(self, server: str, blocks: list[int]) -> None:
+        """Note that a server no longer holds these blocks."""
+        held = self._blocks.get(server, {})
+        for block in blocks:
+            held.pop(block, None)
+
+    def reset(self, server: str) -> None:
+        """Forget a server, after a gap in its events or a restart."""
+        self._blocks.pop(server, None)
+
+    def leading(self, server: str, blocks: list[int]) -> int:
+        """Return how many leading blocks of a prompt a server holds."""
+        held = self._blocks.get(server)
+        if not held:
+            return 0
+        for count, block in enumerate(blocks):
+            if block not in held:
+                return count
+        return len(blocks)
--- /dev/null
+++ b/siskinspoke/coordination/watchers.py
@@ -0,0 +1,33 @@
+"""Choose which entry VMs follow a backend server in detail.
+
+No daemon can follow every server of a large fleet: each server has a bounded number of
+watchers, chosen by rendezvous hashing, so that all VMs agree without a message and a VM that
+comes or goes moves only its own share.
+"""
+
+import functools
+from collections.abc import Sequence
+
+import xxhash
+
+from siskinspoke.conf.settings import EntryVM
+
+LOCAL_WATCHERS = 6
+REMOTE_WATCHERS = 6
+
+
+def _weight(server: str, entry: str) -> int:
+    return xxhash.xxh64_intdigest(f"{server}/{entry}".encode())
+
+
+def watchers(server: str, domain: str, entries: Sequence[EntryVM]) -> tuple[EntryVM, ...]:
+    """Return the entry VMs that follow a server, most of them in its failure domain."""
+    return _watchers(server, domain, tuple(entries))
+
+
+@functools.lru_cache(maxsize=4_096)
+def _watchers(server: str, domain: str, entries: tuple[EntryVM, ...]) -> tuple[EntryVM, ...]:
+    ranked = sorted(entries, key=lambda entry: _weight(server, entry.name), reverse=True)
+    local = [entry for entry in ranked if entry.failure_domain == domain]
+    remote = [entry for entry in ranked if entry.failure_domain != domain]
+    return tuple(local[:LOCAL_WATCHERS] + remote[:REMOTE_WATCHERS])
--- /dev/null
+++ b/siskinspoke/core/codes.py
@@ -0,0 +1,173 @@
+"""Numbered result codes, what each says about the request, and the typed failure.
+
+The thousands digit is the class: 1 bad input, 2 refused for now, 3 the request's fate,
+4 configuration and control, 5 durable state, 6 command line.  ``docs/reference/codes.md``
+holds the same table and a test compares the two.
+"""
+
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+
+class Run(Enum):
+    """What a result says about whether the request ran."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class ResultCode(IntEnum):
+    """Every result a process of the system may give."""
+
+    OK = 0
+    NOT_JSON = 1001
+    INVALID_FIELD = 1002
+    BODY_TOO_LARGE = 1003
+    UNKNOWN_MODEL = 1004
+    UNAUTHENTICATED = 1005
+    INVALID_DEADLINE = 1006
+    KEY_REQUIRED = 1007
+    INVALID_KEY = 1008
+    KEY_EXPIRED = 1009
+    BODY_TIMEOUT = 1010
+    PROMPT_TOO_LONG = 1011
+    UNKNOWN_STREAM = 1012
+    UNKNOWN_PATH = 1013
+    OVERLOADED = 2001
+    CUSTOMER_LIMIT = 2002
+    NO_SERVER = 2003
+    DRAINING = 2004
+    CLAIMS_UNAVAILABLE = 2005
+    TOO_MANY_STREAMS = 2006
+    NOT_REACHABLE_NOW = 2007
+    DEADLINE_PASSED = 3001
+    FATE_UNKNOWN = 3002
+    IN_PROGRESS = 3003
+    ENGINE_LOST = 3004
+    SLOW_READER = 3005
+    DISPATCH_FAILED = 3006
+    SERVER_ERROR = 3007
+    ALREADY_RAN = 3008
+    CALLER_GONE = 3009
+    VERSION_CONFLICT = 4001
+    NOT_LEADER = 4002
+    NO_QUORUM = 4003
+    INVALID_SETTINGS = 4004
+    ORDER_REUSED = 4005
+    NOT_IN_FORCE = 4006
+    CLAIM_CONFLICT = 4007
+    JOURNAL_CORRUPT = 5001
+    DISK_FULL = 5002
+    FOREIGN_FOLDER = 5003
+    DISK_FAILED = 5004
+    USAGE = 6001
+    UNREACHABLE = 6002
+    CHECK_FAILED = 6003
+
+
+class CodeFacts(NamedTuple):
+    """HTTP status, meaning for the request, and the process exit code of a result."""
+
+    status: int
+    run: Run
+    exit_code: int
+    meaning: str
+
+
+FACTS: dict[ResultCode, CodeFacts] = {
+    ResultCode.OK: CodeFacts(200, Run.RAN, 0, "Done."),
+    ResultCode.NOT_JSON: CodeFacts(400, Run.NOT_RUN, 10, "The body is not a JSON object."),
+    ResultCode.INVALID_FIELD: CodeFacts(400, Run.NOT_RUN, 10, "A field is missing or wrong."),
+    ResultCode.BODY_TOO_LARGE: CodeFacts(413, Run.NOT_RUN, 10, "The body is over the limit."),
+    ResultCode.UNKNOWN_MODEL: CodeFacts(404, Run.NOT_RUN, 10, "No such model or service."),
+    ResultCode.UNAUTHENTICATED: CodeFacts(401, Run.NOT_RUN, 10, "The key is not a customer's."),
+    ResultCode.INVALID_DEADLINE: CodeFacts(400, Run.NOT_RUN, 10, "The deadline is out of range."),
+    ResultCode.KEY_REQUIRED: CodeFacts(
+        400, Run.NOT_RUN, 10, "A non-idempotent request needs an Idempotency-Key."
+    ),
+    ResultCode.INVALID_KEY: CodeFacts(400, Run.NOT_RUN, 10, "The Idempotency-Key is malformed."),
+    ResultCode.KEY_EXPIRED: CodeFacts(410, Run.NOT_RUN, 10, "The Idempotency-Key has expired."),
+    ResultCode.BODY_TIMEOUT: CodeFacts(408, Run.NOT_RUN, 10, "The body did not arrive in time."),
+    ResultCode.PROMPT_TOO_LONG: CodeFacts(
+        422, Run.NOT_RUN, 10, "No announced engine or group can ever hold the prompt."
+    ),
+    ResultCode.UNKNOWN_STREAM: CodeFacts(404, Run.UNKNOWN, 10, "No such stream of this customer."),
+    ResultCode.UNKNOWN_PATH: CodeFacts(404, Run.NOT_RUN, 10, "No such path or method."),
+    ResultCode.OVERLOADED: CodeFacts(503, Run.NOT_RUN, 20, "The deadline cannot be met now."),
+    ResultCode.CUSTOMER_LIMIT: CodeFacts(429, Run.NOT_RUN, 20, "Over the customer's fair share."),
+    ResultCode.NO_SERVER: CodeFacts(503, Run.NOT_RUN, 20, "No backend server can take it now."),
+    ResultCode.DRAINING: CodeFacts(503, Run.NOT_RUN, 20, "This VM is shutting down."),
+    ResultCode.CLAIMS_UNAVAILABLE: CodeFacts(
+        503, Run.NOT_RUN, 20, "No quorum to claim a non-idempotent request."
+    ),
+    ResultCode.TOO_MANY_STREAMS: CodeFacts(503, Run.NOT_RUN, 20, "This VM is full."),
+    ResultCode.NOT_REACHABLE_NOW: CodeFacts(
+        503, Run.NOT_RUN, 20, "The servers that could hold it are cut off."
+    ),
+    ResultCode.DEADLINE_PASSED: CodeFacts(504, Run.UNKNOWN, 30, "The deadline passed."),
+    ResultCode.FATE_UNKNOWN: CodeFacts(502, Run.UNKNOWN, 30, "It may have run."),
+    ResultCode.IN_PROGRESS: CodeFacts(409, Run.RAN, 30, "The first attempt still runs."),
+    ResultCode.ENGINE_LOST: CodeFacts(502, Run.RAN, 30, "The engine was lost in mid-answer."),
+    ResultCode.SLOW_READER: CodeFacts(499, Run.RAN, 30, "The caller read too slowly."),
+    ResultCode.DISPATCH_FAILED: CodeFacts(502, Run.NOT_RUN, 30, "No server took the request."),
+    ResultCode.SERVER_ERROR: CodeFacts(502, Run.RAN, 30, "The backend server gave an error."),
+    ResultCode.ALREADY_RAN: CodeFacts(409, Run.RAN, 30, "It ran before; its answer is not kept."),
+    ResultCode.CALLER_GONE: CodeFacts(499, Run.UNKNOWN, 30, "The caller hung up."),
+    ResultCode.VERSION_CONFLICT: CodeFacts(409, Run.NOT_RUN, 40, "Another change came first."),
+    ResultCode.NOT_LEADER: CodeFacts(421, Run.NOT_RUN, 40, "Ask the leader."),
+    ResultCode.NO_QUORUM: CodeFacts(503, Run.UNKNOWN, 40, "No majority answered in time."),
+    ResultCode.INVALID_SETTINGS: CodeFacts(422, Run.NOT_RUN, 40, "The settings have faults."),
+    ResultCode.ORDER_REUSED: CodeFacts(
+        409, Run.NOT_RUN, 40, "The order id was used for another change."
+    ),
+    ResultCode.NOT_IN_FORCE: CodeFacts(
+        504, Run.RAN, 41, "Accepted, but some VMs have not confirmed it."
+    ),
+    ResultCode.CLAIM_CONFLICT: CodeFacts(409, Run.NOT_RUN, 40, "The claim is another attempt's."),
+    ResultCode.JOURNAL_CORRUPT: CodeFacts(500, Run.UNKNOWN, 50, "The journal is damaged."),
+    ResultCode.DISK_FULL: CodeFacts(500, Run.UNKNOWN, 50, "The disk is full."),
+    ResultCode.FOREIGN_FOLDER: CodeFacts(500, Run.NOT_RUN, 50, "The folder is another VM's."),
+    ResultCode.DISK_FAILED: CodeFacts(500, Run.UNKNOWN, 50, "The disk refused a write."),
+    ResultCode.USAGE: CodeFacts(400, Run.NOT_RUN, 2, "The command line is wrong."),
+    ResultCode.UNREACHABLE: CodeFacts(503, Run.UNKNOWN, 60, "No process answered."),
+    ResultCode.CHECK_FAILED: CodeFacts(500, Run.RAN, 61, "A check did not hold."),
+}
+
+
+class Failure(NamedTuple):
+    """A typed error: a result code, a message for people, and when to come back.
+
+    ``retry_after_ms`` is None where coming back is of no use.  ``run`` overrides what the
+    code says about the request where more is known.
+    """
+
+    code: ResultCode
+    message: str
+    retry_after_ms: int | None = None
+    run: Run | None = None
+
+    @property
+    def fate(self) -> Run:
+        """Return what is known about whether the request ran."""
+        return self.run or FACTS[self.code].run
+
+    def to_document(self) -> dict:
+        """Return the JSON body a caller receives."""
+        return {
+            "error": {
+                "code": int(self.code),
+                "name": self.code.name,
+                "message": self.message,
+                "run": self.fate.value,
+                "retry_after_ms": self.retry_after_ms,
+            }
+        }
+
+
+class FailureError(Exception):
+    """Carry a Failure through code that cannot return a Result."""
+
+    def __init__(self, failure: Failure):
+        super().__init__(f"{failure.code.name}: {failure.message}")
+        self.failure = failure
--- /dev/null
+++ b/siskinspoke/core/counters.py
@@ -0,0 +1,56 @@
+"""Counters and gauges, kept in the process and sent to statsd."""
+
+from collections import Counter
+from typing import Protocol
+
+import statsd
+
+
+class Sink(Protocol):
+    """What receives counters beside the process itself."""
+
+    def incr(self, stat: str, count: int = 1) -> None: ...
+
+    def gauge(self, stat: str, value: float) -> None: ...
+
+
+class Counters:
+    """Count events by name; the totals are what ``status`` prints."""
+
+    def __init__(self, sink: Sink | None = None):
+        self._sink = sink
+        self._totals: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+
+    @property
+    def totals(self) -> dict[str, int]:
+        """Return the count of each event since the process started."""
+        return dict(self._totals)
+
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Return the last value of each gauge."""
+        return dict(self._gauges)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self._totals[name] += amount
+        if self._sink is not None:
+            self._sink.incr(name, amount)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+        if self._sink is not None:
+            self._sink.gauge(name, value)
+
+
+def counters_for(process: str, statsd_host: str, statsd_port: int) -> Counters:
+    """Return counters that go to statsd when a port is given.
+
+    The host must be an address in numbers: the statsd client resolves names on a blocking
+    socket, which would stall every task of the process.
+    """
+    if not statsd_port:
+        return Counters()
+    return Counters(statsd.StatsClient(statsd_host, statsd_port, prefix=f"siskinspoke.{process}"))
--- /dev/null
+++ b/siskinspoke/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on every entry VM: it takes callers' requests and answers for them."""
--- /dev/null
+++ b/siskinspoke/entry/calls.py
@@ -0,0 +1,192 @@
+"""Answer one request to a plain service; some of its calls must not be repeated."""
+
+import httpx
+import msgspec
+import trio
+
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.core.codes import FACTS, Failure, ResultCode, Run
+from siskinspoke.entry.backend import connection_failed
+from siskinspoke.entry.claiming import Claimed, Held, claim, find_out, settle_not_run, settle_ran
+from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.entry.requests import Call, Caller
+from siskinspoke.protocol.claims import ClaimAnswer, Target
+
+MAX_ATTEMPTS = 4
+MARGIN_SECONDS = 0.03
+RETRY_LATER_MS = 1_000
+
+
+class _NotBegun(Exception):  # noqa: N818  (an outcome, not an error)
+    """No byte of the call left, or the server refused it."""
+
+
+class CallJob:
+    """One call of a plain service."""
+
+    def __init__(self, context: EntryContext, caller: Caller, call: Call, request_id: str):
+        self._context = context
+        self._caller = caller
+        self._call = call
+        self._request_id = request_id
+        self._deadline = trio.current_time() + call.timeout_ms / 1000
+        self._dispatched = False
+        self._excluded: set[str] = set()
+
+    async def run(self) -> dict | Failure:
+        """Return the service's answer or the final failure."""
+        with trio.move_on_at(self._deadline - MARGIN_SECONDS):
+            if self._call.key is not None:
+                return await self._run_claimed()
+            return await self._run_plain()
+        run = Run.UNKNOWN if self._dispatched else Run.NOT_RUN
+        return Failure(ResultCode.DEADLINE_PASSED, "the deadline passed", None, run)
+
+    def _choose(self) -> ServerRecord | None:
+        """Return the server with the fewest calls that has not failed this request."""
+        serving = self._context.directory.serving(self._call.service, now_ms())
+        usable = [r for r in serving if r.announcement.server not in self._excluded]
+        if not usable:
+            return None
+        self._context.rng.shuffle(usable)
+        home = self._context.me.failure_domain
+        return min(
+            usable,
+            key=lambda r: (r.announcement.running, r.announcement.failure_domain != home),
+        )
+
+    def _nobody(self) -> Failure:
+        message = f"no backend server of {self._call.service!r} can take work now"
+        retry = self._context.router.retry_after(RETRY_LATER_MS, self._context.rng)
+        return Failure(ResultCode.NO_SERVER, message, retry)
+
+    async def _send(self, target: Target, attempt: int) -> dict:
+        """Call the server once; raise _NotBegun where it is proven not to have begun."""
+        body = {
+            "request": self._request_id,
+            "attempt": attempt,
+            "subject": self._subject(),
+            "input": self._call.input,
+        }
+        try:
+            self._dispatched = True
+            response = await self._context.backend.call(target, body)
+        except httpx.HTTPError as error:
+            if connection_failed(error):
+                self._dispatched = False
+                raise _NotBegun from error
+            raise
+        if response.status_code == 409:
+            self._dispatched = False
+            raise _NotBegun
+        response.raise_for_status()
+        return msgspec.json.decode(response.content)
+
+    def _subject(self) -> str:
+        key = self._call.key
+        return f"{self._caller.customer}/{key.text}" if key else self._request_id
+
+    async def _run_plain(self) -> dict | Failure:
+        """Call an idempotent service; a call that broke is repeated within the budget."""
+        context = self._context
+        context.retries.first_attempt()
+        reason = "no attempt succeeded"
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            record = self._choose()
+            if record is None:
+                return self._nobody()
+            target = target_of(record)
+            try:
+                return await self._send(target, attempt)
+            except _NotBegun:
+                self._give_up_on(target)
+                reason = "the server did not take the call"
+            except httpx.HTTPError as error:
+                self._excluded.add(target.server)
+                reason = type(error).__name__
+            if not context.retries.take():
+                context.counters.count("retry.budget_spent")
+                break
+            context.counters.count("retried.call")
+        run = Run.UNKNOWN if self._dispatched else Run.NOT_RUN
+        return Failure(ResultCode.DISPATCH_FAILED, reason, RETRY_LATER_MS, run)
+
+    def _give_up_on(self, target: Target) -> None:
+        self._excluded.add(target.server)
+        self._context.directory.suspect(target.server, target.incarnation, now_ms())
+
+    async def _run_claimed(self) -> dict | Failure:
+        """Call a service at most once for this key, whoever else asks for it."""
+        context = self._context
+        for _ in range(MAX_ATTEMPTS):
+            record = self._choose()
+            if record is None:
+                return self._nobody()
+            outcome = await claim(context, self._subject(), self._call.key, target_of(record))
+            if outcome.is_error():
+                return outcome.error
+            match outcome.ok:
+                case Claimed(attempt=attempt):
+                    answer = await self._run_attempt(target_of(record), attempt)
+                case Held(answer=held):
+                    answer = await self._look_at(held)
+            if answer is not None:
+                return answer
+        return Failure(ResultCode.DISPATCH_FAILED, "no attempt began", RETRY_LATER_MS, Run.NOT_RUN)
+
+    async def _run_attempt(self, target: Target, attempt: int) -> dict | Failure | None:
+        """Run the claimed attempt; None means that another one may begin."""
+        context = self._context
+        try:
+            answer = await self._send(target, attempt)
+        except _NotBegun:
+            self._give_up_on(target)
+            await settle_not_run(context, self._subject(), attempt)
+            return None
+        except httpx.HTTPStatusError as error:
+            return await self._server_error(error, attempt)
+        except httpx.HTTPError:
+            if await find_out(context, target, self._request_id, attempt):
+                self._excluded.add(target.server)
+                await settle_not_run(context, self._subject(), attempt)
+                return None
+            return Failure(ResultCode.FATE_UNKNOWN, "the call may have run", RETRY_LATER_MS)
+        body = msgspec.json.encode(answer).decode()
+        await settle_ran(context, self._subject(), attempt, 200, body)
+        return answer
+
+    async def _server_error(self, error: httpx.HTTPStatusError, attempt: int) -> Failure:
+        status = error.response.status_code
+        await settle_ran(self._context, self._subject(), attempt, status, "")
+        return Failure(ResultCode.SERVER_ERROR, f"the service answered {status}")
+
+    async def _look_at(self, held: ClaimAnswer) -> dict | Failure | None:
+        """Answer a resend from what is known of the attempt that holds the claim."""
+        context = self._context
+        if held.code == ResultCode.ALREADY_RAN:
+            if held.status == 200 and held.body:
+                return msgspec.json.decode(held.body.encode())
+            if held.status != 200:
+                return Failure(ResultCode.SERVER_ERROR, f"the service answered {held.status}")
+            return Failure(ResultCode.ALREADY_RAN, "the call ran; its answer is not kept")
+        state = await context.backend.cancel(
+            held.target, self._request_id, held.attempt, unless_began=True
+        )
+        match state:
+            case "never_began":
+                await settle_not_run(context, self._subject(), held.attempt)
+                context.counters.count("claim.freed")
+                return None
+            case "running":
+                message = FACTS[ResultCode.IN_PROGRESS].meaning
+                return Failure(ResultCode.IN_PROGRESS, message, RETRY_LATER_MS)
+            case "finished":
+                return await self._record_ran(held)
+            case _:
+                message = "the first attempt may have run"
+                return Failure(ResultCode.FATE_UNKNOWN, message, RETRY_LATER_MS)
+
+    async def _record_ran(self, held: ClaimAnswer) -> Failure:
+        """Settle for an owner that is gone; its answer was lost with it."""
+        await settle_ran(self._context, self._subject(), held.attempt, 200, "")
+        return Failure(ResultCode.ALREADY_RAN, "the call ran; its answer is not kept")
--- /dev/null
+++ b/siskinspoke/entry/completions.py
@@ -0,0 +1,414 @@
+"""Answer one request to a model: route, claim, dispatch, retry, and clean up behind it."""
+
+from dataclasses import dataclass, field
+
+import trio
+from expression import Error, Result
+
+from siskinspoke.coordination import fairness
+from siskinspoke.coordination.routing import Choice, Ticket, Work, length_class
+from siskinspoke.core.codes import Failure, ResultCode, Run
+from siskinspoke.entry import groups
+from siskinspoke.entry.backend import AttemptEnd, Completed, Lost, NotBegun, Unknown
+from siskinspoke.entry.claiming import Claimed, Held, claim, find_out, settle_not_run, settle_ran
+from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.entry.janitor import CancelAttempt
+from siskinspoke.entry.requests import Caller, Completion
+from siskinspoke.entry.stream_tokens import StreamToken
+from siskinspoke.protocol.assembly import Assembler, Piece
+from siskinspoke.protocol.claims import Target
+from siskinspoke.protocol.engine import GenerateRequest
+from siskinspoke.protocol.prefix import count_tokens, prefix_blocks
+
+OUTBOX_BATCHES = 64
+ATTEMPT_LEASE_MS = 5_000
+MARGIN_SECONDS = 0.03
+MAX_ATTEMPTS = 4
+RESUME_TRIES = 2
+RETRY_LATER_MS = 2_000
+
+
+@dataclass(frozen=True)
+class Settled:
+    """A claimed request has ended, with or without a failure."""
+
+    failure: Failure | None
+
+
+class ReaderTooSlowError(Exception):
+    """The caller read nothing for its whole allowance."""
+
+
+@dataclass
+class Progress:
+    """How far an answer has come, for its deadline, its retries and its clean-up."""
+
+    offset: int = 0
+    text: list[str] = field(default_factory=list)
+    attempt: int = 0
+    running: Target | None = None
+    dispatched: bool = False
+    first_token_at: float | None = None
+    excluded: set[str] = field(default_factory=set)
+    abandoned: bool = False
+
+
+class CompletionJob:
+    """One request to a model, run by a task of its own; its caller reads the outbox."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        caller: Caller,
+        completion: Completion,
+        request_id: str,
+        deadline: float,
+    ):
+        self.request_id = request_id
+        self.caller = caller
+        self.completion = completion
+        self.failure: Failure | None = None
+        self.token: StreamToken | None = None
+        self.scope = trio.CancelScope(deadline=deadline - MARGIN_SECONDS)
+        self._context = context
+        self._deadline = deadline
+        self._limits = context.holder.current.configuration.limits
+        self._progress = Progress()
+        self._prompt_tokens = count_tokens(completion.prompt)
+        self._blocks = prefix_blocks(completion.prompt)
+        self._send, self.outbox = trio.open_memory_channel[list[Piece]](OUTBOX_BATCHES)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens of the prompt."""
+        return self._prompt_tokens
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens answered so far."""
+        return self._progress.offset
+
+    def _work(self) -> Work:
+        limits = self._limits
+        return Work(
+            self.completion.service,
+            self._prompt_tokens,
+            self.completion.max_tokens - self._progress.offset,
+            length_class(self._prompt_tokens, limits.short_tokens, limits.long_tokens),
+            self.caller.priority,
+            self._blocks,
+            (self._deadline - trio.current_time()) * 1000,
+            frozenset(self._progress.excluded),
+        )
+
+    def admit(self) -> Result[Choice, Failure]:
+        """Decide whether the request can be served on time and within its customer's share."""
+        context, work = self._context, self._work()
+        chosen = context.router.choose(work, now_ms(), context.rng)
+        if chosen.is_error():
+            return chosen
+        weights = {
+            name: customer.weight
+            for name, customer in context.holder.current.configuration.customers.items()
+        }
+        ratio = context.shares.ratio(self.caller.customer, weights, now_ms())
+        patience = fairness.patience_ms(ratio, work.remaining_ms)
+        wait = chosen.ok.estimate_ms
+        if ratio > 1 and wait > patience:
+            retry = context.router.retry_after(wait - patience, context.rng)
+            message = f"customer {self.caller.customer} is at {ratio:.1f} of its fair share"
+            return Error(Failure(ResultCode.CUSTOMER_LIMIT, message, retry))
+        amount = fairness.work_tokens(chosen.ok.uncached_tokens, work.max_tokens)
+        context.shares.record(self.caller.customer, amount, now_ms())
+        return chosen
+
+    async def run(self, first: Choice) -> None:
+        """Serve the request to its end; ``failure`` then says what went wrong, if anything."""
+        ended = False
+        self._context.request_opened()
+        try:
+            with self.scope:
+                self.failure = await self._serve(first)
+                ended = True
+        except ReaderTooSlowError:
+            self.failure = Failure(ResultCode.SLOW_READER, "the caller read too slowly")
+        finally:
+            if not ended and self.failure is None:
+                self.failure = self._cut_short()
+            self._clean_up()
+            self._send.close()
+            self._context.request_closed()
+            if self.failure is not None:
+                self._context.counters.count(f"failed.{self.failure.code.name.lower()}")
+
+    def _cut_short(self) -> Failure:
+        """Return the failure of a request whose deadline passed or whose caller hung up."""
+        run = Run.UNKNOWN if self._progress.dispatched else Run.NOT_RUN
+        if self._progress.offset:
+            run = Run.RAN
+        if self._progress.abandoned:
+            return Failure(ResultCode.CALLER_GONE, "the caller hung up", None, run)
+        return Failure(ResultCode.DEADLINE_PASSED, "the deadline passed", None, run)
+
+    def hang_up(self) -> None:
+        """Note that the caller is gone; an attempt that may run only once goes on.
+
+        The caller of a non-idempotent request resends it through another VM, which must find
+        the first attempt running and not cancelled halfway.
+        """
+        self._progress.abandoned = True
+        self.outbox.close()
+        if self.completion.key is None:
+            self.scope.cancel()
+
+    def _clean_up(self) -> None:
+        """Cancel the attempt that may still hold an engine's memory."""
+        running = self._progress.running
+        if running is not None:
+            self._context.janitor.add(
+                CancelAttempt(running, self.request_id, self._progress.attempt)
+            )
+
+    async def _serve(self, choice: Choice) -> Failure | None:
+        if len(choice.servers) > 1:
+            return await self._serve_by_group()
+        if self.completion.key is not None:
+            return await self._serve_claimed(choice)
+        return await self._serve_idempotent(choice)
+
+    async def _serve_idempotent(self, choice: Choice) -> Failure | None:
+        """Attempt until the answer is whole; each retry goes elsewhere and costs budget."""
+        context, progress = self._context, self._progress
+        context.retries.first_attempt()
+        for _ in range(MAX_ATTEMPTS):
+            progress.attempt += 1
+            target = target_of(choice.servers[0])
+            end = await self._attempt(choice, self._generate_body())
+            for _ in range(RESUME_TRIES):
+                if not isinstance(end, Lost) or not context.is_alive(target):
+                    break
+                context.counters.count("retried.resume")
+                end = await self._resume(target)
+            match end:
+                case Completed():
+                    progress.running = None
+                    return None
+                case NotBegun(reason=reason, reached=reached):
+                    if not reached:
+                        context.directory.suspect(target.server, target.incarnation, now_ms())
+                case Lost(reason=reason):
+                    self._clean_up()
+                case Unknown():
+                    reason = "unknown to the server"
+                    self._clean_up()
+            progress.running = None
+            progress.excluded.add(target.server)
+            if not context.retries.take():
+                context.counters.count("retry.budget_spent")
+                return self._given_up(f"{reason}; the retry budget is spent")
+            context.counters.count(f"retried.{type(end).__name__.lower()}")
+            chosen = context.router.choose(self._work(), now_ms(), context.rng)
+            if chosen.is_error():
+                return self._given_up(chosen.error.message)
+            choice = chosen.ok
+        return self._given_up("no attempt succeeded")
+
+    def _given_up(self, message: str) -> Failure:
+        if self._progress.offset:
+            return Failure(ResultCode.ENGINE_LOST, message, RETRY_LATER_MS)
+        run = Run.UNKNOWN if self._progress.dispatched else Run.NOT_RUN
+        return Failure(ResultCode.DISPATCH_FAILED, message, RETRY_LATER_MS, run)
+
+    def _generate_body(self) -> GenerateRequest:
+        progress = self._progress
+        return GenerateRequest(
+            request=self.request_id,
+            attempt=progress.attempt,
+            model=self.completion.service,
+            prompt=self.completion.prompt + "".join(progress.text),
+            max_tokens=self.completion.max_tokens,
+            priority=self._work().rank,
+            offset=progress.offset,
+            lease_ms=ATTEMPT_LEASE_MS,
+        )
+
+    async def _attempt(self, choice: Choice, body: GenerateRequest) -> AttemptEnd:
+        """Dispatch one attempt to the head of a choice and read its answer."""
+        context, record = self._context, choice.servers[0]
+        target = target_of(record)
+        ticket = context.router.dispatched(record, self._work(), choice.uncached_tokens, now_ms())
+        self._note_running(target)
+        try:
+            end = await self._stream(target, "/v1/generate", body, ticket)
+        finally:
+            context.router.ended(ticket)
+        if isinstance(end, Completed):
+            context.router.prefixes.stored(target.server, self._blocks)
+        if not isinstance(end, NotBegun):
+            self._progress.dispatched = True
+        return end
+
+    def _note_running(self, target: Target, group: groups.Group | None = None) -> None:
+        progress = self._progress
+        progress.running = target
+        self.token = StreamToken(
+            self.caller.customer,
+            self.request_id,
+            progress.attempt,
+            self.completion.max_tokens,
+            target,
+            group.reservation if group else "",
+            [member.target for member in group.helpers] if group else [],
+        )
+
+    async def _resume(self, target: Target) -> AttemptEnd:
+        """Read on from a server that still runs the attempt, after its connection broke."""
+        body = {
+            "request": self.request_id,
+            "attempt": self._progress.attempt,
+            "offset": self._progress.offset,
+        }
+        return await self._stream(target, "/v1/resume", body, None)
+
+    async def _stream(
+        self, target: Target, path: str, body: dict, ticket: Ticket | None
+    ) -> AttemptEnd:
+        context, progress = self._context, self._progress
+        assembler = Assembler(
+            self.request_id, progress.attempt, target.incarnation, progress.offset
+        )
+
+        async def deliver(pieces: list[Piece]) -> None:
+            await self._deliver(pieces, ticket)
+
+        def accepted(number: int) -> None:
+            progress.dispatched = True
+            if ticket is not None:
+                context.router.accepted(ticket, number)
+
+        single_use = self.completion.key is not None
+        return await context.backend.stream(
+            target,
+            path,
+            body,
+            assembler,
+            deliver,
+            accepted,
+            lambda: context.is_alive(target),
+            single_use,
+        )
+
+    async def _deliver(self, pieces: list[Piece], ticket: Ticket | None) -> None:
+        """Hand pieces to the caller's side, which may hold up nobody but itself."""
+        progress = self._progress
+        if progress.first_token_at is None:
+            progress.first_token_at = trio.current_time()
+            if ticket is not None:
+                self._context.router.first_token(ticket)
+        for piece in pieces:
+            progress.offset = piece.offset + piece.tokens
+            progress.text.append(piece.text)
+        with trio.move_on_after(self._limits.reader_timeout_ms / 1000) as scope:
+            try:
+                await self._send.send(pieces)
+            except trio.BrokenResourceError:
+                progress.abandoned = True
+        if scope.cancelled_caught:
+            raise ReaderTooSlowError
+
+    async def _serve_by_group(self) -> Failure | None:
+        """Serve a prompt that no single engine holds."""
+        context, progress = self._context, self._progress
+        refusal: list[Failure] = []
+
+        def choose() -> Choice | None:
+            chosen = context.router.choose(self._work(), now_ms(), context.rng)
+            if chosen.is_error():
+                refusal.append(chosen.error)
+                return None
+            return chosen.ok
+
+        progress.attempt = 1
+        async with groups.reserved(context, choose, self.request_id) as group:
+            if group is None:
+                return refusal[0]
+            if not await groups.prefill_helpers(context, group):
+                return self._given_up("a member of the group was lost")
+            body = self._generate_body()
+            body["reservation"] = group.reservation
+            body["prefilled"] = sum(member.tokens for member in group.helpers)
+            target = group.head.target
+            self._note_running(target, group)
+            end = await self._stream(target, "/v1/generate", body, None)
+            for _ in range(RESUME_TRIES):
+                if not isinstance(end, Lost) or not context.is_alive(target):
+                    break
+                end = await self._resume(target)
+        if isinstance(end, Completed):
+            progress.running = None
+            return None
+        return self._given_up("the head of the group was lost")
+
+    async def _serve_claimed(self, choice: Choice) -> Failure | None:
+        """Run a non-idempotent request at most once, whoever else asks for it."""
+        context, progress = self._context, self._progress
+        context.retries.first_attempt()
+        for _ in range(MAX_ATTEMPTS):
+            target = target_of(choice.servers[0])
+            outcome = await claim(context, self._claim_key(), self.completion.key, target)
+            if outcome.is_error():
+                return outcome.error
+            match outcome.ok:
+                case Claimed(attempt=attempt):
+                    progress.attempt = attempt
+                    end = await self._attempt(choice, self._generate_body())
+                case Held(answer=answer):
+                    progress.attempt = answer.attempt
+                    target = answer.target
+                    end = await self._attach(target)
+            settled = await self._settle(end, target)
+            if settled is not None:
+                return settled.failure
+            chosen = context.router.choose(self._work(), now_ms(), context.rng)
+            if chosen.is_error():
+                return chosen.error
+            choice = chosen.ok
+        return self._given_up("no attempt began")
+
+    def _claim_key(self) -> str:
+        return f"{self.caller.customer}/{self.completion.key.text}"
+
+    async def _attach(self, target: Target) -> AttemptEnd:
+        """Read the answer of the attempt that holds the claim, from its beginning."""
+        self._context.counters.count("claim.attached")
+        self._note_running(target)
+        self._progress.running = None
+        return await self._resume(target)
+
+    async def _settle(self, end: AttemptEnd, target: Target) -> Settled | None:
+        """Settle a claim by how its attempt ended; None means that another may begin."""
+        context, progress = self._context, self._progress
+        for _ in range(RESUME_TRIES):
+            if not isinstance(end, Lost) or not context.is_alive(target):
+                break
+            end = await self._resume(target)
+        key = self._claim_key()
+        if isinstance(end, Completed):
+            progress.running = None
+            await settle_ran(context, key, progress.attempt, 200, "")
+            return Settled(None)
+        if isinstance(end, NotBegun) and not end.reached:
+            context.directory.suspect(target.server, target.incarnation, now_ms())
+            progress.excluded.add(target.server)
+        proven = isinstance(end, NotBegun) or await find_out(
+            context, target, self.request_id, progress.attempt
+        )
+        progress.running = None
+        if proven:
+            await settle_not_run(context, key, progress.attempt)
+            context.counters.count("claim.freed")
+            return None
+        if progress.offset:
+            return Settled(Failure(ResultCode.ENGINE_LOST, "the engine was lost in mid-answer"))
+        message = "the attempt may have run"
+        return Settled(Failure(ResultCode.FATE_UNKNOWN, message, RETRY_LATER_MS))
--- /dev/null
+++ b/siskinspoke/entry/control_client.py
@@ -0,0 +1,111 @@
+"""Talk to the control replicas: find the leader, claim, settle, follow the configuration."""
+
+import random
+from typing import NamedTuple
+
+import httpx
+import msgspec
+import trio
+from expression import Error, Ok, Result
+
+from siskinspoke.conf.settings import ControlVM
+from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.counters import Counters
+from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest
+from siskinspoke.protocol.sealed_http import SEAL_HEADER, seal_of
+from siskinspoke.transport.http import make_client
+
+EXCHANGE_SECONDS = 0.8
+PAUSE_SECONDS = 0.05
+NOT_LEADER_STATUS = 421
+CLAIM_RETRY_MS = 1_000
+
+
+class ConfigurationNews(NamedTuple):
+    """A configuration and its version, as a control replica holds it."""
+
+    version: int
+    document: dict | None
+
+
+class ControlClient:
+    """Own the connection to the control replicas; remember which one leads."""
+
+    def __init__(self, replicas: list[ControlVM], key: bytes, name: str, counters: Counters):
+        self._replicas = list(replicas)
+        self._key = key
+        self._name = name
+        self._counters = counters
+        self._client = make_client()
+        self._leader: str | None = None
+
+    async def __aenter__(self) -> "ControlClient":
+        await self._client.__aenter__()
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._client.__aexit__(*details)
+
+    async def claim(
+        self, request: ClaimRequest, remaining_seconds: float
+    ) -> Result[ClaimAnswer, Failure]:
+        """Claim a key; an Error means that nothing may be dispatched."""
+        return await self._ask_leader("/v1/claim", request, remaining_seconds)
+
+    async def settle(
+        self, request: SettleRequest, remaining_seconds: float
+    ) -> Result[ClaimAnswer, Failure]:
+        """Report how a claimed attempt ended."""
+        return await self._ask_leader("/v1/settle", request, remaining_seconds)
+
+    async def _ask_leader(
+        self, path: str, item: NamedTuple, remaining_seconds: float
+    ) -> Result[ClaimAnswer, Failure]:
+        """Ask replicas, the likely leader first, until one answers as the leader."""
+        body = msgspec.json.encode(item)
+        with trio.move_on_after(remaining_seconds):
+            while True:
+                for replica in self._in_order():
+                    answer = await self._exchange(replica, path, body)
+                    if answer is not None:
+                        self._leader = replica.name
+                        return Ok(answer)
+                    self._leader = None
+                await trio.sleep(PAUSE_SECONDS * random.uniform(0.5, 1.5))
+        self._counters.count("claim.unavailable")
+        message = "no majority of control replicas answered in time"
+        return Error(Failure(ResultCode.CLAIMS_UNAVAILABLE, message, CLAIM_RETRY_MS))
+
+    def _in_order(self) -> list[ControlVM]:
+        order = random.sample(self._replicas, len(self._replicas))
+        return sorted(order, key=lambda replica: replica.name != self._leader)
+
+    async def _exchange(self, replica: ControlVM, path: str, body: bytes) -> ClaimAnswer | None:
+        url = f"http://{replica.host}:{replica.port}{path}"
+        headers = {SEAL_HEADER: seal_of(self._key, path, body)}
+        with trio.move_on_after(EXCHANGE_SECONDS):
+            try:
+                response = await self._client.post(url, content=body, headers=headers)
+                if response.status_code == 200:
+                    return msgspec.json.decode(response.content, type=ClaimAnswer)
+            except (httpx.HTTPError, msgspec.MsgspecError):
+                self._counters.count("control.exchange_failed")
+        return None
+
+    async def configuration_after(self, version: int, wait_ms: int) -> ConfigurationNews | None:
+        """Return a newer configuration, waiting a bounded time for one to come.
+
+        None means that the asked replica gave no proper answer; another is asked next.
+        """
+        replica = random.choice(self._replicas)
+        path = f"/v1/configuration?after={version}&wait_ms={wait_ms}&entry={self._name}"
+        url = f"http://{replica.host}:{replica.port}{path}"
+        headers = {SEAL_HEADER: seal_of(self._key, path, b"")}
+        with trio.move_on_after(wait_ms / 1000 + EXCHANGE_SECONDS):
+            try:
+                response = await self._client.get(url, headers=headers)
+                if response.status_code == 200:
+                    return msgspec.json.decode(response.content, type=ConfigurationNews)
+            except (httpx.HTTPError, msgspec.MsgspecError):
+                self._counters.count("control.exchange_failed")
+        return None
--- /dev/null
+++ b/siskinspoke/entry/daemon.py
@@ -0,0 +1,140 @@
+"""Compose the entry daemon and run it until it has drained."""
+
+import random
+import signal
+import time
+from contextlib import AsyncExitStack
+
+import trio
+from loguru import logger
+
+from siskinspoke.conf import Settings
+from siskinspoke.coordination.configuration import ConfigurationHolder
+from siskinspoke.coordination.directory import Directory
+from siskinspoke.coordination.fairness import FairShares
+from siskinspoke.coordination.prefixes import PrefixIndex
+from siskinspoke.coordination.retries import RetryBudget
+from siskinspoke.coordination.routing import Router
+from siskinspoke.core.counters import Counters, counters_for
+from siskinspoke.entry.backend import Backend
+from siskinspoke.entry.context import EntryContext
+from siskinspoke.entry.control_client import ControlClient
+from siskinspoke.entry.followers import (
+    AnnouncementFollower,
+    CacheFollower,
+    ConfigurationFollower,
+    forget_forever,
+)
+from siskinspoke.entry.internal_app import internal_app
+from siskinspoke.entry.janitor import Janitor
+from siskinspoke.entry.public_app import public_app
+from siskinspoke.protocol.claims import Target
+from siskinspoke.transport.datagrams import open_datagram_port
+from siskinspoke.transport.http import HttpServer, serve
+
+REFUSING_SECONDS = 0.5
+CHORES_SECONDS = 3.0
+
+
+def make_context(
+    settings: Settings,
+    name: str,
+    backend: Backend,
+    control: ControlClient,
+    counters: Counters,
+    nursery: trio.Nursery,
+) -> EntryContext:
+    """Return the wired parts of an entry daemon."""
+    me = settings.entry(name)
+    limits = settings.configuration.limits
+    directory = Directory(settings.announcement_lease_ms)
+
+    def is_gone(target: Target) -> bool:
+        return directory.superseded(target.server, target.incarnation)
+
+    return EntryContext(
+        me=me,
+        settings=settings,
+        incarnation=time.time_ns(),
+        holder=ConfigurationHolder(settings.configuration, settings.configuration_document),
+        directory=directory,
+        router=Router(directory, PrefixIndex(), me.failure_domain),
+        shares=FairShares(limits.fair_window_ms),
+        retries=RetryBudget(limits.retry_share),
+        counters=counters,
+        backend=backend,
+        control=control,
+        janitor=Janitor(backend, counters, is_gone),
+        rng=random.Random(),
+        nursery=nursery,
+    )
+
+
+async def run_entry(settings: Settings, name: str) -> None:
+    """Run the entry daemon of that name until SIGTERM, then drain."""
+    me = settings.entry(name)
+    counters = counters_for(name, settings.statsd_host, settings.statsd_port)
+    shutdown = trio.Event()
+    async with AsyncExitStack() as stack:
+        backend = await stack.enter_async_context(Backend(counters))
+        control = await stack.enter_async_context(
+            ControlClient(settings.controls, settings.internal_key, name, counters)
+        )
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        context = make_context(settings, name, backend, control, counters, nursery)
+        port = await open_datagram_port(me.host, me.internal_port, settings.internal_key, counters)
+        follower = ConfigurationFollower(context)
+        follower.load()
+        limits = context.holder.current.configuration.limits
+        drain_seconds = limits.drain_ms / 1000
+        for task in (
+            AnnouncementFollower(context, port).run,
+            follower.run,
+            CacheFollower(context).run,
+            context.janitor.run,
+            backend.watch_forever,
+        ):
+            nursery.start_soon(task)
+        nursery.start_soon(forget_forever, context)
+        async with trio.open_nursery() as servers:
+            for app, listen in (
+                (public_app(context), me.port),
+                (internal_app(context), me.internal_port),
+            ):
+                server = HttpServer(app, me.host, listen, drain_seconds)
+                await servers.start(serve, server, shutdown)
+            logger.info("entry {} serves on {}:{}", name, me.host, me.port)
+            await _until_drained(context, drain_seconds)
+            shutdown.set()
+        await _until_idle(context)
+        nursery.cancel_scope.cancel()
+
+
+async def _until_drained(context: EntryContext, drain_seconds: float) -> None:
+    """Wait for SIGTERM or an operator's drain, then for open requests to end.
+
+    New requests meanwhile get a refusal that says "not run"; the pause lets the balancer
+    notice before the port closes.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_drain_on_signal, context)
+        while not context.draining:
+            await trio.sleep(0.05)
+        logger.info("entry {} drains, {} requests open", context.me.name, context.open_requests)
+        await trio.sleep(REFUSING_SECONDS)
+        with trio.move_on_after(drain_seconds):
+            await context.drained.wait()
+        nursery.cancel_scope.cancel()
+
+
+async def _drain_on_signal(context: EntryContext) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            context.begin_drain()
+
+
+async def _until_idle(context: EntryContext) -> None:
+    """Give the janitor's chores a little time; leases cover those that stay."""
+    with trio.move_on_after(CHORES_SECONDS):
+        while not context.janitor.idle:
+            await trio.sleep(0.05)
--- /dev/null
+++ b/siskinspoke/entry/followers.py
@@ -0,0 +1,175 @@
+"""Tasks that keep an entry VM up to date: announcements, configuration, cache events."""
+
+from pathlib import Path
+
+import msgspec
+import trio
+from loguru import logger
+
+from siskinspoke.coordination.configuration import FROM_CONTROL, FROM_DISK
+from siskinspoke.coordination.directory import Heard
+from siskinspoke.coordination.watchers import watchers
+from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.protocol.announcements import Announcement, Spread
+from siskinspoke.state.files import read_checked, write_atomically
+from siskinspoke.transport.datagrams import DatagramPort
+
+CONFIGURATION_FILE = "configuration.json"
+CONFIGURATION_WAIT_MS = 1_000
+PAUSE_SECONDS = 0.2
+FORGET_SECONDS = 5.0
+CACHE_POLL_SECONDS = 1.0
+
+
+class AnnouncementFollower:
+    """Hear announcements, and spread those that come from the servers themselves.
+
+    A server's datagram reaches one entry VM, through the balancer; that VM passes it on to
+    the server's watchers and to nobody else, so that a large fleet costs each VM a bounded
+    number of datagrams.
+    """
+
+    def __init__(self, context: EntryContext, port: DatagramPort):
+        self._context = context
+        self._port = port
+
+    async def run(self) -> None:
+        """Handle datagrams forever."""
+        await self._port.receive_forever(self._handle)
+
+    async def _handle(self, item) -> None:
+        match item:
+            case Announcement():
+                await self._spread(item)
+            case Spread(announcement=announcement):
+                self._hear(announcement)
+            case _:
+                self._context.counters.count("datagram.refused.kind")
+
+    async def _spread(self, announcement: Announcement) -> None:
+        context = self._context
+        chosen = watchers(
+            announcement.server, announcement.failure_domain, context.settings.entries
+        )
+        for entry in chosen:
+            if entry.name == context.me.name:
+                self._hear(announcement)
+            else:
+                spread = Spread(context.me.name, announcement)
+                await self._port.send(spread, entry.host, entry.internal_port)
+
+    def _hear(self, announcement: Announcement) -> None:
+        context = self._context
+        heard = context.directory.hear(announcement, now_ms())
+        context.counters.count(f"announcement.{heard.value}")
+        if heard in (Heard.JOINED, Heard.LEFT):
+            logger.info(
+                "server {}: {} incarnation {}",
+                heard.value,
+                announcement.server,
+                announcement.incarnation,
+            )
+        if heard is Heard.JOINED:
+            context.router.prefixes.reset(announcement.server)
+
+
+async def forget_forever(context: EntryContext) -> None:
+    """Drop records of servers that are long gone."""
+    while True:
+        await trio.sleep(FORGET_SECONDS)
+        for server in context.directory.forget(now_ms()):
+            context.router.prefixes.reset(server)
+        context.counters.gauge("servers", len(context.directory.live(now_ms())))
+
+
+class ConfigurationFollower:
+    """Follow the accepted configuration and keep a copy on disk, where there is one."""
+
+    def __init__(self, context: EntryContext):
+        self._context = context
+        folder = context.me.data_folder
+        self._file = Path(folder) / CONFIGURATION_FILE if folder else None
+
+    def load(self) -> None:
+        """Start from the copy on disk, which is never older than what was in force before."""
+        if self._file is None:
+            return
+        self._file.parent.mkdir(parents=True, exist_ok=True)
+        read = read_checked(self._file)
+        if read.is_error():
+            logger.warning("configuration copy refused: {}", read.error.message)
+            return
+        if read.ok is not None:
+            version, document = msgspec.json.decode(read.ok, type=tuple[int, dict])
+            self._context.holder.install(version, document, FROM_DISK)
+
+    async def run(self) -> None:
+        """Ask the control replicas, one after the other, for what is newer."""
+        while True:
+            current = self._context.holder.current
+            news = await self._context.control.configuration_after(
+                current.version, CONFIGURATION_WAIT_MS
+            )
+            if news is None:
+                await trio.sleep(PAUSE_SECONDS)
+                continue
+            if news.document is not None:
+                await self._install(news.version, news.document)
+            elif news.version < current.version:
+                # The replica lags behind what is in force here: ask another one soon.
+                self._context.counters.count("configuration.replica_lags")
+                await trio.sleep(PAUSE_SECONDS)
+
+    async def _install(self, version: int, document: dict) -> None:
+        context = self._context
+        if not context.holder.install(version, document, FROM_CONTROL):
+            context.counters.count("configuration.refused")
+            return
+        context.counters.gauge("configuration_version", version)
+        logger.info("configuration in force: version {}", version)
+        if self._file is not None:
+            body = msgspec.json.encode((version, document))
+            await trio.to_thread.run_sync(write_atomically, self._file, body)
+
+
+class CacheFollower:
+    """Follow cache events of one server a second, in turn, as a routing hint."""
+
+    def __init__(self, context: EntryContext):
+        self._context = context
+        self._seen: dict[str, tuple[int, int]] = {}
+        self._turn = 0
+
+    async def run(self) -> None:
+        """Poll forever."""
+        while True:
+            await trio.sleep(CACHE_POLL_SECONDS)
+            records = [
+                record
+                for record in self._context.directory.live(now_ms())
+                if record.announcement.kind == "model"
+            ]
+            if records:
+                self._turn += 1
+                await self._poll(records[self._turn % len(records)])
+
+    async def _poll(self, record) -> None:
+        """Take in the events since the last poll; a gap means that nothing is known."""
+        context, target = self._context, target_of(record)
+        incarnation, after = self._seen.get(target.server, (target.incarnation, 0))
+        if incarnation != target.incarnation:
+            after = 0
+        answer = await context.backend.cache_events(target, after)
+        if answer is None:
+            return
+        events = answer["events"]
+        if answer["first"] > after + 1:
+            context.counters.count("cache_events.gap")
+            context.router.prefixes.reset(target.server)
+        for seq, kind, block in events:
+            after = seq
+            if kind == "stored":
+                context.router.prefixes.stored(target.server, [block])
+            else:
+                context.router.prefixes.removed(target.server, [block])
+        self._seen[target.server] = (target.incarnation, after)
--- /dev/null
+++ b/siskinspoke/entry/public_app.py
@@ -0,0 +1,239 @@
+"""The HTTP interface of callers."""
+
+import hashlib
+from typing import Any
+
+import msgspec
+import trio
+from quart import Response, request
+
+from siskinspoke.core.codes import Failure, ResultCode, Run
+from siskinspoke.entry.calls import CallJob
+from siskinspoke.entry.completions import CompletionJob
+from siskinspoke.entry.context import EntryContext
+from siskinspoke.entry.requests import Call, Caller, Completion, authenticate, read_call
+from siskinspoke.entry.requests import read_completion as read_completion_body
+from siskinspoke.entry.resuming import ResumeJob
+from siskinspoke.entry.stream_tokens import issue_token, read_token
+from siskinspoke.transport.http import failure_response, json_response, make_app
+
+EVENT_STREAM = "text/event-stream"
+DONE_EVENT = b"data: [DONE]\n\n"
+DRAIN_RETRY_MS = 500
+FULL_RETRY_MS = 1_000
+
+
+def _event(document: Any) -> bytes:
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+
+def _keyed_request_id(customer: str, key: str) -> str:
+    """Return the id that every resend of a keyed request shares."""
+    return "k" + hashlib.blake2b(f"{customer}/{key}".encode(), digest_size=12).hexdigest()
+
+
+def public_app(context: EntryContext):
+    """Return the application that callers speak to."""
+    limits = context.holder.current.configuration.limits
+    app = make_app("entry", limits.max_body_bytes, limits.body_timeout_ms / 1000)
+
+    def refuse(failure: Failure) -> Response:
+        return failure_response(context.refuse(failure))
+
+    def closed() -> Failure | None:
+        """Return why this VM takes no new request at all, if so."""
+        if context.draining:
+            message = "this VM is shutting down; ask again through the balancer"
+            return Failure(ResultCode.DRAINING, message, DRAIN_RETRY_MS)
+        current = context.holder.current.configuration.limits
+        if context.open_requests >= current.max_streams:
+            return Failure(ResultCode.TOO_MANY_STREAMS, "this VM is full", FULL_RETRY_MS)
+        return None
+
+    def caller_of() -> Caller | Failure:
+        found = authenticate(
+            request.headers.get("Authorization"), context.holder.current.configuration
+        )
+        return found.ok if found.is_ok() else found.error
+
+    @app.post("/v1/completions")
+    async def completions() -> Response:
+        arrived = trio.current_time()
+        caller = caller_of()
+        if isinstance(caller, Failure):
+            return refuse(caller)
+        failure = closed()
+        if failure is not None:
+            return refuse(failure)
+        read = read_completion_body(
+            await request.get_data(),
+            request.headers.get("Idempotency-Key"),
+            context.holder.current.configuration,
+        )
+        if read.is_error():
+            return refuse(read.error)
+        return await answer_completion(caller, read.ok, arrived)
+
+    async def answer_completion(caller: Caller, completion: Completion, arrived: float) -> Response:
+        if completion.key is not None:
+            request_id = _keyed_request_id(caller.customer, completion.key.text)
+        else:
+            request_id = context.next_request_id()
+        deadline = arrived + completion.timeout_ms / 1000
+        job = CompletionJob(context, caller, completion, request_id, deadline)
+        admitted = job.admit()
+        if admitted.is_error():
+            return refuse(admitted.error)
+        context.counters.count("admitted")
+        context.nursery.start_soon(job.run, admitted.ok)
+        return await answer_job(job, completion.stream)
+
+    async def answer_job(job: CompletionJob | ResumeJob, stream: bool) -> Response:
+        """Return a whole answer, or a stream once its first piece is there.
+
+        Until then a failure still gets a status of its own.
+        """
+        if not stream:
+            return await whole_answer(job)
+        try:
+            first = await anext(aiter(job.outbox))
+        except StopAsyncIteration:
+            first = None
+        except BaseException:
+            job.hang_up()
+            raise
+        if first is None and job.failure is not None:
+            return failure_response(job.failure)
+        return stream_answer(job, first)
+
+    async def whole_answer(job: CompletionJob | ResumeJob) -> Response:
+        texts: list[str] = []
+        try:
+            async for pieces in job.outbox:
+                texts.extend(piece.text for piece in pieces)
+        except BaseException:
+            job.hang_up()
+            raise
+        if job.failure is not None:
+            return failure_response(job.failure)
+        return json_response(
+            {
+                "id": job.request_id,
+                "object": "text_completion",
+                "choices": [{"index": 0, "text": "".join(texts), "finish_reason": "length"}],
+                "usage": {"prompt_tokens": job.prompt_tokens, "completion_tokens": job.tokens},
+            }
+        )
+
+    def stream_answer(job: CompletionJob | ResumeJob, first) -> Response:
+        async def events():
+            finished = False
+            try:
+                token = issue_token(job.token, context.settings.internal_key)
+                yield _event({"id": job.request_id, "resume_token": token})
+                if first is not None:
+                    yield _pieces_event(job, first)
+                async for pieces in job.outbox:
+                    yield _pieces_event(job, pieces)
+                finished = True
+                if job.failure is not None:
+                    yield _event(job.failure.to_document())
+                    return
+                yield _event(
+                    {
+                        "id": job.request_id,
+                        "offset": job.tokens,
+                        "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
+                    }
+                )
+                yield DONE_EVENT
+            finally:
+                # A caller that hangs up closes this generator at once: here its engine is freed.
+                if not finished:
+                    job.hang_up()
+
+        headers = {"Cache-Control": "no-store", "X-Request-Id": job.request_id}
+        return Response(events(), 200, headers, content_type=EVENT_STREAM)
+
+    @app.post("/v1/streams/resume")
+    async def resume() -> Response:
+        caller = caller_of()
+        if isinstance(caller, Failure):
+            return refuse(caller)
+        document = await request.get_json(force=True, silent=True)
+        if not isinstance(document, dict):
+            return refuse(Failure(ResultCode.NOT_JSON, "the body must be a JSON object"))
+        text, offset = document.get("resume_token"), document.get("offset")
+        if not isinstance(text, str) or not isinstance(offset, int) or offset < 0:
+            message = "send resume_token and offset, the count of tokens received"
+            return refuse(Failure(ResultCode.INVALID_FIELD, message))
+        token = read_token(text, caller.customer, context.settings.internal_key)
+        if token.is_error():
+            return refuse(token.error)
+        job = ResumeJob(context, token.ok, offset)
+        context.nursery.start_soon(job.run)
+        return await answer_job(job, True)
+
+    @app.post("/v1/services/<service>")
+    async def services(service: str) -> Response:
+        caller = caller_of()
+        if isinstance(caller, Failure):
+            return refuse(caller)
+        data = await request.get_data()
+        failure = closed()
+        if failure is not None:
+            return refuse(failure)
+        read = read_call(
+            data,
+            service,
+            request.headers.get("Idempotency-Key"),
+            context.holder.current.configuration,
+        )
+        if read.is_error():
+            return refuse(read.error)
+        context.request_opened()
+        try:
+            return await answer_call(caller, read.ok)
+        finally:
+            context.request_closed()
+
+    async def answer_call(caller: Caller, call: Call) -> Response:
+        if call.key is not None:
+            request_id = _keyed_request_id(caller.customer, call.key.text)
+        else:
+            request_id = context.next_request_id()
+        answer = await CallJob(context, caller, call, request_id).run()
+        if isinstance(answer, Failure):
+            not_run = answer.fate is Run.NOT_RUN
+            context.counters.count(
+                f"{'refused' if not_run else 'failed'}.{answer.code.name.lower()}"
+            )
+            return failure_response(answer)
+        return json_response({"id": request_id, "answer": answer})
+
+    @app.get("/healthz")
+    async def healthz() -> Response:
+        failure = closed()
+        if failure is not None:
+            return failure_response(failure)
+        return json_response({"ok": True})
+
+    return app
+
+
+def _pieces_event(job: CompletionJob | ResumeJob, pieces) -> bytes:
+    """Return one event for pieces that arrived together."""
+    return _event(
+        {
+            "id": job.request_id,
+            "offset": pieces[0].offset,
+            "tokens": sum(piece.tokens for piece in pieces),
+            "choices": [
+                {
+                    "index": 0,
+                    "text": "".join(piece.text for piece in pieces),
+                    "finish_reason": None,
+                }
+            ],
+        }
+    )
--- /dev/null
+++ b/siskinspoke/management/__init__.py
@@ -0,0 +1,5 @@
+"""The command line: one module per command."""
+
+from siskinspoke.management.base import execute
+
+__all__ = ["execute"]
--- /dev/null
+++ b/siskinspoke/protocol/assembly.py
@@ -0,0 +1,69 @@
+"""Put an answer together from chunks that may be late, doubled, crossed or missing."""
+
+from dataclasses import dataclass
+
+from siskinspoke.protocol.engine import Chunk
+
+
+@dataclass(frozen=True)
+class Piece:
+    """New text of the answer, from token ``offset`` on."""
+
+    offset: int
+    tokens: int
+    text: str
+
+
+@dataclass(frozen=True)
+class Ignored:
+    """A chunk that is not this attempt's, or holds nothing new."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Gap:
+    """Tokens are missing: the stream cannot be trusted further."""
+
+    expected: int
+    got: int
+
+
+@dataclass(frozen=True)
+class Complete:
+    """The answer is whole."""
+
+    tokens: int
+
+
+Step = Piece | Ignored | Gap | Complete
+
+
+class Assembler:
+    """Accept the chunks of one attempt at one incarnation of a server, in order of offset."""
+
+    def __init__(self, request: str, attempt: int, incarnation: int, offset: int):
+        self._source = (request, attempt, incarnation)
+        self._next = offset
+
+    @property
+    def offset(self) -> int:
+        """Return the index of the next token."""
+        return self._next
+
+    def feed(self, chunk: Chunk) -> Step:
+        """Take one chunk and say what it adds.
+
+        An abandoned attempt may speak again, and an engine restarted under the same address
+        may answer for a request it never took; both differ in attempt or incarnation.
+        """
+        if (chunk.request, chunk.attempt, chunk.incarnation) != self._source:
+            return Ignored("foreign")
+        if chunk.offset > self._next:
+            return Gap(self._next, chunk.offset)
+        if chunk.done:
+            return Complete(self._next) if chunk.offset == self._next else Ignored("early end")
+        if chunk.offset < self._next:
+            return Ignored("doubled")
+        self._next += chunk.tokens
+        return Piece(chunk.offset, chunk.tokens, chunk.text)
--- /dev/null
+++ b/siskinspoke/protocol/prefix.py
@@ -0,0 +1,27 @@
+"""Count tokens of a prompt and name its prefixes, the same way at callers' and engines' side."""
+
+from collections.abc import Iterator
+
+import xxhash
+
+CHARACTERS_PER_TOKEN = 4
+BLOCK_TOKENS = 256
+_BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+
+
+def count_tokens(text: str) -> int:
+    """Return the token count that reservations and estimates use; at least 1."""
+    return max(1, -(-len(text) // CHARACTERS_PER_TOKEN))
+
+
+def prefix_blocks(text: str) -> list[int]:
+    """Return a name for each whole block's prefix; equal names mean equal prefixes."""
+    return list(_chain(text))
+
+
+def _chain(text: str) -> Iterator[int]:
+    previous = 0
+    for start in range(0, len(text) - _BLOCK_CHARACTERS + 1, _BLOCK_CHARACTERS):
+        block = text[start : start + _BLOCK_CHARACTERS]
+        previous = xxhash.xxh64_intdigest(block.encode(), seed=previous)
+        yield previous
--- /dev/null
+++ b/siskinspoke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems: model engines, plain services, the balancer."""
--- /dev/null
+++ b/siskinspoke/transport/datagrams.py
@@ -0,0 +1,59 @@
+"""Sealed datagrams between processes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from expression import Result
+
+from siskinspoke.core.counters import Counters
+from siskinspoke.protocol import decode_message, encode_message, open_sealed, seal
+
+MAX_DATAGRAM_BYTES = 65_507
+
+Handler = Callable[[Any], Awaitable[None]]
+
+
+class DatagramPort:
+    """Own one UDP socket: send sealed messages, hand received ones to a handler."""
+
+    def __init__(self, socket: trio.socket.SocketType, key: bytes, counters: Counters):
+        self._socket = socket
+        self._key = key
+        self._counters = counters
+
+    async def send(self, item: Any, host: str, port: int) -> None:
+        """Send one message; a message that cannot be sent is counted and dropped."""
+        data = seal(self._key, encode_message(item))
+        self._counters.count("datagram.bytes_sent", len(data))
+        try:
+            await self._socket.sendto(data, (host, port))
+        except OSError:
+            self._counters.count("datagram.send_failed")
+
+    async def receive_forever(self, handle: Handler) -> None:
+        """Hand every authentic message to ``handle``; count and drop the others."""
+        while True:
+            try:
+                data, _address = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # An ICMP refusal of an earlier send surfaces here; the port itself is sound.
+                self._counters.count("datagram.receive_failed")
+                continue
+            self._counters.count("datagram.bytes_received", len(data))
+            opened: Result[bytes, str] = open_sealed(self._key, data)
+            if opened.is_error():
+                self._counters.count("datagram.refused.seal")
+                continue
+            decoded = decode_message(opened.ok)
+            if decoded.is_error():
+                self._counters.count("datagram.refused.message")
+                continue
+            await handle(decoded.ok)
+
+
+async def open_datagram_port(host: str, port: int, key: bytes, counters: Counters) -> DatagramPort:
+    """Bind a UDP socket and return its port; port 0 lets the system choose."""
+    socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+    await socket.bind((host, port))
+    return DatagramPort(socket, key, counters)
--- /dev/null
+++ b/siskinspoke/transport/http.py
@@ -0,0 +1,101 @@
+"""HTTP by quart on hypercorn and by httpx, with the defaults that suit long streams."""
+
+from typing import NamedTuple
+
+import httpx
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve as hypercorn_serve
+from quart import Response
+from quart_trio import QuartTrio
+
+from siskinspoke.core.codes import FACTS, Failure, ResultCode
+
+CONNECT_SECONDS = 1.0
+KEEP_ALIVE_SECONDS = 30
+HEADER_LIMIT_BYTES = 32_768
+JSON_TYPE = "application/json"
+
+
+class HttpServer(NamedTuple):
+    """An application and where it listens."""
+
+    app: QuartTrio
+    host: str
+    port: int
+    graceful_seconds: float
+
+
+def make_app(name: str, max_body_bytes: int, body_seconds: float) -> QuartTrio:
+    """Return an application that never cuts a healthy stream.
+
+    Quart's RESPONSE_TIMEOUT cuts any answer after 60 s, however well it flows; the deadline
+    of the request bounds it here instead.
+    """
+    app = QuartTrio(name)
+    app.config["RESPONSE_TIMEOUT"] = None
+    app.config["BODY_TIMEOUT"] = body_seconds
+    app.config["MAX_CONTENT_LENGTH"] = max_body_bytes
+    app.register_error_handler(404, _unknown_path)
+    app.register_error_handler(405, _unknown_path)
+    app.register_error_handler(413, _too_large)
+    app.register_error_handler(408, _body_timeout)
+    return app
+
+
+async def _unknown_path(_error) -> Response:
+    return failure_response(Failure(ResultCode.UNKNOWN_PATH, "no such path or method"))
+
+
+async def _too_large(_error) -> Response:
+    return failure_response(Failure(ResultCode.BODY_TOO_LARGE, "the body is over the limit"))
+
+
+async def _body_timeout(_error) -> Response:
+    return failure_response(Failure(ResultCode.BODY_TIMEOUT, "the body did not arrive in time"))
+
+
+async def serve(server: HttpServer, shutdown: trio.Event, task_status=trio.TASK_STATUS_IGNORED):
+    """Serve until ``shutdown`` is set, then let open answers finish.
+
+    Hypercorn's graceful_timeout is 3 s by default, which cuts longer streams at shutdown.
+    """
+    config = Config()
+    config.bind = [f"{server.host}:{server.port}"]
+    config.graceful_timeout = server.graceful_seconds
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.h11_max_incomplete_size = HEADER_LIMIT_BYTES
+    config.accesslog = None
+    config.loglevel = "WARNING"
+    config.backlog = 1024
+    await hypercorn_serve(
+        server.app, config, shutdown_trigger=shutdown.wait, task_status=task_status
+    )
+
+
+def make_client(keep_alive: bool = True) -> httpx.AsyncClient:
+    """Return a client without a shared pool limit and without default read timeouts.
+
+    A pool limit makes short requests wait for long streams, so admission bounds the streams
+    instead.  Every call bounds its own time by the deadline of its request.  Without
+    keep-alive each request has a fresh connection, so none meets a stale one after its write.
+    """
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=64 if keep_alive else 0, keepalive_expiry=4
+    )
+    timeout = httpx.Timeout(None, connect=CONNECT_SECONDS)
+    return httpx.AsyncClient(limits=limits, timeout=timeout, trust_env=False)
+
+
+def json_response(document, status: int = 200, headers: dict | None = None) -> Response:
+    """Return a JSON response of any value the codec knows."""
+    return Response(msgspec.json.encode(document), status, headers, content_type=JSON_TYPE)
+
+
+def failure_response(failure: Failure) -> Response:
+    """Return the response of a failure, with Retry-After where coming back helps."""
+    headers = {}
+    if failure.retry_after_ms is not None:
+        headers["Retry-After"] = str(-(-failure.retry_after_ms // 1000))
+    return json_response(failure.to_document(), FACTS[failure.code].status, headers)
