Replicate configuration and claims between control replicas

Cause: non-idempotent calls were refused for want of a quorum; configuration had no owner.

Not yet measured under faults.

--- /dev/null
+++ b/siskinspoke/control/app.py
@@ -0,0 +1,145 @@
+"""The HTTP interface of a control replica, for entry VMs and operators."""
+
+import msgspec
+import trio
+from quart import Response, request
+
+from siskinspoke.conf import Settings, configuration_from
+from siskinspoke.conf.settings import ControlVM
+from siskinspoke.control.replica_task import ReplicaTask
+from siskinspoke.coordination.machine import CLAIM, CONFIGURE, SETTLE, ConfigureRequest
+from siskinspoke.core.codes import FACTS, Failure, ResultCode
+from siskinspoke.core.counters import Counters
+from siskinspoke.entry.internal_app import operator_allowed
+from siskinspoke.protocol.claims import ClaimRequest, SettleRequest
+from siskinspoke.protocol.sealed_http import SEAL_HEADER, seal_holds
+from siskinspoke.transport.http import failure_response, json_response, make_app
+
+MAX_BODY_BYTES = 16_000_000
+BODY_SECONDS = 10.0
+COMMIT_SECONDS = 2.0
+MAX_WAIT_MS = 30_000
+SEALED_PATHS = frozenset({"/v1/claim", "/v1/settle"})
+
+
+class ControlState:
+    """What the HTTP side of a control replica needs."""
+
+    def __init__(self, me: ControlVM, settings: Settings, task: ReplicaTask, counters: Counters):
+        self.me = me
+        self.settings = settings
+        self.task = task
+        self.counters = counters
+        self.entries_seen: dict[str, tuple[int, float]] = {}
+
+
+def control_app(state: ControlState):
+    """Return the application of a control replica."""
+    app = make_app("control", MAX_BODY_BYTES, BODY_SECONDS)
+    task = state.task
+
+    @app.before_request
+    async def check_sender() -> Response | None:
+        """Let entry VMs in by the seal of the shared key, operators by theirs."""
+        path = request.full_path.rstrip("?")
+        if seal_holds(
+            state.settings.internal_key,
+            path,
+            await request.get_data(),
+            request.headers.get(SEAL_HEADER),
+        ):
+            return None
+        operator = operator_allowed(
+            request.headers.get("Authorization"), state.settings.operator_key
+        )
+        if operator and request.path not in SEALED_PATHS:
+            return None
+        state.counters.count("refused.unauthenticated")
+        return failure_response(Failure(ResultCode.UNAUTHENTICATED, "wrong or missing seal"))
+
+    async def commit(kind: str, item) -> Response:
+        """Put a command into the log and return its answer, or why there is none."""
+        pending = await task.propose(kind, item, COMMIT_SECONDS)
+        if not pending.leader:
+            return not_leader()
+        if pending.value is None:
+            state.counters.count("refused.no_quorum")
+            message = "no majority confirmed the command in time; it may still be carried out"
+            return failure_response(Failure(ResultCode.NO_QUORUM, message, 1_000))
+        return json_response(pending.value)
+
+    def not_leader() -> Response:
+        document = Failure(ResultCode.NOT_LEADER, "another replica leads").to_document()
+        document["leader"] = task.replica.leader
+        return json_response(document, FACTS[ResultCode.NOT_LEADER].status)
+
+    @app.post("/v1/claim")
+    async def claim() -> Response:
+        return await commit(CLAIM, await _read(ClaimRequest))
+
+    @app.post("/v1/settle")
+    async def settle() -> Response:
+        return await commit(SETTLE, await _read(SettleRequest))
+
+    @app.post("/v1/configuration")
+    async def configure() -> Response:
+        try:
+            change = msgspec.json.decode(await request.get_data(), type=ConfigureRequest)
+        except msgspec.MsgspecError as error:
+            return failure_response(Failure(ResultCode.NOT_JSON, str(error)))
+        checked = configuration_from(change.document)
+        if checked.is_error():
+            message = "; ".join(str(fault) for fault in checked.error)
+            return failure_response(Failure(ResultCode.INVALID_SETTINGS, message))
+        if not task.leads:
+            return not_leader()
+        return await commit(CONFIGURE, change)
+
+    @app.get("/v1/configuration")
+    async def configuration() -> Response:
+        """Return what is newer than ``after``, waiting ``wait_ms`` for it to come."""
+        after = int(request.args.get("after", "0"))
+        wait_ms = min(MAX_WAIT_MS, int(request.args.get("wait_ms", "0")))
+        name = request.args.get("entry", "")
+        if name:
+            state.entries_seen[name] = (after, trio.current_time())
+        await task.wait_for_version(after, wait_ms / 1000)
+        machine = task.machine
+        newer = machine.version > after
+        return json_response((machine.version, machine.document if newer else None))
+
+    @app.get("/v1/status")
+    async def status() -> Response:
+        return json_response(control_status(state))
+
+    return app
+
+
+async def _read(kind: type):
+    """Decode the sealed body of one of our own processes."""
+    return msgspec.json.decode(await request.get_data(), type=kind)
+
+
+def control_status(state: ControlState) -> dict:
+    """Return what this replica believes."""
+    replica, machine = state.task.replica, state.task.machine
+    now = trio.current_time()
+    return {
+        "name": state.me.name,
+        "failure_domain": state.me.failure_domain,
+        "role": replica.role.value,
+        "role_since_ms": state.task.role_since_ms,
+        "term": replica.term,
+        "leader": replica.leader,
+        "admitted": replica.admitted,
+        "incarnation": replica.identity.incarnation if replica.identity else None,
+        "commit": replica.commit,
+        "last_index": replica.log.last_index,
+        "configuration_version": machine.version,
+        "claims": len(machine.claims),
+        "entries": {
+            name: {"version": version, "seen_seconds_ago": round(now - at, 1)}
+            for name, (version, at) in state.entries_seen.items()
+        },
+        "counters": state.counters.totals,
+    }
--- /dev/null
+++ b/siskinspoke/control/daemon.py
@@ -0,0 +1,64 @@
+"""Compose a control replica and run it until it is told to stop."""
+
+import random
+import signal
+from contextlib import AsyncExitStack
+
+import trio
+from loguru import logger
+
+from siskinspoke.conf import Settings
+from siskinspoke.control.app import ControlState, control_app
+from siskinspoke.control.replica_task import ReplicaTask, now_ms
+from siskinspoke.coordination.replica import Replica, Times
+from siskinspoke.core.codes import FailureError
+from siskinspoke.core.counters import counters_for
+from siskinspoke.state.replica_store import open_store
+from siskinspoke.transport.http import HttpServer, serve
+from siskinspoke.transport.links import LinkListener, LinkSender
+
+GRACEFUL_SECONDS = 2.0
+
+
+async def run_control(settings: Settings, name: str) -> None:
+    """Run the control replica of that name until SIGTERM."""
+    me = settings.control_vm(name)
+    counters = counters_for(name, settings.statsd_host, settings.statsd_port)
+    opened = open_store(me.data_folder, name)
+    if opened.is_error():
+        raise FailureError(opened.error)
+    store, restored = opened.ok
+    shutdown = trio.Event()
+    async with AsyncExitStack() as stack:
+        stack.callback(store.close)
+        links = {
+            peer.name: LinkSender(
+                peer.host, peer.link_port, settings.internal_key, counters, me.host
+            )
+            for peer in settings.controls
+            if peer.name != name
+        }
+        times = Times(settings.control.heartbeat_ms, settings.control.election_ms)
+        replica = Replica(
+            name,
+            [item.name for item in settings.controls],
+            times,
+            restored,
+            random.Random(),
+            now_ms(),
+        )
+        task = ReplicaTask(replica, store, links, counters, settings.control.snapshot_entries)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        listener = LinkListener(settings.internal_key, counters, task.hear)
+        await nursery.start(listener.serve, me.host, me.link_port)
+        for link in links.values():
+            nursery.start_soon(link.run)
+        nursery.start_soon(task.run)
+        app = control_app(ControlState(me, settings, task, counters))
+        await nursery.start(serve, HttpServer(app, me.host, me.port, GRACEFUL_SECONDS), shutdown)
+        logger.info("control replica {} serves on {}:{}", name, me.host, me.port)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        shutdown.set()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/siskinspoke/control/replica_task.py
@@ -0,0 +1,209 @@
+"""The task that owns a replica: it feeds it, makes its records last, sends and applies."""
+
+import math
+import time
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+from loguru import logger
+
+from siskinspoke.coordination.machine import Machine
+from siskinspoke.coordination.replica import Output, Replica, Role
+from siskinspoke.core.counters import Counters
+from siskinspoke.protocol.replication import Entry
+from siskinspoke.state.replica_store import ReplicaStore
+from siskinspoke.transport.links import LinkSender
+
+MAX_EVENTS = 512
+
+
+class Proposal(NamedTuple):
+    """A command for the log, and where its answer goes."""
+
+    kind: str
+    request: NamedTuple
+    answer: "Pending"
+
+
+@dataclass
+class Pending:
+    """An answer to come; None means that its fate is not known here."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+    value: Any = None
+    leader: bool = True
+
+    def resolve(self, value: Any, leader: bool = True) -> None:
+        """Give the answer once."""
+        if not self.done.is_set():
+            self.value, self.leader = value, leader
+            self.done.set()
+
+
+def now_ms() -> float:
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic() * 1000
+
+
+def wall_ms() -> int:
+    """Return the wall clock in milliseconds, for stamps in the log."""
+    return time.time_ns() // 1_000_000
+
+
+class ReplicaTask:
+    """Own the replica, its store and the replicated state."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        store: ReplicaStore,
+        links: dict[str, LinkSender],
+        counters: Counters,
+        snapshot_entries: int,
+    ):
+        self.machine = Machine()
+        self.replica = replica
+        self._store = store
+        self._links = links
+        self._counters = counters
+        self._snapshot_entries = snapshot_entries
+        self._send, self._receive = trio.open_memory_channel[Any](math.inf)
+        self._pending: dict[int, tuple[int, Pending]] = {}
+        self._changed = trio.Event()
+        self._seen_role = replica.role
+        self._since_ms = wall_ms()
+        if replica.snapshot is not None:
+            self.machine.load(replica.snapshot.document)
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this replica believes that it leads."""
+        return self.replica.role is Role.LEADER
+
+    @property
+    def role_since_ms(self) -> int:
+        """Return the wall-clock time of the last change of role."""
+        return self._since_ms
+
+    async def hear(self, item: Any) -> None:
+        """Take in one message of another replica."""
+        self._send.send_nowait(item)
+
+    async def propose(self, kind: str, request: NamedTuple, seconds: float) -> Pending:
+        """Put a command into the log and wait a bounded time for its answer."""
+        pending = Pending()
+        if not self.leads:
+            pending.resolve(None, leader=False)
+            return pending
+        self._send.send_nowait(Proposal(kind, request, pending))
+        with trio.move_on_after(seconds):
+            await pending.done.wait()
+        return pending
+
+    async def wait_for_version(self, after: int, seconds: float) -> None:
+        """Wait a bounded time for a configuration newer than ``after``."""
+        with trio.move_on_after(seconds):
+            while self.machine.version <= after:
+                await self._changed.wait()
+
+    async def run(self) -> None:
+        """Decide, sync, send and apply, forever.
+
+        A disk that refuses a write raises through here and ends the process: a replica that
+        cannot keep its word must not give it.
+        """
+        while True:
+            events = await self._next_events()
+            now = now_ms()
+            # Time goes before messages: a replica that was frozen must first notice that its
+            # leadership has lapsed, and only then look at what has queued up.
+            self.replica.tick(now)
+            for event in events:
+                if isinstance(event, Proposal):
+                    self._propose(event, now)
+                else:
+                    self.replica.receive(event, now)
+            await self._carry_out(self.replica.take_output())
+
+    async def _next_events(self) -> list[Any]:
+        """Return all events that are there, waiting until the next tick at most."""
+        events: list[Any] = []
+        with trio.move_on_after(max(0.0, self.replica.next_wake() - now_ms()) / 1000):
+            events.append(await self._receive.receive())
+        while len(events) < MAX_EVENTS:
+            try:
+                events.append(self._receive.receive_nowait())
+            except trio.WouldBlock:
+                break
+        return events
+
+    def _propose(self, proposal: Proposal, now: float) -> None:
+        body = {"now_ms": wall_ms(), "request": msgspec.to_builtins(proposal.request)}
+        index = self.replica.propose(proposal.kind, body, now)
+        if index is None:
+            proposal.answer.resolve(None, leader=False)
+            return
+        self._pending[index] = (self.replica.term, proposal.answer)
+
+    async def _carry_out(self, out: Output) -> None:
+        if out.identity is not None:
+            logger.info("identity: incarnation {}", out.identity.incarnation)
+            self._store.save_identity(out.identity)
+        if out.snapshot is not None:
+            records = self.replica.persistent_records()
+            await trio.to_thread.run_sync(self._store.save_snapshot, out.snapshot, records)
+            self.machine.load(out.snapshot.document)
+            self._counters.count("snapshot.installed")
+            self._note_change()
+        elif out.records:
+            await trio.to_thread.run_sync(self._store.append, out.records)
+            self._counters.count("journal.syncs")
+            self._counters.count("journal.records", len(out.records))
+        for peer, item in out.sends:
+            self._links[peer].send(item)
+        for entry in out.committed:
+            self._apply(entry)
+        self._note_role()
+        await self._compact_if_due()
+
+    def _apply(self, entry: Entry) -> None:
+        version = self.machine.version
+        answer = self.machine.apply(entry)
+        self._counters.count(f"applied.{entry.kind}")
+        term, pending = self._pending.pop(entry.index, (0, None))
+        if pending is not None:
+            pending.resolve(answer if term == entry.term else None)
+        if self.machine.version != version:
+            logger.info("configuration accepted: version {}", self.machine.version)
+            self._note_change()
+
+    def _note_change(self) -> None:
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+    def _note_role(self) -> None:
+        """Log a change of role; a replica that no longer leads cannot answer for its log."""
+        role = self.replica.role
+        if role is self._seen_role:
+            return
+        became_leader = role is Role.LEADER
+        if became_leader or self._seen_role is Role.LEADER:
+            logger.info("{} in term {}", role.value, self.replica.term)
+            self._counters.count(f"role.{role.value}")
+        self._seen_role = role
+        self._since_ms = wall_ms()
+        if not became_leader:
+            for _, pending in self._pending.values():
+                pending.resolve(None)
+            self._pending.clear()
+
+    async def _compact_if_due(self) -> None:
+        replica = self.replica
+        if replica.commit - replica.log.base_index < self._snapshot_entries:
+            return
+        snapshot = replica.compact(replica.commit, self.machine.to_document())
+        records = replica.persistent_records()
+        await trio.to_thread.run_sync(self._store.save_snapshot, snapshot, records)
+        self._counters.count("snapshot.written")
--- /dev/null
+++ b/siskinspoke/coordination/machine.py
@@ -0,0 +1,108 @@
+"""The replicated state: configuration and claims, changed only by committed commands."""
+
+import hashlib
+from typing import Any, NamedTuple
+
+import msgspec
+
+from siskinspoke.coordination.claims import ClaimBook
+from siskinspoke.core.codes import ResultCode
+from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest
+from siskinspoke.protocol.replication import Entry
+
+CLAIM, SETTLE, CONFIGURE = "claim", "settle", "configure"
+MAX_ORDERS = 20_000
+
+
+class ConfigureRequest(NamedTuple):
+    """An operator's change: replace ``expect`` by the next version.
+
+    ``order`` names the change: an order that is sent again is answered again and carried out
+    once.
+    """
+
+    order: str
+    operator: str
+    expect: int
+    document: dict
+
+
+class ConfigureAnswer(NamedTuple):
+    """Whether a change was accepted, and the version that is accepted now."""
+
+    code: int
+    version: int
+
+
+class Machine:
+    """Apply committed commands; the same commands give the same state at every replica."""
+
+    def __init__(self) -> None:
+        self.claims = ClaimBook()
+        self.version = 0
+        self.document: dict | None = None
+        self.clock_ms = 0
+        self._orders: dict[str, tuple[str, int]] = {}
+
+    def apply(self, entry: Entry) -> ClaimAnswer | ConfigureAnswer | None:
+        """Apply one command and return its answer.
+
+        The leader stamps each command with its wall clock; the highest stamp so far is the
+        clock of the log, which never goes back whatever the VMs' clocks do.
+        """
+        match entry.kind:
+            case "claim":
+                request = msgspec.convert(entry.body["request"], ClaimRequest)
+                return self.claims.claim(request, self._advance(entry.body))
+            case "settle":
+                request = msgspec.convert(entry.body["request"], SettleRequest)
+                return self.claims.settle(request, self._advance(entry.body))
+            case "configure":
+                self._advance(entry.body)
+                return self._configure(msgspec.convert(entry.body["request"], ConfigureRequest))
+            case _:
+                return None
+
+    def _advance(self, body: dict) -> int:
+        self.clock_ms = max(self.clock_ms, body["now_ms"])
+        return self.clock_ms
+
+    def _configure(self, request: ConfigureRequest) -> ConfigureAnswer:
+        digest = _digest(request)
+        known = self._orders.get(request.order)
+        if known is not None:
+            same = known[0] == digest
+            code = ResultCode.OK if same else ResultCode.ORDER_REUSED
+            return ConfigureAnswer(int(code), known[1] if same else self.version)
+        if request.expect != self.version:
+            return ConfigureAnswer(int(ResultCode.VERSION_CONFLICT), self.version)
+        self.version += 1
+        self.document = request.document
+        self._orders[request.order] = (digest, self.version)
+        if len(self._orders) > MAX_ORDERS:
+            del self._orders[next(iter(self._orders))]
+        return ConfigureAnswer(int(ResultCode.OK), self.version)
+
+    def to_document(self) -> dict:
+        """Return the whole state for a snapshot."""
+        return {
+            "claims": self.claims.to_document(),
+            "version": self.version,
+            "document": self.document,
+            "clock_ms": self.clock_ms,
+            "orders": [[order, *known] for order, known in self._orders.items()],
+        }
+
+    def load(self, state: dict) -> None:
+        """Replace the state by that of a snapshot."""
+        self.claims.load(state["claims"])
+        self.version = state["version"]
+        self.document = state["document"]
+        self.clock_ms = state["clock_ms"]
+        self._orders = {order: (digest, version) for order, digest, version in state["orders"]}
+
+
+def _digest(request: ConfigureRequest) -> str:
+    """Return what tells two uses of one order id apart."""
+    content: Any = (request.expect, request.document)
+    return hashlib.blake2b(msgspec.json.encode(content, order="sorted"), digest_size=16).hexdigest()
--- /dev/null
+++ b/siskinspoke/coordination/replica.py
@@ -0,0 +1,519 @@
+"""One control replica's decisions: elections, replication, recovery.  No I/O, no clock.
+
+The owner feeds it messages and the time, then takes its output: it must sync the records
+before it sends the messages or applies the commits.  The protocol follows Raft, with these
+guards beside it:
+
+* a trial vote goes before a real one, so that a replica that was cut off does not depose a
+  healthy leader when it returns;
+* a leader that hears no majority for an election timeout steps down, so that an isolated one
+  stops believing in itself;
+* every vote and acknowledgement carries the incarnation of its sender's disk.  A replica whose
+  disk was emptied has a new incarnation, which counts for nothing until the others, without
+  it, have committed an entry that admits it.  It has forgotten its votes, so counting them
+  earlier could elect two leaders in one term, and has forgotten what it acknowledged, so
+  counting those could lose an accepted change.
+"""
+
+import random
+from enum import Enum
+from typing import Any, NamedTuple
+
+from siskinspoke.coordination.replicated_log import ReplicatedLog
+from siskinspoke.protocol.replication import (
+    Admitted,
+    Append,
+    AppendReply,
+    Entry,
+    HardState,
+    Identity,
+    Install,
+    Introduce,
+    IntroduceReply,
+    Snapshot,
+    VoteReply,
+    VoteRequest,
+)
+
+FOUNDER = 1
+NOOP, ADMIT = "noop", "admit"
+MAX_BATCH = 256
+INTRODUCE_MS = 200.0
+HIGHEST_INCARNATION = 2**62
+
+
+class Role(Enum):
+    """What a replica is at the moment."""
+
+    NEW = "new"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Times(NamedTuple):
+    """Timing in milliseconds."""
+
+    heartbeat_ms: float
+    election_ms: float
+
+
+class Restored(NamedTuple):
+    """What a replica finds on its disk; no identity means an empty folder."""
+
+    identity: Identity | None = None
+    hard: HardState = HardState(0, "")
+    snapshot: Snapshot | None = None
+    admitted: tuple[Admitted, ...] = ()
+    entries: tuple[Entry, ...] = ()
+
+
+class Output:
+    """What the owner must do, in this order: sync, then send and apply."""
+
+    def __init__(self) -> None:
+        self.identity: Identity | None = None
+        self.records: list[HardState | Admitted | Entry] = []
+        self.snapshot: Snapshot | None = None
+        self.sends: list[tuple[str, Any]] = []
+        self.committed: list[Entry] = []
+
+
+class Progress:
+    """What a leader knows of one other replica."""
+
+    def __init__(self, next_index: int, now: float):
+        self.next_index = next_index
+        self.match = 0
+        self.incarnation = 0
+        self.heard_at = now
+        self.in_flight_until = 0.0
+
+
+class Replica:
+    """Decide what one control replica does next; times are monotonic milliseconds."""
+
+    def __init__(
+        self,
+        name: str,
+        members: list[str],
+        times: Times,
+        restored: Restored,
+        rng: random.Random,
+        now: float,
+    ):
+        self.name = name
+        self.identity = restored.identity
+        self.role = Role.NEW if restored.identity is None else Role.FOLLOWER
+        self.term = restored.hard.term
+        self.leader: str | None = None
+        self.members = dict.fromkeys(members, FOUNDER)
+        self.commit = 0
+        self.snapshot = restored.snapshot
+        self.log = ReplicatedLog()
+        self._voted_for = restored.hard.voted_for
+        self._peers = [member for member in members if member != name]
+        self._times = times
+        self._rng = rng
+        self._progress: dict[str, Progress] = {}
+        self._votes: set[str] = set()
+        self._trial = False
+        self._fresh_peers: set[str] = set()
+        self._run = rng.randrange(HIGHEST_INCARNATION)
+        self._introduce_at = now
+        self._heartbeat_at = now
+        self._leader_heard_at = now
+        self._out = Output()
+        self._restore(restored)
+        self._rearm(now)
+
+    def _restore(self, restored: Restored) -> None:
+        if restored.snapshot is not None:
+            self.log.reset(restored.snapshot.index, restored.snapshot.term)
+            self.members |= restored.snapshot.members
+            self.commit = restored.snapshot.index
+        for item in restored.admitted:
+            self.members[item.name] = item.incarnation
+        for entry in restored.entries:
+            self.log.put(entry)
+
+    @property
+    def admitted(self) -> bool:
+        """Tell whether this replica's votes and acknowledgements count."""
+        return self.identity is not None and self._counts(self.name, self.identity.incarnation)
+
+    @property
+    def fresh(self) -> bool:
+        """Tell whether this replica can be a founder that has neither a term nor a log."""
+        founder = self.identity is None or self.identity.incarnation == FOUNDER
+        return founder and self.term == 0 and self.log.last_index == 0
+
+    def _counts(self, name: str, incarnation: int) -> bool:
+        return self.members.get(name) == incarnation
+
+    def _is_majority(self, count: int) -> bool:
+        return 2 * count > len(self.members)
+
+    def _rearm(self, now: float) -> None:
+        self._election_at = now + self._times.election_ms * self._rng.uniform(1, 2)
+
+    def take_output(self) -> Output:
+        """Return what has to be done since the last call."""
+        out, self._out = self._out, Output()
+        return out
+
+    def next_wake(self) -> float:
+        """Return when ``tick`` has something to do at the latest."""
+        match self.role:
+            case Role.NEW:
+                return self._introduce_at
+            case Role.LEADER:
+                return self._heartbeat_at
+            case _:
+                return self._election_at
+
+    def tick(self, now: float) -> None:
+        """Act on the passing of time."""
+        match self.role:
+            case Role.NEW:
+                self._introduce(now)
+            case Role.LEADER:
+                self._lead(now)
+            case _ if now >= self._election_at:
+                self._stand(now, trial=True)
+
+    def receive(self, item: Any, now: float) -> None:
+        """Act on one message."""
+        match item:
+            case Introduce():
+                reply = IntroduceReply(self.name, item.run, self.fresh)
+                self._out.sends.append((item.sender, reply))
+            case IntroduceReply():
+                self._on_introduce_reply(item, now)
+            case _ if self.role is Role.NEW:
+                return
+            case VoteRequest():
+                self._on_vote_request(item, now)
+            case VoteReply():
+                self._on_vote_reply(item, now)
+            case Append():
+                self._on_append(item, now)
+            case AppendReply():
+                self._on_append_reply(item, now)
+            case Install():
+                self._on_install(item, now)
+
+    # An empty folder: new system, or lost disk?
+
+    def _introduce(self, now: float) -> None:
+        if not self._peers:
+            self._become_known(FOUNDER, now)
+            return
+        if now < self._introduce_at:
+            return
+        self._introduce_at = now + INTRODUCE_MS
+        for peer in self._peers:
+            self._out.sends.append((peer, Introduce(self.name, self._run)))
+
+    def _on_introduce_reply(self, reply: IntroduceReply, now: float) -> None:
+        """Found the system if every replica is as new; join it if one is not.
+
+        The founders' incarnation may be taken only where no vote of this replica can exist:
+        its candidate would have a term.  The reply must be to this run's question, since an
+        older one may date from before the disk was lost.
+        """
+        if self.role is not Role.NEW or reply.run != self._run:
+            return
+        if not reply.fresh:
+            self._become_known(self._rng.randrange(FOUNDER + 1, HIGHEST_INCARNATION), now)
+            return
+        self._fresh_peers.add(reply.sender)
+        if self._fresh_peers == set(self._peers):
+            self._become_known(FOUNDER, now)
+
+    def _become_known(self, incarnation: int, now: float) -> None:
+        self.identity = Identity(self.name, incarnation)
+        self._out.identity = self.identity
+        self.role = Role.FOLLOWER
+        self._rearm(now)
+
+    # Elections
+
+    def _set_term(self, term: int, voted_for: str = "") -> None:
+        self.term = term
+        self._voted_for = voted_for
+        self._out.records.append(HardState(term, voted_for))
+
+    def _step_down(self, now: float) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = None
+        self._votes.clear()
+        self._rearm(now)
+
+    def _stand(self, now: float, trial: bool) -> None:
+        """Ask for votes, first on trial."""
+        self._rearm(now)
+        if not self.admitted:
+            return
+        self.role = Role.CANDIDATE
+        self.leader = None
+        self._trial = trial
+        if not trial:
+            self._set_term(self.term + 1, self.name)
+        self._votes = {self.name}
+        request = VoteRequest(
+            self.name,
+            self.identity.incarnation,
+            self.term + trial,
+            self.log.last_index,
+            self.log.last_term,
+            trial,
+        )
+        for peer in self._peers:
+            self._out.sends.append((peer, request))
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        if not self._is_majority(len(self._votes)):
+            return
+        if self._trial:
+            self._stand(now, trial=False)
+        else:
+            self._become_leader(now)
+
+    def _on_vote_request(self, request: VoteRequest, now: float) -> None:
+        if request.term > self.term and not request.trial:
+            self._set_term(request.term)
+            self._step_down(now)
+        granted = self._would_grant(request, now)
+        if granted and not request.trial:
+            self._set_term(request.term, request.sender)
+            self._rearm(now)
+        reply = VoteReply(
+            self.name, self.identity.incarnation, request.term, granted, request.trial
+        )
+        self._out.sends.append((request.sender, reply))
+
+    def _would_grant(self, request: VoteRequest, now: float) -> bool:
+        if not self.admitted or not self._counts(request.sender, request.incarnation):
+            return False
+        mine = (self.log.last_term, self.log.last_index)
+        if (request.last_term, request.last_index) < mine:
+            return False
+        if request.trial:
+            quiet = now - self._leader_heard_at >= self._times.election_ms
+            return request.term > self.term and quiet and self.role is not Role.LEADER
+        return request.term == self.term and self._voted_for in ("", request.sender)
+
+    def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
+        if self.role is not Role.CANDIDATE or reply.trial != self._trial:
+            return
+        if reply.term != self.term + self._trial or not reply.granted:
+            return
+        if self._counts(reply.sender, reply.incarnation):
+            self._votes.add(reply.sender)
+            self._count_votes(now)
+
+    # Leading
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.name
+        self._progress = {peer: Progress(self.log.last_index + 1, now) for peer in self._peers}
+        self.propose(NOOP, None, now)
+
+    def propose(self, kind: str, body: Any, now: float) -> int | None:
+        """Append a command as the leader and return its index; None at any other replica."""
+        if self.role is not Role.LEADER:
+            return None
+        entry = Entry(self.log.last_index + 1, self.term, kind, body)
+        self.log.put(entry)
+        self._out.records.append(entry)
+        self._replicate(now)
+        self._advance_commit(now)
+        return entry.index
+
+    def _lead(self, now: float) -> None:
+        """Send heartbeats, and step down without a majority.
+
+        An isolated leader would otherwise go on believing; so would one that was frozen and
+        thaws: its first tick finds that it has heard nobody for too long.
+        """
+        heard = sum(
+            now - item.heard_at < self._times.election_ms
+            for name, item in self._progress.items()
+            if self._counts(name, item.incarnation) or not item.incarnation
+        )
+        if not self._is_majority(heard + 1):
+            self._step_down(now)
+            return
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = now + self._times.heartbeat_ms
+            for item in self._progress.values():
+                item.in_flight_until = 0.0
+            self._replicate(now, heartbeat=True)
+
+    def _replicate(self, now: float, heartbeat: bool = False) -> None:
+        for peer, item in self._progress.items():
+            behind = item.next_index <= self.log.last_index
+            if heartbeat or (behind and now >= item.in_flight_until):
+                self._send_entries(peer, item, now)
+
+    def _send_entries(self, peer: str, item: Progress, now: float) -> None:
+        previous = item.next_index - 1
+        previous_term = self.log.term_at(previous)
+        if previous_term is None:
+            self._out.sends.append((peer, Install(self.name, self.term, self.snapshot)))
+            item.in_flight_until = now + self._times.election_ms
+            return
+        last = min(self.log.last_index, previous + MAX_BATCH)
+        entries = self.log.between(previous + 1, last)
+        append = Append(self.name, self.term, previous, previous_term, entries, self.commit)
+        self._out.sends.append((peer, append))
+        if entries:
+            item.in_flight_until = now + self._times.heartbeat_ms
+
+    def _on_append_reply(self, reply: AppendReply, now: float) -> None:
+        if reply.term > self.term:
+            self._set_term(reply.term)
+            self._step_down(now)
+            return
+        if self.role is not Role.LEADER or reply.term != self.term:
+            return
+        item = self._progress.get(reply.sender)
+        if item is None:
+            return
+        if item.incarnation not in (0, reply.incarnation):
+            item.match = 0
+        item.incarnation = reply.incarnation
+        item.heard_at = now
+        item.in_flight_until = 0.0
+        if not reply.accepted:
+            item.next_index = max(1, min(reply.match + 1, item.next_index - 1))
+            self._send_entries(reply.sender, item, now)
+            return
+        item.match = max(item.match, reply.match)
+        item.next_index = max(item.next_index, item.match + 1)
+        self._advance_commit(now)
+        self._admit_if_caught_up(reply.sender, item, now)
+        if item.next_index <= self.log.last_index:
+            self._send_entries(reply.sender, item, now)
+
+    def _advance_commit(self, now: float) -> None:
+        """Commit what a majority holds, counting only this term's entries and known disks."""
+        matches = [self.log.last_index] if self.admitted else []
+        matches += [
+            item.match
+            for name, item in self._progress.items()
+            if self._counts(name, item.incarnation)
+        ]
+        matches.sort(reverse=True)
+        needed = len(self.members) // 2
+        if len(matches) <= needed:
+            return
+        reached = matches[needed]
+        if reached > self.commit and self.log.term_at(reached) == self.term:
+            self._commit_to(reached)
+            # Followers learn of the commit at once, so that each may answer for it.
+            self._replicate(now, heartbeat=True)
+
+    def _admit_if_caught_up(self, name: str, item: Progress, now: float) -> None:
+        """Propose to count a replaced disk, once it holds all that is committed."""
+        if self._counts(name, item.incarnation) or item.match < self.commit:
+            return
+        pending = self.log.between(self.commit + 1, self.log.last_index)
+        if any(entry.kind == ADMIT for entry in pending):
+            return
+        self.propose(ADMIT, {"name": name, "incarnation": item.incarnation}, now)
+
+    def _commit_to(self, index: int) -> None:
+        for entry in self.log.between(self.commit + 1, index):
+            if entry.kind == ADMIT:
+                self._admit(entry.body["name"], entry.body["incarnation"])
+            self._out.committed.append(entry)
+        self.commit = max(self.commit, index)
+
+    def _admit(self, name: str, incarnation: int) -> None:
+        """Count a replaced disk from now on, also after a restart.
+
+        Without the record a restarted replica would not count the disk until it hears a
+        leader, and two such replicas could elect none.
+        """
+        self.members[name] = incarnation
+        self._out.records.append(Admitted(name, incarnation))
+
+    # Following
+
+    def _hear_leader(self, sender: str, term: int, now: float) -> bool:
+        """Follow the sender if its term is current; False if it is an old leader's word."""
+        if term < self.term:
+            return False
+        if term > self.term:
+            self._set_term(term)
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._step_down(now)
+        self.leader = sender
+        self._leader_heard_at = now
+        self._rearm(now)
+        return True
+
+    def _reply(self, to: str, accepted: bool, match: int) -> None:
+        reply = AppendReply(self.name, self.identity.incarnation, self.term, accepted, match)
+        self._out.sends.append((to, reply))
+
+    def _on_append(self, append: Append, now: float) -> None:
+        if not self._hear_leader(append.sender, append.term, now):
+            self._reply(append.sender, False, self.log.last_index)
+            return
+        if append.prev_index < self.log.base_index:
+            self._reply(append.sender, True, self.commit)
+            return
+        if self.log.term_at(append.prev_index) != append.prev_term:
+            self._reply(append.sender, False, min(append.prev_index - 1, self.log.last_index))
+            return
+        for entry in append.entries:
+            if self.log.term_at(entry.index) != entry.term:
+                self.log.put(entry)
+                self._out.records.append(entry)
+        match = append.prev_index + len(append.entries)
+        self._commit_to(min(append.commit, match))
+        self._reply(append.sender, True, match)
+
+    def _on_install(self, install: Install, now: float) -> None:
+        if not self._hear_leader(install.sender, install.term, now):
+            self._reply(install.sender, False, self.log.last_index)
+            return
+        snapshot = install.snapshot
+        if snapshot.index > self.commit:
+            self._take_snapshot(snapshot)
+        self._reply(install.sender, True, self.commit)
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the log up to the snapshot's end; keep what follows it, if it agrees.
+
+        The entries after it may have been acknowledged; dropping them would break the word
+        that a majority holds them.
+        """
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot.index)
+        else:
+            self.log.reset(snapshot.index, snapshot.term)
+        self.commit = snapshot.index
+        self.members |= snapshot.members
+        self.snapshot = snapshot
+        self._out.snapshot = snapshot
+        self._out.records.clear()
+        self._out.committed.clear()
+
+    def persistent_records(self) -> list[HardState | Admitted | Entry]:
+        """Return all that the journal must hold beside the snapshot."""
+        admitted = [Admitted(*pair) for pair in self.members.items() if pair[1] != FOUNDER]
+        entries = self.log.between(self.log.base_index + 1, self.log.last_index)
+        return [HardState(self.term, self._voted_for), *admitted, *entries]
+
+    def compact(self, index: int, document: dict) -> Snapshot:
+        """Replace the log up to an applied index by a snapshot of the state there."""
+        snapshot = Snapshot(index, self.log.term_at(index), dict(self.members), document)
+        self.snapshot = snapshot
+        self.log.compact(index)
+        return snapshot
--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -70,12 +70,12 @@
 class Backend:
     """Own the clients that talk to backend servers."""
 
-    def __init__(self, counters: Counters):
+    def __init__(self, counters: Counters, local_host: str | None = None):
         self._counters = counters
         self._stack = AsyncExitStack()
-        self._streams = make_client()
-        self._single_use = make_client(keep_alive=False)
-        self._control = make_client()
+        self._streams = make_client(local_host=local_host)
+        self._single_use = make_client(keep_alive=False, local_host=local_host)
+        self._control = make_client(local_host=local_host)
         self._readings: set[_Reading] = set()
 
     async def watch_forever(self) -> None:
--- a/siskinspoke/entry/control_client.py
+++ b/siskinspoke/entry/control_client.py
@@ -31,12 +31,19 @@
 class ControlClient:
     """Own the connection to the control replicas; remember which one leads."""
 
-    def __init__(self, replicas: list[ControlVM], key: bytes, name: str, counters: Counters):
+    def __init__(
+        self,
+        replicas: list[ControlVM],
+        key: bytes,
+        name: str,
+        counters: Counters,
+        local_host: str | None = None,
+    ):
         self._replicas = list(replicas)
         self._key = key
         self._name = name
         self._counters = counters
-        self._client = make_client()
+        self._client = make_client(local_host=local_host)
         self._leader: str | None = None
 
     async def __aenter__(self) -> "ControlClient":
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -76,9 +76,9 @@
     counters = counters_for(name, settings.statsd_host, settings.statsd_port)
     shutdown = trio.Event()
     async with AsyncExitStack() as stack:
-        backend = await stack.enter_async_context(Backend(counters))
+        backend = await stack.enter_async_context(Backend(counters, me.host))
         control = await stack.enter_async_context(
-            ControlClient(settings.controls, settings.internal_key, name, counters)
+            ControlClient(settings.controls, settings.internal_key, name, counters, me.host)
         )
         nursery = await stack.enter_async_context(trio.open_nursery())
         context = make_context(settings, name, backend, control, counters, nursery)
--- a/siskinspoke/management/base.py
+++ b/siskinspoke/management/base.py
@@ -16,6 +16,7 @@
 
 flags.DEFINE_string("base", "", "Base settings file, in JSON.")
 flags.DEFINE_string("overlay", "", "Overlay of the site, in JSON.")
+flags.DEFINE_string("name", "", "Name of the VM in the settings.")
 flags.DEFINE_bool("json", False, "Print JSON for programs in place of text for people.")
 
 
--- a/siskinspoke/management/commands/entry.py
+++ b/siskinspoke/management/commands/entry.py
@@ -9,8 +9,6 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_string("name", "", "Name of this VM in the settings.")
-
 
 def handle(_arguments: list[str]) -> int:
     """Run until SIGTERM, then drain."""
--- /dev/null
+++ b/siskinspoke/protocol/replication.py
@@ -0,0 +1,120 @@
+"""Messages between control replicas, and the records that they keep on disk."""
+
+from typing import Any, NamedTuple
+
+from siskinspoke.protocol.codec import message
+
+
+@message
+class Entry(NamedTuple):
+    """One command of the replicated log; ``kind`` names the command and ``body`` holds it."""
+
+    index: int
+    term: int
+    kind: str
+    body: Any
+
+
+@message
+class HardState(NamedTuple):
+    """What a replica must not forget: its term and its vote in that term."""
+
+    term: int
+    voted_for: str
+
+
+@message
+class Snapshot(NamedTuple):
+    """The state after an index, and the incarnation of each member at that point."""
+
+    index: int
+    term: int
+    members: dict[str, int]
+    document: dict
+
+
+@message
+class Admitted(NamedTuple):
+    """A record on disk: a replaced disk counts as a member's, as committed."""
+
+    name: str
+    incarnation: int
+
+
+class Identity(NamedTuple):
+    """Whose folder this is; ``incarnation`` is new for each emptied disk."""
+
+    name: str
+    incarnation: int
+
+
+@message
+class Introduce(NamedTuple):
+    """A replica with an empty folder asks whether the others are as new; ``run`` names the try."""
+
+    sender: str
+    run: int
+
+
+@message
+class IntroduceReply(NamedTuple):
+    """``fresh`` means that the sender has neither a term nor a log."""
+
+    sender: str
+    run: int
+    fresh: bool
+
+
+@message
+class VoteRequest(NamedTuple):
+    """Ask for a vote; ``trial`` asks only whether it would be given, without a new term."""
+
+    sender: str
+    incarnation: int
+    term: int
+    last_index: int
+    last_term: int
+    trial: bool
+
+
+@message
+class VoteReply(NamedTuple):
+    """Answer a vote request of the same term."""
+
+    sender: str
+    incarnation: int
+    term: int
+    granted: bool
+    trial: bool
+
+
+@message
+class Append(NamedTuple):
+    """Entries of the leader after ``prev_index``, and how far the log is committed."""
+
+    sender: str
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: list[Entry]
+    commit: int
+
+
+@message
+class AppendReply(NamedTuple):
+    """``match`` is the last index known to agree, or where to try next on a refusal."""
+
+    sender: str
+    incarnation: int
+    term: int
+    accepted: bool
+    match: int
+
+
+@message
+class Install(NamedTuple):
+    """A whole snapshot for a replica too far behind for the leader's log."""
+
+    sender: str
+    term: int
+    snapshot: Snapshot
--- /dev/null
+++ b/siskinspoke/state/journal.py
@@ -0,0 +1,129 @@
+"""An append-only journal whose records last once ``append`` has returned.
+
+Each frame is a mark, the length of its body, a checksum over length and body, and the body.
+A crash in the middle of a write leaves a torn frame at the very end, which is cut off: its
+record was never answered for.  A damaged frame with a sound one behind it was once synced and
+answered for, so the journal is refused and not shortened.
+"""
+
+import os
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import xxhash
+from expression import Error, Ok, Result
+
+from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.state.files import storage_error, sync_folder
+
+MARK = b"\xabSJ1"
+LENGTH_BYTES = 4
+CHECKSUM_BYTES = 8
+HEADER_BYTES = len(MARK) + LENGTH_BYTES + CHECKSUM_BYTES
+
+
+class Loaded(NamedTuple):
+    """A journal and the bodies of its records."""
+
+    journal: "Journal"
+    records: list[bytes]
+
+
+def _frame(body: bytes) -> bytes:
+    length = len(body).to_bytes(LENGTH_BYTES, "big")
+    return MARK + length + xxhash.xxh64_digest(length + body) + body
+
+
+def _read_frame(data: bytes, position: int) -> bytes | None:
+    """Return the body of the sound frame at a position, or None."""
+    header = data[position : position + HEADER_BYTES]
+    if len(header) < HEADER_BYTES or not header.startswith(MARK):
+        return None
+    length = header[len(MARK) : len(MARK) + LENGTH_BYTES]
+    start = position + HEADER_BYTES
+    body = data[start : start + int.from_bytes(length, "big")]
+    if xxhash.xxh64_digest(length + body) != header[-CHECKSUM_BYTES:]:
+        return None
+    return body
+
+
+def _frames(data: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield the end and body of each sound frame from the start on."""
+    position = 0
+    while (body := _read_frame(data, position)) is not None:
+        position += HEADER_BYTES + len(body)
+        yield position, body
+
+
+def _sound_frame_after(data: bytes, position: int) -> bool:
+    """Tell whether any sound frame begins after a position."""
+    found = data.find(MARK, position + 1)
+    while found >= 0:
+        if _read_frame(data, found) is not None:
+            return True
+        found = data.find(MARK, found + 1)
+    return False
+
+
+class Journal:
+    """Own the file that records are appended to."""
+
+    def __init__(self, path: Path):
+        self._path = path
+        self._file = path.open("ab")
+
+    def append(self, bodies: Iterable[bytes]) -> None:
+        """Write records and sync them; raise FailureError if the disk refuses.
+
+        After a failed sync the kernel may have dropped the pages, so a later sync that
+        succeeds proves nothing: the owner must stop and not try again.
+        """
+        try:
+            self._file.write(b"".join(_frame(body) for body in bodies))
+            self._file.flush()
+            os.fdatasync(self._file.fileno())
+        except OSError as error:
+            raise storage_error(self._path, error) from error
+
+    def rewrite(self, bodies: Iterable[bytes]) -> None:
+        """Replace the whole journal; a crash leaves the old one or the new one."""
+        temporary = self._path.with_suffix(".new")
+        try:
+            with temporary.open("wb") as file:
+                file.write(b"".join(_frame(body) for body in bodies))
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.replace(self._path)
+            sync_folder(self._path.parent)
+            self._file.close()
+            self._file = self._path.open("ab")
+        except OSError as error:
+            raise storage_error(self._path, error) from error
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def open_journal(path: Path) -> Result[Loaded, Failure]:
+    """Open or create a journal and return its records, cutting off a torn end."""
+    try:
+        existed = path.exists()
+        data = path.read_bytes() if existed else b""
+        end, records = 0, []
+        for end, body in _frames(data):  # noqa: B007  (the last end is used below)
+            records.append(body)
+        if end < len(data):
+            if _sound_frame_after(data, end):
+                message = f"{path}: damaged at byte {end} with sound records behind it"
+                return Error(Failure(ResultCode.JOURNAL_CORRUPT, message))
+            with path.open("rb+") as file:
+                file.truncate(end)
+                os.fsync(file.fileno())
+        journal = Journal(path)
+        if not existed:
+            sync_folder(path.parent)
+    except OSError as error:
+        return Error(storage_error(path, error).failure)
+    return Ok(Loaded(journal, records))
--- /dev/null
+++ b/siskinspoke/state/replica_store.py
@@ -0,0 +1,106 @@
+"""What a control replica keeps in its data folder: identity, snapshot and journal."""
+
+from pathlib import Path
+
+import msgspec
+from expression import Error, Ok, Result
+
+from siskinspoke.coordination.replica import Restored
+from siskinspoke.core.codes import Failure, FailureError, ResultCode
+from siskinspoke.protocol import decode_message, encode_message
+from siskinspoke.protocol.replication import Admitted, Entry, HardState, Identity, Snapshot
+from siskinspoke.state.files import read_checked, storage_error, write_atomically
+from siskinspoke.state.journal import Journal, open_journal
+
+IDENTITY_FILE, SNAPSHOT_FILE, JOURNAL_FILE = "identity.json", "snapshot.json", "journal"
+
+Record = HardState | Admitted | Entry
+
+
+class ReplicaStore:
+    """Own the data folder of one control replica."""
+
+    def __init__(self, folder: Path, journal: Journal):
+        self._folder = folder
+        self._journal = journal
+
+    def save_identity(self, identity: Identity) -> None:
+        """Write whose folder this is."""
+        write_atomically(self._folder / IDENTITY_FILE, msgspec.json.encode(identity))
+
+    def append(self, records: list[Record]) -> None:
+        """Make records last."""
+        self._journal.append(encode_message(record) for record in records)
+
+    def save_snapshot(self, snapshot: Snapshot, records: list[Record]) -> None:
+        """Replace snapshot and journal.
+
+        The snapshot goes first: after a crash in between, the old journal's entries that it
+        covers are passed over.
+        """
+        write_atomically(self._folder / SNAPSHOT_FILE, encode_message(snapshot))
+        self._journal.rewrite(encode_message(record) for record in records)
+
+    def close(self) -> None:
+        """Close the journal."""
+        self._journal.close()
+
+
+def _must(result: Result) -> bytes | None:
+    if result.is_error():
+        raise FailureError(result.error)
+    return result.ok
+
+
+def _read_identity(folder: Path, name: str) -> Identity | None:
+    body = _must(read_checked(folder / IDENTITY_FILE))
+    if body is None:
+        return None
+    identity = msgspec.json.decode(body, type=Identity)
+    if identity.name != name:
+        message = f"{folder}: is the folder of {identity.name}, not of {name}"
+        raise FailureError(Failure(ResultCode.FOREIGN_FOLDER, message))
+    return identity
+
+
+def _decode(body: bytes, path: Path):
+    decoded = decode_message(body)
+    if decoded.is_error():
+        raise FailureError(Failure(ResultCode.JOURNAL_CORRUPT, f"{path}: {decoded.error}"))
+    return decoded.ok
+
+
+def _restore(folder: Path, name: str, bodies: list[bytes]) -> Restored:
+    identity = _read_identity(folder, name)
+    body = _must(read_checked(folder / SNAPSHOT_FILE))
+    snapshot = None if body is None else _decode(body, folder / SNAPSHOT_FILE)
+    hard, admitted, entries = HardState(0, ""), [], []
+    for record in (_decode(item, folder / JOURNAL_FILE) for item in bodies):
+        match record:
+            case HardState():
+                hard = record
+            case Admitted():
+                admitted.append(record)
+            case Entry():
+                entries.append(record)
+    if identity is None and (entries or snapshot is not None):
+        message = f"{folder}: a log without an identity; empty the folder to start anew"
+        raise FailureError(Failure(ResultCode.JOURNAL_CORRUPT, message))
+    return Restored(identity, hard, snapshot, tuple(admitted), tuple(entries))
+
+
+def open_store(path: str, name: str) -> Result[tuple[ReplicaStore, Restored], Failure]:
+    """Open a data folder and return what its replica had promised."""
+    folder = Path(path)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        return Error(storage_error(folder, error).failure)
+    opened = open_journal(folder / JOURNAL_FILE)
+    if opened.is_error():
+        return opened
+    try:
+        restored = _restore(folder, name, opened.ok.records)
+    except FailureError as error:
+        return Error(error.failure)
+    return Ok((ReplicaStore(folder, opened.ok.journal), restored))
--- a/siskinspoke/transport/http.py
+++ b/siskinspoke/transport/http.py
@@ -74,18 +74,20 @@
     )
 
 
-def make_client(keep_alive: bool = True) -> httpx.AsyncClient:
+def make_client(keep_alive: bool = True, local_host: str | None = None) -> httpx.AsyncClient:
     """Return a client without a shared pool limit and without default read timeouts.
 
     A pool limit makes short requests wait for long streams, so admission bounds the streams
     instead.  Every call bounds its own time by the deadline of its request.  Without
     keep-alive each request has a fresh connection, so none meets a stale one after its write.
+    ``local_host`` is the VM's own address, so that peers see which VM calls.
     """
     limits = httpx.Limits(
         max_connections=None, max_keepalive_connections=64 if keep_alive else 0, keepalive_expiry=4
     )
     timeout = httpx.Timeout(None, connect=CONNECT_SECONDS)
-    return httpx.AsyncClient(limits=limits, timeout=timeout, trust_env=False)
+    transport = httpx.AsyncHTTPTransport(limits=limits, local_address=local_host, trust_env=False)
+    return httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
 
 
 def json_response(document, status: int = 200, headers: dict | None = None) -> Response:
