Prove that a non-idempotent call runs at most once, and call nothing "not run" that may have

Cause: a resend whose VM found no server was refused as "not run" although its first attempt had run at another VM (first run of the new proof: code 2003, run not_run). The same held for expired keys and for claims without a majority.

Change: a refusal of a request with a key looks the key up first, and says "unknown" where nobody can know; fault proxy between failure domains (silent cuts per direction and port, delays, datagrams lost, doubled, reordered); mutants that run the program with one guard off.

Also found: the stand-in service forgot a call when its caller hung up; a letter in the post goes on, so now the stand-in does too.

--- a/siskinspoke/control/app.py
+++ b/siskinspoke/control/app.py
@@ -7,11 +7,11 @@
 from siskinspoke.conf import Settings, configuration_from
 from siskinspoke.conf.settings import ControlVM
 from siskinspoke.control.replica_task import ReplicaTask
-from siskinspoke.coordination.machine import CLAIM, CONFIGURE, SETTLE, ConfigureRequest
+from siskinspoke.coordination.machine import CLAIM, CONFIGURE, LOOKUP, SETTLE, ConfigureRequest
 from siskinspoke.core.codes import FACTS, Failure, ResultCode
 from siskinspoke.core.counters import Counters
 from siskinspoke.entry.internal_app import operator_allowed
-from siskinspoke.protocol.claims import ClaimRequest, SettleRequest
+from siskinspoke.protocol.claims import ClaimRequest, LookupRequest, SettleRequest
 from siskinspoke.protocol.sealed_http import SEAL_HEADER, seal_holds
 from siskinspoke.transport.http import failure_response, json_response, make_app
 
@@ -19,7 +19,7 @@
 BODY_SECONDS = 10.0
 COMMIT_SECONDS = 2.0
 MAX_WAIT_MS = 30_000
-SEALED_PATHS = frozenset({"/v1/claim", "/v1/settle"})
+SEALED_PATHS = frozenset({"/v1/claim", "/v1/lookup", "/v1/settle"})
 
 
 class ControlState:
@@ -77,6 +77,10 @@
     async def claim() -> Response:
         return await commit(CLAIM, await _read(ClaimRequest))
 
+    @app.post("/v1/lookup")
+    async def lookup() -> Response:
+        return await commit(LOOKUP, await _read(LookupRequest))
+
     @app.post("/v1/settle")
     async def settle() -> Response:
         return await commit(SETTLE, await _read(SettleRequest))
--- a/siskinspoke/coordination/claims.py
+++ b/siskinspoke/coordination/claims.py
@@ -10,7 +10,13 @@
 from typing import NamedTuple
 
 from siskinspoke.core.codes import ResultCode
-from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest, Target
+from siskinspoke.protocol.claims import (
+    ClaimAnswer,
+    ClaimRequest,
+    LookupRequest,
+    SettleRequest,
+    Target,
+)
 
 MAX_KEPT_BODY = 1_024
 CLOCK_SLACK_MS = 1_000
@@ -70,6 +76,15 @@
             int(code), claim.attempt, claim.owner, claim.target, claim.status, claim.body
         )
 
+    def lookup(self, request: LookupRequest, clock_ms: int) -> ClaimAnswer:
+        """Tell what is held on a key; OK means that no attempt of it holds or ran."""
+        self.forget(clock_ms)
+        held = self._claims.get(request.key)
+        if held is None or held.state == FREE:
+            return ClaimAnswer(int(ResultCode.OK))
+        code = ResultCode.IN_PROGRESS if held.state == CLAIMED else ResultCode.ALREADY_RAN
+        return self._answer(code, held)
+
     def settle(self, request: SettleRequest, clock_ms: int) -> ClaimAnswer:
         """Record how an attempt ended; a word on an older attempt changes nothing."""
         self.forget(clock_ms)
--- a/siskinspoke/coordination/machine.py
+++ b/siskinspoke/coordination/machine.py
@@ -7,10 +7,10 @@
 
 from siskinspoke.coordination.claims import ClaimBook
 from siskinspoke.core.codes import ResultCode
-from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest
+from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, LookupRequest, SettleRequest
 from siskinspoke.protocol.replication import Entry
 
-CLAIM, SETTLE, CONFIGURE = "claim", "settle", "configure"
+CLAIM, LOOKUP, SETTLE, CONFIGURE = "claim", "lookup", "settle", "configure"
 MAX_ORDERS = 20_000
 
 
@@ -54,6 +54,9 @@
             case "claim":
                 request = msgspec.convert(entry.body["request"], ClaimRequest)
                 return self.claims.claim(request, self._advance(entry.body))
+            case "lookup":
+                request = msgspec.convert(entry.body["request"], LookupRequest)
+                return self.claims.lookup(request, self._advance(entry.body))
             case "settle":
                 request = msgspec.convert(entry.body["request"], SettleRequest)
                 return self.claims.settle(request, self._advance(entry.body))
--- a/siskinspoke/core/codes.py
+++ b/siskinspoke/core/codes.py
@@ -87,7 +87,7 @@
         400, Run.NOT_RUN, 10, "A non-idempotent request needs an Idempotency-Key."
     ),
     ResultCode.INVALID_KEY: CodeFacts(400, Run.NOT_RUN, 10, "The Idempotency-Key is malformed."),
-    ResultCode.KEY_EXPIRED: CodeFacts(410, Run.NOT_RUN, 10, "The Idempotency-Key has expired."),
+    ResultCode.KEY_EXPIRED: CodeFacts(410, Run.UNKNOWN, 10, "The Idempotency-Key has expired."),
     ResultCode.BODY_TIMEOUT: CodeFacts(408, Run.NOT_RUN, 10, "The body did not arrive in time."),
     ResultCode.PROMPT_TOO_LONG: CodeFacts(
         422, Run.NOT_RUN, 10, "No announced engine or group can ever hold the prompt."
@@ -99,7 +99,7 @@
     ResultCode.NO_SERVER: CodeFacts(503, Run.NOT_RUN, 20, "No backend server can take it now."),
     ResultCode.DRAINING: CodeFacts(503, Run.NOT_RUN, 20, "This VM is shutting down."),
     ResultCode.CLAIMS_UNAVAILABLE: CodeFacts(
-        503, Run.NOT_RUN, 20, "No quorum to claim a non-idempotent request."
+        503, Run.UNKNOWN, 20, "No quorum to claim a non-idempotent request."
     ),
     ResultCode.TOO_MANY_STREAMS: CodeFacts(503, Run.NOT_RUN, 20, "This VM is full."),
     ResultCode.NOT_REACHABLE_NOW: CodeFacts(
--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -7,7 +7,16 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.core.codes import FACTS, Failure, ResultCode, Run
 from siskinspoke.entry.backend import connection_failed
-from siskinspoke.entry.claiming import Claimed, Held, claim, find_out, settle_not_run, settle_ran
+from siskinspoke.entry.claiming import (
+    Claimed,
+    Held,
+    claim,
+    claim_name,
+    find_out,
+    lookup,
+    settle_not_run,
+    settle_ran,
+)
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
 from siskinspoke.entry.requests import Call, Caller
 from siskinspoke.protocol.claims import ClaimAnswer, Target
@@ -84,7 +93,7 @@
 
     def _subject(self) -> str:
         key = self._call.key
-        return f"{self._caller.customer}/{key.text}" if key else self._request_id
+        return claim_name(self._caller.customer, key) if key else self._request_id
 
     async def _run_plain(self) -> dict | Failure:
         """Call an idempotent service; a call that broke is repeated within the budget."""
@@ -121,7 +130,7 @@
         for _ in range(MAX_ATTEMPTS):
             record = self._choose()
             if record is None:
-                return self._nobody()
+                return await self._without_server()
             outcome = await claim(context, self._subject(), self._call.key, target_of(record))
             if outcome.is_error():
                 return outcome.error
@@ -134,6 +143,16 @@
                 return answer
         return Failure(ResultCode.DISPATCH_FAILED, "no attempt began", RETRY_LATER_MS, Run.NOT_RUN)
 
+    async def _without_server(self) -> dict | Failure:
+        """Answer while no server can be reached: from the claim, where there is one."""
+        context = self._context
+        found = await lookup(context, self._subject())
+        if found.is_error():
+            return self._nobody()._replace(run=Run.UNKNOWN)
+        if found.ok.code == ResultCode.OK:
+            return self._nobody()
+        return await self._look_at(found.ok) or self._nobody()
+
     async def _run_attempt(self, target: Target, attempt: int) -> dict | Failure | None:
         """Run the claimed attempt; None means that another one may begin."""
         context = self._context
--- a/siskinspoke/entry/claiming.py
+++ b/siskinspoke/entry/claiming.py
@@ -4,10 +4,16 @@
 
 from expression import Error, Ok, Result
 
-from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.codes import Failure, ResultCode, Run
 from siskinspoke.entry.context import EntryContext
 from siskinspoke.entry.requests import IdempotencyKey
-from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest, Target
+from siskinspoke.protocol.claims import (
+    ClaimAnswer,
+    ClaimRequest,
+    LookupRequest,
+    SettleRequest,
+    Target,
+)
 from siskinspoke.protocol.engine import CancelState
 
 CLAIM_SECONDS = 2.0
@@ -28,6 +34,11 @@
     answer: ClaimAnswer
 
 
+def claim_name(customer: str, key: IdempotencyKey) -> str:
+    """Return the name under which a customer's key is claimed."""
+    return f"{customer}/{key.text}"
+
+
 async def claim(
     context: EntryContext, name: str, key: IdempotencyKey, target: Target
 ) -> Result[Claimed | Held, Failure]:
@@ -57,6 +68,30 @@
             return Error(Failure(code, message))
 
 
+async def lookup(context: EntryContext, name: str) -> Result[ClaimAnswer, Failure]:
+    """Return what is held on a key; OK in the answer means nothing."""
+    return await context.control.lookup(LookupRequest(name), CLAIM_SECONDS)
+
+
+async def honest(context: EntryContext, name: str, failure: Failure) -> Failure:
+    """Return a refusal that says 'not run' only if no attempt of its key can have run.
+
+    The request may be a resend: the first attempt runs at another VM while this one, which
+    knows nothing of it, refuses for a reason of its own.
+    """
+    if failure.fate is not Run.NOT_RUN:
+        return failure
+    found = await lookup(context, name)
+    if found.is_error():
+        message = f"{failure.message}; an earlier attempt with this key may have run"
+        return failure._replace(message=message, run=Run.UNKNOWN)
+    if found.ok.code == ResultCode.OK:
+        return failure
+    message = f"{failure.message}; an earlier attempt holds this key"
+    ran = found.ok.code == ResultCode.ALREADY_RAN
+    return failure._replace(message=message, run=Run.RAN if ran else Run.UNKNOWN)
+
+
 async def settle_ran(
     context: EntryContext, name: str, attempt: int, status: int, body: str
 ) -> None:
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -10,7 +10,16 @@
 from siskinspoke.core.codes import Failure, ResultCode, Run
 from siskinspoke.entry import groups
 from siskinspoke.entry.backend import AttemptEnd, Completed, Lost, NotBegun, Unknown
-from siskinspoke.entry.claiming import Claimed, Held, claim, find_out, settle_not_run, settle_ran
+from siskinspoke.entry.claiming import (
+    Claimed,
+    Held,
+    claim,
+    claim_name,
+    find_out,
+    honest,
+    settle_not_run,
+    settle_ran,
+)
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
 from siskinspoke.entry.janitor import CancelAttempt
 from siskinspoke.entry.requests import Caller, Completion
@@ -371,12 +380,13 @@
                 return settled.failure
             chosen = context.router.choose(self._work(), now_ms(), context.rng)
             if chosen.is_error():
-                return chosen.error
+                return await honest(context, self._claim_key(), chosen.error)
             choice = chosen.ok
         return self._given_up("no attempt began")
 
     def _claim_key(self) -> str:
-        return f"{self.caller.customer}/{self.completion.key.text}"
+        """Return the name under which the request is claimed."""
+        return claim_name(self.caller.customer, self.completion.key)
 
     async def _attach(self, target: Target) -> AttemptEnd:
         """Read the answer of the attempt that holds the claim, from its beginning."""
--- a/siskinspoke/entry/control_client.py
+++ b/siskinspoke/entry/control_client.py
@@ -11,7 +11,7 @@
 from siskinspoke.conf.settings import ControlVM
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.core.counters import Counters
-from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, SettleRequest
+from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, LookupRequest, SettleRequest
 from siskinspoke.protocol.sealed_http import SEAL_HEADER, seal_of
 from siskinspoke.transport.http import make_client
 
@@ -59,6 +59,12 @@
         """Claim a key; an Error means that nothing may be dispatched."""
         return await self._ask_leader("/v1/claim", request, remaining_seconds)
 
+    async def lookup(
+        self, request: LookupRequest, remaining_seconds: float
+    ) -> Result[ClaimAnswer, Failure]:
+        """Ask what is held on a key."""
+        return await self._ask_leader("/v1/lookup", request, remaining_seconds)
+
     async def settle(
         self, request: SettleRequest, remaining_seconds: float
     ) -> Result[ClaimAnswer, Failure]:
@@ -80,7 +86,10 @@
                     self._leader = None
                 await trio.sleep(PAUSE_SECONDS * random.uniform(0.5, 1.5))
         self._counters.count("claim.unavailable")
-        message = "no majority of control replicas answered in time"
+        message = (
+            "no majority of control replicas answered in time; nothing was dispatched now, "
+            "but an earlier attempt with this key may have run"
+        )
         return Error(Failure(ResultCode.CLAIMS_UNAVAILABLE, message, CLAIM_RETRY_MS))
 
     def _in_order(self) -> list[ControlVM]:
--- a/siskinspoke/entry/public_app.py
+++ b/siskinspoke/entry/public_app.py
@@ -9,9 +9,17 @@
 
 from siskinspoke.core.codes import Failure, ResultCode, Run
 from siskinspoke.entry.calls import CallJob
+from siskinspoke.entry.claiming import claim_name, honest
 from siskinspoke.entry.completions import CompletionJob
 from siskinspoke.entry.context import EntryContext
-from siskinspoke.entry.requests import Call, Caller, Completion, authenticate, read_call
+from siskinspoke.entry.requests import (
+    Call,
+    Caller,
+    Completion,
+    IdempotencyKey,
+    authenticate,
+    read_call,
+)
 from siskinspoke.entry.requests import read_completion as read_completion_body
 from siskinspoke.entry.resuming import ResumeJob
 from siskinspoke.entry.stream_tokens import issue_token, read_token
@@ -27,9 +35,9 @@
     return b"data: " + msgspec.json.encode(document) + b"\n\n"
 
 
-def _keyed_request_id(customer: str, key: str) -> str:
+def _keyed_request_id(name: str) -> str:
     """Return the id that every resend of a keyed request shares."""
-    return "k" + hashlib.blake2b(f"{customer}/{key}".encode(), digest_size=12).hexdigest()
+    return "k" + hashlib.blake2b(name.encode(), digest_size=12).hexdigest()
 
 
 def public_app(context: EntryContext):
@@ -40,6 +48,14 @@
     def refuse(failure: Failure) -> Response:
         return failure_response(context.refuse(failure))
 
+    async def refuse_request(
+        failure: Failure, caller: Caller, key: IdempotencyKey | None
+    ) -> Response:
+        """Refuse a sound request; one with a key may be a resend of one that ran."""
+        if key is not None:
+            failure = await honest(context, claim_name(caller.customer, key), failure)
+        return refuse(failure)
+
     def closed() -> Failure | None:
         """Return why this VM takes no new request at all, if so."""
         if context.draining:
@@ -62,9 +78,6 @@
         caller = caller_of()
         if isinstance(caller, Failure):
             return refuse(caller)
-        failure = closed()
-        if failure is not None:
-            return refuse(failure)
         read = read_completion_body(
             await request.get_data(),
             request.headers.get("Idempotency-Key"),
@@ -72,18 +85,21 @@
         )
         if read.is_error():
             return refuse(read.error)
+        failure = closed()
+        if failure is not None:
+            return await refuse_request(failure, caller, read.ok.key)
         return await answer_completion(caller, read.ok, arrived)
 
     async def answer_completion(caller: Caller, completion: Completion, arrived: float) -> Response:
         if completion.key is not None:
-            request_id = _keyed_request_id(caller.customer, completion.key.text)
+            request_id = _keyed_request_id(claim_name(caller.customer, completion.key))
         else:
             request_id = context.next_request_id()
         deadline = arrived + completion.timeout_ms / 1000
         job = CompletionJob(context, caller, completion, request_id, deadline)
         admitted = job.admit()
         if admitted.is_error():
-            return refuse(admitted.error)
+            return await refuse_request(admitted.error, caller, completion.key)
         context.counters.count("admitted")
         context.nursery.start_soon(job.run, admitted.ok)
         return await answer_job(job, completion.stream)
@@ -179,18 +195,17 @@
         caller = caller_of()
         if isinstance(caller, Failure):
             return refuse(caller)
-        data = await request.get_data()
-        failure = closed()
-        if failure is not None:
-            return refuse(failure)
         read = read_call(
-            data,
+            await request.get_data(),
             service,
             request.headers.get("Idempotency-Key"),
             context.holder.current.configuration,
         )
         if read.is_error():
             return refuse(read.error)
+        failure = closed()
+        if failure is not None:
+            return await refuse_request(failure, caller, read.ok.key)
         context.request_opened()
         try:
             return await answer_call(caller, read.ok)
@@ -199,7 +214,7 @@
 
     async def answer_call(caller: Caller, call: Call) -> Response:
         if call.key is not None:
-            request_id = _keyed_request_id(caller.customer, call.key.text)
+            request_id = _keyed_request_id(claim_name(caller.customer, call.key))
         else:
             request_id = context.next_request_id()
         answer = await CallJob(context, caller, call, request_id).run()
--- a/siskinspoke/management/commands/standin_engine.py
+++ b/siskinspoke/management/commands/standin_engine.py
@@ -1,13 +1,11 @@
 """Run a stand-in model engine, for demonstrations and tests."""
 
-import time
-
 import trio
 from absl import flags
 
-from siskinspoke.management.standins import announce_addresses, read_key
+from siskinspoke.management.standins import announce_addresses, identity, read_key
 from siskinspoke.standins.engine_model import EngineParameters
-from siskinspoke.standins.engine_server import EngineIdentity, EngineServer, engine_app
+from siskinspoke.standins.engine_server import EngineServer, engine_app
 from siskinspoke.standins.runner import run_standin
 
 FLAGS = flags.FLAGS
@@ -18,7 +16,6 @@
 flags.DEFINE_float("decode_ms_per_sequence", 0.1, "Decode time of one sequence in a step.")
 flags.DEFINE_integer("chunk_tokens", 1_024, "Tokens of one step at most.")
 flags.DEFINE_float("slow", 1.0, "Factor by which this engine is slower than it says.")
-flags.DEFINE_bool("fencing", True, "Whether orders with an old fencing number are refused.")
 
 
 def handle(_arguments: list[str]) -> int:
@@ -30,18 +27,8 @@
         FLAGS.decode_ms_per_sequence,
         FLAGS.chunk_tokens,
     )
-    identity = EngineIdentity(
-        FLAGS.server,
-        FLAGS.domain,
-        FLAGS.host,
-        FLAGS.port,
-        FLAGS.service,
-        time.time_ns() // 1_000_000,
-        FLAGS.fencing,
-    )
-    server = EngineServer(identity, parameters, FLAGS.slow)
+    who = identity()
+    server = EngineServer(who, parameters, FLAGS.slow)
     app = engine_app(server)
-    trio.run(
-        run_standin, app, identity, announce_addresses(), read_key(), server.report, server.run
-    )
+    trio.run(run_standin, app, who, announce_addresses(), read_key(), server.report, server.run)
     return 0
--- a/siskinspoke/management/standins.py
+++ b/siskinspoke/management/standins.py
@@ -1,17 +1,22 @@
 """Flags that the commands of the stand-ins share."""
 
+import time
 from pathlib import Path
 
 from absl import flags
 
+from siskinspoke.standins.engine_server import EngineIdentity
+
 FLAGS = flags.FLAGS
 
 flags.DEFINE_string("server", "server-1", "Name of the backend server.")
 flags.DEFINE_string("domain", "", "Failure domain of the backend server.")
 flags.DEFINE_string("host", "127.0.0.1", "Address to listen on.")
+flags.DEFINE_string("advertise_host", "", "Address that others use, if not --host.")
 flags.DEFINE_integer("port", 0, "Port to listen on.")
 flags.DEFINE_string("service", "", "Service that the server offers.")
 flags.DEFINE_list("announce", [], "Addresses HOST:PORT behind the balancer.")
+flags.DEFINE_bool("fencing", True, "Whether orders with an old fencing number are refused.")
 flags.DEFINE_string("key_file", "", "File with the key that seals announcements.")
 
 
@@ -21,6 +26,20 @@
     return [(host, int(port)) for host, port in pairs]
 
 
+def identity() -> EngineIdentity:
+    """Return who the stand-in is; its incarnation is the time of its start."""
+    return EngineIdentity(
+        FLAGS.server,
+        FLAGS.domain,
+        FLAGS.host,
+        FLAGS.port,
+        FLAGS.service,
+        time.time_ns() // 1_000_000,
+        FLAGS.fencing,
+        FLAGS.advertise_host or FLAGS.host,
+    )
+
+
 def read_key() -> bytes:
     """Return the key that seals announcements."""
     return Path(FLAGS.key_file).read_text().strip().encode()
--- a/siskinspoke/protocol/claims.py
+++ b/siskinspoke/protocol/claims.py
@@ -26,6 +26,12 @@
     target: Target
 
 
+class LookupRequest(NamedTuple):
+    """Ask what is held on a key, without claiming it."""
+
+    key: str
+
+
 class SettleRequest(NamedTuple):
     """Say how a claimed attempt ended; ``ran`` False frees the key for another attempt."""
 
@@ -40,7 +46,7 @@
     """What the control replicas hold on a key.
 
     ``code`` is OK where the asker now holds the claim, IN_PROGRESS where another attempt
-    holds it, ALREADY_RAN where it ended.
+    holds it, ALREADY_RAN where it ended.  A look-up answers OK where nothing holds the key.
     """
 
     code: int
--- a/siskinspoke/standins/engine_server.py
+++ b/siskinspoke/standins/engine_server.py
@@ -30,6 +30,7 @@
     service: str
     incarnation: int
     fencing: bool = True
+    advertised_host: str = ""
 
 
 def token_text(request_id: str, index: int) -> str:
@@ -85,7 +86,7 @@
             who.incarnation,
             seq,
             who.failure_domain,
-            who.host,
+            who.advertised_host or who.host,
             who.port,
             "model",
             who.service,
--- a/siskinspoke/standins/service_server.py
+++ b/siskinspoke/standins/service_server.py
@@ -57,7 +57,7 @@
             who.incarnation,
             seq,
             who.failure_domain,
-            who.host,
+            who.advertised_host or who.host,
             who.port,
             "plain",
             who.service,
@@ -82,10 +82,10 @@
         if not server.begin(body["request"], body["attempt"], body.get("subject", "")):
             return json_response({"refused": "cancelled"}, 409)
         server.running += 1
-        try:
+        # What a service has begun, like a letter in the post, goes on when its caller is gone.
+        with trio.CancelScope(shield=True):
             await trio.sleep(server.delay_seconds)
-        finally:
-            server.running -= 1
+        server.running -= 1
         server.finished.add((body["request"], body["attempt"]))
         return json_response({"result": f"done {body['request']}"})
 
--- a/siskinspoke/testing/demo.py
+++ b/siskinspoke/testing/demo.py
@@ -7,7 +7,7 @@
 import trio
 
 from siskinspoke.loadgen.client import Caller, Outcome, idempotency_key, prompt_text
-from siskinspoke.testing.fleet import EngineSpec, Fleet, wait_until, write_keys
+from siskinspoke.testing.fleet import EngineSpec, Fleet, write_keys
 from siskinspoke.testing.site import SERVER_PORT, customer_key
 
 LENGTHS = (1_000, 4_000, 16_000, 64_000, 250_000, 1_000_000)
@@ -39,21 +39,7 @@
 
 def start(fleet: Fleet) -> None:
     """Start every process of the site and wait until each knows the others."""
-    specs = engine_specs(fleet)
-    for control in fleet.settings.controls:
-        fleet.start_control(control.name)
-    for entry in fleet.settings.entries:
-        fleet.start_entry(entry.name)
-    for spec in specs:
-        fleet.start_server(spec)
-    fleet.wait_entries()
-    fleet.wait_servers(len(specs))
-    names = [control.name for control in fleet.settings.controls]
-    for control in fleet.settings.controls:
-        fleet.wait_listening(control.host, control.port)
-    wait_until(
-        lambda: any(fleet.control_status(name)["role"] == "leader" for name in names), "a leader"
-    )
+    fleet.start_site(engine_specs(fleet))
 
 
 async def send(fleet: Fleet) -> tuple[list[Outcome], list[Outcome]]:
--- a/siskinspoke/testing/fleet.py
+++ b/siskinspoke/testing/fleet.py
@@ -34,6 +34,7 @@
     service: str
     flags: tuple[str, ...] = ()
     command: str = "standin-engine"
+    advertise_host: str = ""
 
 
 class FleetError(Exception):
@@ -77,6 +78,7 @@
         self._program = program or (sys.executable, "-m", "siskinspoke")
         self._processes: dict[str, subprocess.Popen] = {}
         self._frozen: set[str] = set()
+        self.mutant = ""
         (folder / "logs").mkdir(parents=True, exist_ok=True)
 
     def __enter__(self) -> "Fleet":
@@ -88,8 +90,11 @@
     def start(self, name: str, *arguments: str) -> None:
         """Start one process; its output goes to a file of its name."""
         log = (self.folder / "logs" / f"{name}.log").open("ab")
+        program = self._program
+        if self.mutant:
+            program = (sys.executable, "-m", "siskinspoke.testing.mutants", self.mutant)
         self._processes[name] = subprocess.Popen(
-            [*self._program, *arguments],
+            [*program, *arguments],
             stdout=log,
             stderr=log,
             stdin=subprocess.DEVNULL,
@@ -97,16 +102,49 @@
         )
         log.close()
 
-    def _settings_flags(self) -> tuple[str, str]:
-        return f"--base={self.base}", f"--overlay={self.overlay}"
+    def _settings_flags(self, name: str) -> tuple[str, str]:
+        """Return the settings of one VM; behind the proxy each sees the others elsewhere."""
+        view = self.folder / f"view-{name}.json"
+        overlay = view if view.exists() else self.overlay
+        return f"--base={self.base}", f"--overlay={overlay}"
 
     def start_entry(self, name: str) -> None:
         """Start the daemon of one entry VM."""
-        self.start(name, "entry", *self._settings_flags(), f"--name={name}")
+        self.start(name, "entry", *self._settings_flags(name), f"--name={name}")
 
     def start_control(self, name: str) -> None:
         """Start one control replica."""
-        self.start(name, "control", *self._settings_flags(), f"--name={name}")
+        self.start(name, "control", *self._settings_flags(name), f"--name={name}")
+
+    def start_site(self, specs: list[EngineSpec]) -> None:
+        """Start everything and wait until it serves."""
+        for control in self.settings.controls:
+            self.start_control(control.name)
+        for entry in self.settings.entries:
+            self.start_entry(entry.name)
+        for spec in specs:
+            self.start_server(spec)
+        self.wait_entries()
+        self.wait_servers(len(specs))
+        self.wait_leader()
+
+    def leader(self) -> str | None:
+        """Return the replica that says it leads the highest term, if any does."""
+        found = []
+        for control in self.settings.controls:
+            if self.running(control.name) and control.name not in self._frozen:
+                try:
+                    status = self.control_status(control.name)
+                except httpx.HTTPError:
+                    continue
+                if status["role"] == "leader":
+                    found.append((status["term"], control.name))
+        return max(found)[1] if found else None
+
+    def wait_leader(self, other_than: str = "") -> str:
+        """Wait for a leader and return its name."""
+        wait_until(lambda: self.leader() not in (None, other_than), "a leader")
+        return self.leader()
 
     def start_server(self, spec: EngineSpec, announce: list[tuple[str, int]] | None = None) -> None:
         """Start a stand-in backend server; it announces to its own failure domain."""
@@ -125,6 +163,7 @@
             f"--server={spec.name}",
             f"--domain={spec.failure_domain}",
             f"--host={spec.host}",
+            f"--advertise_host={spec.advertise_host or spec.host}",
             f"--port={spec.port}",
             f"--service={spec.service}",
             f"--announce={addresses}",
--- /dev/null
+++ b/siskinspoke/testing/mutants.py
@@ -0,0 +1,127 @@
+"""Run the program with one guard switched off, to show that its proof then fails.
+
+Usage: python -m siskinspoke.testing.mutants NAME COMMAND [FLAGS]
+"""
+
+import sys
+from collections.abc import Callable
+
+from expression import Ok
+
+from siskinspoke.coordination.configuration import ConfigurationHolder, InForce
+from siskinspoke.coordination.directory import Directory
+from siskinspoke.entry import calls, claiming
+from siskinspoke.entry.backend import Backend
+from siskinspoke.entry.context import EntryContext
+from siskinspoke.entry.janitor import Janitor
+from siskinspoke.management import execute
+from siskinspoke.protocol.assembly import Assembler
+from siskinspoke.standins.engine_model import EngineModel
+
+
+def no_claims() -> None:
+    """Grant every claim without asking the control replicas."""
+
+    async def grant(context, name, key, target):
+        return Ok(claiming.Claimed(1))
+
+    calls.claim = grant
+
+
+def any_incarnation() -> None:
+    """Believe a restarted server about what it ran before."""
+    original = Backend.post
+
+    async def post(self, target, path, body, *rest):
+        answer = await original(self, target, path, body, *rest)
+        return answer and answer | {"incarnation": target.incarnation}
+
+    Backend.post = post
+
+
+def unknown_is_not_run() -> None:
+    """Take a call that broke off for one that never began."""
+
+    async def find_out(context, target, request, attempt):
+        return True
+
+    calls.find_out = find_out
+
+
+def any_version() -> None:
+    """Install whatever version a control replica offers."""
+
+    def install(self, version, document, source):
+        current = self._in_force
+        self._in_force = InForce(version, current.configuration, document, source)
+        return True
+
+    ConfigurationHolder.install = install
+
+
+def no_lease() -> None:
+    """Keep sending to servers that announce themselves no more."""
+    Directory._is_live = lambda self, record, now: not record.announcement.leaving
+
+
+def leaving_unheard() -> None:
+    """Overlook that a server leaves."""
+    original = Directory.hear
+
+    def hear(self, announcement, now):
+        return original(self, announcement._replace(leaving=False), now)
+
+    Directory.hear = hear
+
+
+def no_cancel() -> None:
+    """Leave at the engines what callers have given up."""
+    Janitor.add = lambda self, chore: None
+
+
+def no_engine_lease() -> None:
+    """Let attempts and reservations outlive their owners."""
+    EngineModel.expire = lambda self, now: None
+
+
+def any_chunk() -> None:
+    """Take every chunk for the next one of the answer."""
+    original = Assembler.feed
+
+    def feed(self, chunk):
+        request, attempt, incarnation = self._source
+        return original(
+            self,
+            chunk._replace(
+                request=request, attempt=attempt, incarnation=incarnation, offset=self._next
+            ),
+        )
+
+    Assembler.feed = feed
+
+
+def frozen_is_busy() -> None:
+    """Wait for a silent server for as long as its connection stands."""
+    EntryContext.is_alive = lambda self, target: True
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    mutate.__name__: mutate
+    for mutate in (
+        no_claims,
+        any_incarnation,
+        unknown_is_not_run,
+        any_version,
+        no_lease,
+        leaving_unheard,
+        no_cancel,
+        no_engine_lease,
+        any_chunk,
+        frozen_is_busy,
+    )
+}
+
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]]()
+    sys.exit(execute(["siskinspoke", *sys.argv[2:]]))
--- /dev/null
+++ b/siskinspoke/testing/proxy.py
@@ -0,0 +1,202 @@
+"""A small fault-injecting proxy for TCP and UDP between the VMs of a test site.
+
+Each VM has an address of its own; the others see it at a second address, where the proxy
+listens.  The proxy knows a sender by its address and can, for each pair of failure domains and
+each direction, cut silently, delay, drop, double and reorder.  It runs in a thread.
+"""
+
+import random
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+READ_BYTES = 65_536
+FRONT_OFFSET = 100
+CHANGE_SECONDS = 5.0
+ANY_PORT = 0
+
+
+class Rule(NamedTuple):
+    """What happens to traffic from one failure domain to another."""
+
+    cut: bool = False
+    delay_seconds: float = 0.0
+    drop: float = 0.0
+    double: float = 0.0
+    jitter_seconds: float = 0.0
+
+
+class Endpoint(NamedTuple):
+    """A listener of the site: its real address and its ports."""
+
+    host: str
+    tcp_ports: tuple[int, ...]
+    udp_ports: tuple[int, ...] = ()
+
+
+def front(host: str) -> str:
+    """Return the address at which other VMs see a host."""
+    parts = host.split(".")
+    parts[1] = str(int(parts[1]) + FRONT_OFFSET)
+    return ".".join(parts)
+
+
+def domain_of(host: str) -> int:
+    """Return the index of a host's failure domain, from its address; -1 for callers."""
+    parts = host.split(".")
+    return int(parts[2]) - 1 if parts[1] != "0" else -1
+
+
+class FaultProxy:
+    """Own the listeners and connections; rules may be changed from any thread."""
+
+    def __init__(self, endpoints: list[Endpoint], seed: int = 1):
+        self._endpoints = endpoints
+        self._rng = random.Random(seed)
+        self._rules: dict[tuple[int, int, int], Rule] = {}
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._run,), daemon=True)
+        self._token: trio.lowlevel.TrioToken | None = None
+        self._scope = trio.CancelScope()
+        self._streams: set[tuple[trio.SocketStream, int, int]] = set()
+        self._changed = trio.Event()
+
+    def __enter__(self) -> "FaultProxy":
+        self._thread.start()
+        self._ready.wait(10)
+        return self
+
+    def __exit__(self, *details) -> None:
+        self._do(self._scope.cancel)
+        self._thread.join(10)
+
+    def _do(self, change: Callable[..., None], *arguments) -> None:
+        """Carry out a change in the proxy's own thread and wait for it."""
+        done = threading.Event()
+
+        def carry_out() -> None:
+            change(*arguments)
+            done.set()
+
+        self._token.run_sync_soon(carry_out)
+        done.wait(CHANGE_SECONDS)
+
+    def set_rule(self, source: int, target: int, rule: Rule, port: int = ANY_PORT) -> None:
+        """Change what happens from one failure domain to another, or to one port there."""
+        self._do(self._set_rule, source, target, rule, port)
+
+    def _set_rule(self, source: int, target: int, rule: Rule, port: int) -> None:
+        self._rules[(source, target, port)] = rule
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+    def isolate(self, domain: int, domains: int, cut: bool = True) -> None:
+        """Cut a failure domain off from all others, both ways, or join it again."""
+        for other in range(domains):
+            if other != domain:
+                self.set_rule(domain, other, Rule(cut=cut))
+                self.set_rule(other, domain, Rule(cut=cut))
+
+    def cut_one_way(self, source: int, target: int, cut: bool = True) -> None:
+        """Cut one direction only."""
+        self.set_rule(source, target, Rule(cut=cut))
+
+    def reset_all(self) -> None:
+        """Break every connection that goes through the proxy."""
+        self._do(self._reset_all)
+
+    def _reset_all(self) -> None:
+        for stream, _, _ in list(self._streams):
+            stream.socket.setsockopt(
+                trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+            )
+            stream.socket.close()
+
+    def _rule(self, source: int, target: int, port: int) -> Rule:
+        general = self._rules.get((source, target, ANY_PORT), Rule())
+        return self._rules.get((source, target, port), general)
+
+    async def _run(self) -> None:
+        self._token = trio.lowlevel.current_trio_token()
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                for endpoint in self._endpoints:
+                    for port in endpoint.tcp_ports:
+                        await nursery.start(self._serve_tcp, endpoint.host, port)
+                    for port in endpoint.udp_ports:
+                        await nursery.start(self._serve_udp, endpoint.host, port)
+                self._ready.set()
+
+    async def _serve_tcp(self, host: str, port: int, task_status) -> None:
+        async def accept(inward: trio.SocketStream) -> None:
+            source = domain_of(inward.socket.getpeername()[0])
+            await self._connect(inward, source, host, port)
+
+        await trio.serve_tcp(accept, port, host=front(host), task_status=task_status)
+
+    async def _connect(self, inward: trio.SocketStream, source: int, host: str, port: int) -> None:
+        target = domain_of(host)
+        while self._rule(source, target, port).cut or self._rule(target, source, port).cut:
+            await self._changed.wait()
+        try:
+            outward = await trio.open_tcp_stream(host, port)
+        except OSError:
+            return
+        self._streams |= {(inward, source, target), (outward, target, source)}
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, inward, outward, (source, target, port), nursery)
+                nursery.start_soon(self._pump, outward, inward, (target, source, port), nursery)
+        finally:
+            self._streams -= {(inward, source, target), (outward, target, source)}
+            with trio.move_on_after(1) as scope:
+                scope.shield = True
+                await trio.aclose_forcefully(outward)
+
+    async def _pump(
+        self,
+        inward: trio.SocketStream,
+        outward: trio.SocketStream,
+        way: tuple[int, int, int],
+        nursery: trio.Nursery,
+    ) -> None:
+        """Forward bytes; under a cut they wait, as in a silent partition."""
+        try:
+            while data := await inward.receive_some(READ_BYTES):
+                while self._rule(*way).cut:
+                    await self._changed.wait()
+                rule = self._rule(*way)
+                if rule.delay_seconds:
+                    await trio.sleep(rule.delay_seconds)
+                await outward.send_all(data)
+            await outward.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            nursery.cancel_scope.cancel()
+
+    async def _serve_udp(self, host: str, port: int, task_status) -> None:
+        outward = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        inward = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await inward.bind((front(host), port))
+        target = domain_of(host)
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                data, address = await inward.recvfrom(READ_BYTES)
+                rule = self._rule(domain_of(address[0]), target, port)
+                if rule.cut or self._rng.random() < rule.drop:
+                    continue
+                copies = 2 if self._rng.random() < rule.double else 1
+                for _ in range(copies):
+                    delay = rule.delay_seconds + self._rng.random() * rule.jitter_seconds
+                    nursery.start_soon(_send_later, outward, data, (host, port), delay)
+
+
+async def _send_later(socket, data: bytes, address: tuple[str, int], delay: float) -> None:
+    """Deliver a datagram after a delay; different delays reorder them."""
+    await trio.sleep(delay)
+    try:
+        await socket.sendto(data, address)
+    except OSError:
+        return
--- /dev/null
+++ b/siskinspoke/testing/running_site.py
@@ -0,0 +1,116 @@
+"""A running test site behind the fault proxy, with the checks that must always hold."""
+
+from collections import Counter
+from contextlib import ExitStack
+from pathlib import Path
+
+import httpx
+import msgspec
+
+from siskinspoke.loadgen.client import Caller
+from siskinspoke.testing.fleet import EngineSpec, Fleet, wait_until
+from siskinspoke.testing.proxy import Endpoint, FaultProxy
+from siskinspoke.testing.site import (
+    DOMAINS,
+    engine,
+    plain_service,
+    proxied,
+    site_document,
+    write_site,
+    write_views,
+)
+
+LOSABLE_SECONDS = 15.0
+
+
+class RunningSite:
+    """Own a fleet and its proxy for one test."""
+
+    def __init__(self, fleet: Fleet, proxy: FaultProxy, specs: list[EngineSpec]):
+        self.fleet = fleet
+        self.proxy = proxy
+        self.specs = {spec.name: spec for spec in specs}
+
+    @property
+    def entries(self) -> list[tuple[str, int]]:
+        """Return the callers' addresses of all entry VMs."""
+        return [(entry.host, entry.port) for entry in self.fleet.settings.entries]
+
+    def entry_address(self, name: str) -> tuple[str, int]:
+        """Return the callers' address of one entry VM."""
+        entry = self.fleet.settings.entry(name)
+        return entry.host, entry.port
+
+    def caller(self, *names: str) -> Caller:
+        """Return a caller that the balancer sends to these entry VMs, or to all."""
+        chosen = [self.entry_address(name) for name in names] or self.entries
+        return Caller(chosen)
+
+    def server_state(self, name: str) -> dict:
+        """Return a stand-in's own record of what ran and what it holds."""
+        spec = self.specs[name]
+        response = httpx.get(f"http://{spec.host}:{spec.port}/v1/state", timeout=2, trust_env=False)
+        return msgspec.json.decode(response.content)
+
+    def ask_server(self, name: str, path: str, body: dict) -> dict:
+        """Send a stand-in one message."""
+        spec = self.specs[name]
+        response = httpx.post(
+            f"http://{spec.host}:{spec.port}{path}", json=body, timeout=5, trust_env=False
+        )
+        return msgspec.json.decode(response.content)
+
+    def restart_server(self, name: str) -> None:
+        """Start a stand-in again under its old address."""
+        self.fleet.start_server(self.specs[name])
+        self.fleet.wait_listening(self.specs[name].host, self.specs[name].port)
+
+    def runs_by_subject(self, *names: str) -> Counter:
+        """Return how often each keyed call ran, by the logs of the plain services."""
+        counts: Counter = Counter()
+        for name in names:
+            path = self.fleet.folder / f"{name}.runs"
+            lines = path.read_text().splitlines() if path.exists() else []
+            counts.update(line.split()[3] for line in lines)
+        return counts
+
+    def wait_memory_returned(self, *names: str) -> None:
+        """Wait until engines hold nothing; that is what 'no memory lost for good' means."""
+
+        def whole(name: str) -> bool:
+            state = self.server_state(name)
+            return state["free_tokens"] == state["total_tokens"] and not state["reservations"]
+
+        for name in names:
+            wait_until(lambda name=name: whole(name), f"{name} is empty", LOSABLE_SECONDS)
+
+
+def start_running_site(
+    stack: ExitStack,
+    folder: Path,
+    net: int,
+    engines_per_domain: int = 1,
+    services: int = 1,
+    engine_flags: tuple[str, ...] = (),
+    service_flags: tuple[str, ...] = (),
+    mutant: str = "",
+    **changes,
+) -> RunningSite:
+    """Start a whole site in three failure domains behind a proxy; the stack owns it."""
+    files = write_site(net, folder, **changes)
+    endpoints = write_views(folder, site_document(net, folder, **changes))
+    specs = [
+        proxied(engine(net, domain, number, *engine_flags))
+        for domain in range(len(DOMAINS))
+        for number in range(1, engines_per_domain + 1)
+    ]
+    for domain in range(services):
+        name = plain_service(net, domain, 1).name
+        flags = (*service_flags, f"--run_log={folder / name}.runs")
+        specs.append(proxied(plain_service(net, domain, 1, *flags)))
+    endpoints += [Endpoint(spec.host, (spec.port,)) for spec in specs]
+    proxy = stack.enter_context(FaultProxy(endpoints))
+    fleet = stack.enter_context(Fleet(folder, files.base, files.overlay))
+    fleet.mutant = mutant
+    fleet.start_site(specs)
+    return RunningSite(fleet, proxy, specs)
--- a/siskinspoke/testing/site.py
+++ b/siskinspoke/testing/site.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from siskinspoke.testing.fleet import EngineSpec, write_keys
+from siskinspoke.testing.proxy import Endpoint, front
 
 DOMAINS = ("sala-a", "sala-b", "anexo")
 PUBLIC_PORT, INTERNAL_PORT, CONTROL_PORT, LINK_PORT, SERVER_PORT = 8400, 8401, 8402, 8403, 8500
@@ -89,6 +90,37 @@
     return SiteFiles(base, overlay)
 
 
+def write_views(folder: Path, document: dict) -> list[Endpoint]:
+    """Write each VM's settings for a site behind the proxy, and return what it must front.
+
+    A VM knows its own address; it sees every other one at the proxy's.
+    """
+    endpoints = [
+        Endpoint(item["host"], (item["port"],), (item["internal_port"],))
+        for item in document["entries"]
+    ]
+    endpoints += [
+        Endpoint(item["host"], (item["port"], item["link_port"])) for item in document["controls"]
+    ]
+    for section in ("entries", "controls"):
+        for item in document[section]:
+            view = document | {
+                part: [_seen_from(item["name"], other) for other in document[part]]
+                for part in ("entries", "controls")
+            }
+            (folder / f"view-{item['name']}.json").write_bytes(msgspec.json.encode(view))
+    return endpoints
+
+
+def _seen_from(viewer: str, item: dict) -> dict:
+    return item if item["name"] == viewer else item | {"host": front(item["host"])}
+
+
+def proxied(spec: EngineSpec) -> EngineSpec:
+    """Return a backend server that announces the proxy's address for it."""
+    return spec._replace(advertise_host=front(spec.host))
+
+
 def engine(net: int, domain: int, number: int, *flags: str) -> EngineSpec:
     """Return a stand-in engine of the test site."""
     name = f"engine-{DOMAINS[domain]}-{number}"
