Rank prompts by each doubling of their length, and admit by the backlog of every rank

Ruled out: refusing longs by a learned slowdown of their rank; it starves them more politely.

Change: rank by doublings of the length, a step of customer priority outweighs a fourfold length; admission holds the work of every rank, at the server where least waits, against a limit (limits.backlog_ms, 6 s), which shrinks for customers above their fair share.

--- a/siskinspoke/bench/policies.py
+++ b/siskinspoke/bench/policies.py
@@ -8,7 +8,7 @@
 
 from siskinspoke.coordination.directory import Directory, ServerRecord
 from siskinspoke.coordination.prefixes import PrefixIndex
-from siskinspoke.coordination.routing import Choice, Router, Work
+from siskinspoke.coordination.routing import RANKS, Choice, Router, Work
 from siskinspoke.core.codes import Failure, ResultCode
 
 LONG_LANE_SHARE = 0.4
@@ -112,7 +112,8 @@
             case LeastRequests():
                 return self._least(serving, work, rng, self._requests)
             case LeastTokens():
-                return self._least(serving, work, rng, lambda r: self._tokens_ahead(r, 7, now))
+                last = RANKS - 1
+                return self._least(serving, work, rng, lambda r: self._tokens_ahead(r, last, now))
             case SharedPool():
                 return self._least(serving, work, rng, lambda r: self._unranked(r, work, now))
             case FixedIntervals():
@@ -133,7 +134,7 @@
         return record.announcement.running + sum(1 for _ in self._unreported(record))
 
     def _unranked(self, record: ServerRecord, work: Work, now: float) -> float:
-        return self.estimate_ms(record, work._replace(length_class=2, priority=2), now)
+        return self.estimate_ms(record, work._replace(priority=RANKS), now)
 
     def _observed_share(self, work: Work) -> float:
         """Return the share of long work among recent work."""
--- a/siskinspoke/bench/policy_bench.py
+++ b/siskinspoke/bench/policy_bench.py
@@ -14,7 +14,7 @@
 from siskinspoke.bench.policies import Policy, PolicyRouter, Product, SharedPool
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.fairness import FairShares, patience_ms, work_tokens
-from siskinspoke.coordination.routing import Ticket, Work, length_class
+from siskinspoke.coordination.routing import RANKS, Ticket, Work, length_class
 from siskinspoke.loadgen.mixes import Arrival, Mix, arrivals
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.prefix import BLOCK_TOKENS
@@ -23,7 +23,6 @@
 SHORT_TOKENS, LONG_TOKENS = 8_000, 100_000
 REPORT_MS = 500.0
 LEASE_MS = 10_000.0
-RANKS = 8
 BASE_TIMEOUT_MS = 10_000.0
 TIMEOUT_FACTOR = 8.0
 LONGEST_PROMPT = 350_000
@@ -35,7 +34,7 @@
     """What one run of the bench is made of."""
 
     mix: Mix
-    policy: Policy = Product()  # noqa: RUF009
+    policy: Policy = Product()
     rate: float = 10.0
     count: int = 2_000
     seed: int = 1
@@ -45,6 +44,7 @@
     slow_share: float = 0.0
     without_longs: bool = False
     admission: bool = True
+    backlog_ms: float = 6_000.0
     parameters: EngineParameters = EngineParameters()
 
 
@@ -192,7 +192,7 @@
             return True
         shares = self._shares[entry]
         ratio = shares.ratio(arrival.customer, self._weights, self.now)
-        if ratio > 1 and choice.wait_ms > patience_ms(ratio, timeout):
+        if choice.backlog_ms > patience_ms(ratio, self.scenario.backlog_ms):
             return False
         amount = work_tokens(choice.uncached_tokens, arrival.max_tokens)
         shares.record(arrival.customer, amount, self.now)
@@ -242,9 +242,7 @@
         router.prefixes.stored(running.ticket.server, attempt.blocks)
         first = self._first.pop(attempt.key)
         if running.arrival.max_tokens > 1:
-            router.learn_token_ms(
-                "model", (self.now - first) / (running.arrival.max_tokens - 1)
-            )
+            router.learn_token_ms("model", (self.now - first) / (running.arrival.max_tokens - 1))
         self.results.append(
             Result(
                 running.arrival,
--- a/siskinspoke/conf/defaults.py
+++ b/siskinspoke/conf/defaults.py
@@ -66,6 +66,7 @@
         "long_tokens": Integer(1, 1_000_000, 100_000, "a prompt from this on is long"),
         "retry_share": Number(0, 1, 0.1, "retries as a share of first attempts"),
         "fair_window_ms": Integer(100, 600_000, 10_000, "window of customers' shares"),
+        "backlog_ms": Integer(100, 3_600_000, 6_000, "waiting work at which all is refused"),
         "drain_ms": Integer(0, 3_600_000, 3_600_000, "time open streams have at shutdown"),
     },
     default={},
--- a/siskinspoke/conf/settings.py
+++ b/siskinspoke/conf/settings.py
@@ -72,6 +72,7 @@
     long_tokens: int
     retry_share: float
     fair_window_ms: int
+    backlog_ms: int
     drain_ms: int
 
 
--- a/siskinspoke/coordination/fairness.py
+++ b/siskinspoke/coordination/fairness.py
@@ -58,12 +58,12 @@
         return active[customer] / (total * share)
 
 
-def patience_ms(ratio: float, remaining_ms: float) -> float:
-    """Return the longest wait for which a customer is let in, by its work over its fair share.
+def patience_ms(ratio: float, limit_ms: float) -> float:
+    """Return the longest backlog at which a customer is let in, by its work over its fair share.
 
-    Up to its share a customer may use its whole deadline; beyond it the queue must be shorter
-    the further it is above, so that a burst waits behind nobody else's requests.
+    Up to its share a customer is let in until the limit; above it, the backlog must be shorter
+    the further it is above, so that a customer's burst is refused before it delays others.
     """
     if ratio <= 1:
-        return remaining_ms
-    return remaining_ms / (1 + EXCESS_PENALTY * (ratio - 1))
+        return limit_ms
+    return limit_ms / (1 + EXCESS_PENALTY * (ratio - 1))
--- a/siskinspoke/coordination/routing.py
+++ b/siskinspoke/coordination/routing.py
@@ -10,6 +10,7 @@
 
 import math
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -22,7 +23,9 @@
 
 REMOTE_PENALTY_MS = 20.0
 NEAR_BEST_MS = 3.0
-LENGTH_CLASSES = 3
+RANKS = 16
+RANKS_PER_PRIORITY = 2
+SHORTEST_PROMPT = 1_000
 REFUSAL_SPREAD = 0.5
 MIN_RETRY_MS = 500.0
 MAX_RETRY_MS = 10_000.0
@@ -46,8 +49,13 @@
 
     @property
     def rank(self) -> int:
-        """Return the engine priority: shorter classes go first, then customers' priority."""
-        return min(7, self.length_class * LENGTH_CLASSES + min(self.priority, LENGTH_CLASSES - 1))
+        """Return the engine priority; 0 goes first.
+
+        Each doubling of the length is a rank of its own, so that a prompt waits for few that
+        are much longer.  A step of customers' priority outweighs a fourfold length.
+        """
+        doublings = max(0, (self.prompt_tokens // SHORTEST_PROMPT).bit_length() - 1)
+        return min(RANKS - 1, doublings + RANKS_PER_PRIORITY * self.priority)
 
     @property
     def memory_tokens(self) -> int:
@@ -58,14 +66,14 @@
 class Choice(NamedTuple):
     """Where to send a request and what to expect; several servers make a group.
 
-    ``estimate_ms`` is the time to first token; ``wait_ms`` is the part of it that other
-    requests cause.
+    ``estimate_ms`` is the time to first token.  ``backlog_ms`` is the work of every rank that
+    waits where least waits; it grows with an overload even while short prompts hardly wait.
     """
 
     servers: tuple[ServerRecord, ...]
     estimate_ms: float
     uncached_tokens: int
-    wait_ms: float = 0.0
+    backlog_ms: float = 0.0
     shares: tuple[int, ...] = ()
 
 
@@ -187,8 +195,8 @@
             return Error(self._too_late(excess, alone + self._decode_ms(work), work, rng))
         near = [pair for pair in estimates if pair[0] <= best * 1.1 + NEAR_BEST_MS]
         estimate, record = rng.choice(near)
-        wait = max(0.0, estimate - self._idle_ms(record, work))
-        return Ok(Choice((record,), estimate, self.uncached_tokens(record, work), wait))
+        backlog = self._backlog_ms(usable, now)
+        return Ok(Choice((record,), estimate, self.uncached_tokens(record, work), backlog))
 
     def _choose_group(
         self, work: Work, serving: list[ServerRecord], now: float, rng: random.Random
@@ -212,8 +220,17 @@
         if excess > 0:
             alone = work.prompt_tokens / rate * 1000 + self._decode_ms(work)
             return Error(self._too_late(excess, alone, work, rng))
-        wait = ahead * len(group) / rate * 1000
-        return Ok(Choice(group, estimate, work.prompt_tokens, wait, shares))
+        backlog = self._backlog_ms(group, now)
+        return Ok(Choice(group, estimate, work.prompt_tokens, backlog, shares))
+
+    def _backlog_ms(self, records: Iterable[ServerRecord], now: float) -> float:
+        """Return the work of every rank that waits at the server where least waits."""
+        return min(
+            self._tokens_ahead(record, RANKS - 1, now)
+            / max(MIN_RATE, record.announcement.prefill_rate)
+            * 1000
+            for record in records
+        )
 
     def _nobody(self, work: Work, rng: random.Random) -> Failure:
         message = f"no backend server of {work.service!r} can take work now"
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -121,16 +121,21 @@
             for name, customer in context.holder.current.configuration.customers.items()
         }
         ratio = context.shares.ratio(self.caller.customer, weights, now_ms())
-        patience = fairness.patience_ms(ratio, work.remaining_ms)
-        wait = chosen.ok.wait_ms
-        if ratio > 1 and wait > patience:
-            retry = context.router.retry_after(wait - patience, context.rng)
-            message = f"customer {self.caller.customer} is at {ratio:.1f} of its fair share"
-            return Error(Failure(ResultCode.CUSTOMER_LIMIT, message, retry))
+        excess = chosen.ok.backlog_ms - fairness.patience_ms(ratio, self._limits.backlog_ms)
+        if excess > 0:
+            return Error(self._over_share(ratio, excess))
         amount = fairness.work_tokens(chosen.ok.uncached_tokens, work.max_tokens)
         context.shares.record(self.caller.customer, amount, now_ms())
         return chosen
 
+    def _over_share(self, ratio: float, excess_ms: float) -> Failure:
+        """Return the refusal of a request that would add to an overload."""
+        retry = self._context.router.retry_after(excess_ms, self._context.rng)
+        if ratio <= 1:
+            return Failure(ResultCode.OVERLOADED, "every server's backlog is over the limit", retry)
+        message = f"customer {self.caller.customer} is at {ratio:.1f} of its fair share"
+        return Failure(ResultCode.CUSTOMER_LIMIT, message, retry)
+
     async def run(self, first: Choice) -> None:
         """Serve the request to its end; ``failure`` then says what went wrong, if anything."""
         ended = False
--- a/siskinspoke/standins/engine_server.py
+++ b/siskinspoke/standins/engine_server.py
@@ -15,7 +15,7 @@
 from siskinspoke.standins.engine_model import Attempt, AttemptKey, EngineModel, EngineParameters
 from siskinspoke.transport.http import json_response, make_app
 
-RANKS = 8
+RANKS = 16
 MAX_BODY = 64_000_000
 IDLE_SECONDS = 0.05
 
