Prefer servers where a request delays less work of lower ranks

Cause: longs at 80% load had a median stretch of 1.50 (goal 1.3): shorts were spread evenly over servers of about equal estimate, also over those that compute a long.

Change: of the servers within a tenth of the best estimate, sample two and take the one where less work of lower ranks waits.

--- a/siskinspoke/coordination/routing.py
+++ b/siskinspoke/coordination/routing.py
@@ -23,6 +23,7 @@
 
 REMOTE_PENALTY_MS = 20.0
 NEAR_BEST_MS = 3.0
+SAMPLED = 2
 RANKS = 16
 RANKS_PER_PRIORITY = 2
 SHORTEST_PROMPT = 1_000
@@ -155,6 +156,10 @@
         )
         return max(0.0, reported - computed) + unreported
 
+    def _tokens_behind(self, record: ServerRecord, rank: int, now: float) -> float:
+        """Return the work of lower ranks that a request would delay."""
+        return self._tokens_ahead(record, RANKS - 1, now) - self._tokens_ahead(record, rank, now)
+
     def _unreported(self, record: ServerRecord):
         books = self._books.get(record.announcement.server)
         if books is None or books.incarnation != record.announcement.incarnation:
@@ -194,7 +199,10 @@
             alone = min(self._idle_ms(record, work) for record in usable)
             return Error(self._too_late(excess, alone + self._decode_ms(work), work, rng))
         near = [pair for pair in estimates if pair[0] <= best * 1.1 + NEAR_BEST_MS]
-        estimate, record = rng.choice(near)
+        sampled = rng.sample(near, min(SAMPLED, len(near)))
+        estimate, record = min(
+            sampled, key=lambda pair: self._tokens_behind(pair[1], work.rank, now)
+        )
         backlog = self._backlog_ms(usable, now)
         return Ok(Choice((record,), estimate, self.uncached_tokens(record, work), backlog))
 
