Learn how much slower than estimated each server is

Ruled out: trusting announced rates after a report of slowness; the platform's reports do not say.

Change: the time from dispatch to first token over its estimate moves a factor for that server and incarnation (gain 0.1, between 1 and 4), which multiplies later estimates.

--- a/siskinspoke/coordination/routing.py
+++ b/siskinspoke/coordination/routing.py
@@ -24,6 +24,9 @@
 REMOTE_PENALTY_MS = 20.0
 NEAR_BEST_MS = 3.0
 SAMPLED = 2
+LEARNED_FROM_MS = 30.0
+MAX_SLOWNESS = 4.0
+SLOWNESS_GAIN = 0.1
 RANKS = 16
 RANKS_PER_PRIORITY = 2
 SHORTEST_PROMPT = 1_000
@@ -93,6 +96,7 @@
     memory_tokens: int
     rank: int
     sent_at: float
+    estimate_ms: float
     accepted: int | None = None
     began: bool = False
 
@@ -100,6 +104,7 @@
 @dataclass(slots=True)
 class _Books:
     incarnation: int
+    slowness: float = 1.0
     dispatches: dict[int, Outstanding] = field(default_factory=dict)
 
 
@@ -137,11 +142,18 @@
         own = self.uncached_tokens(record, work)
         rate = max(MIN_RATE, record.announcement.prefill_rate)
         wait = (ahead + own) / rate * 1000
-        wait += self._memory_wait_ms(record, work, rate)
+        wait = (wait + self._memory_wait_ms(record, work, rate)) * self._slowness(record)
         if record.announcement.failure_domain != self._domain:
             wait += REMOTE_PENALTY_MS
         return wait
 
+    def _slowness(self, record: ServerRecord) -> float:
+        """Return how much slower than estimated a server has been, as learned here."""
+        books = self._books.get(record.announcement.server)
+        if books is None or books.incarnation != record.announcement.incarnation:
+            return 1.0
+        return books.slowness
+
     def uncached_tokens(self, record: ServerRecord, work: Work) -> int:
         """Return the prompt tokens that the server must compute, as far as is known."""
         cached = self.prefixes.leading(record.announcement.server, work.blocks) * BLOCK_TOKENS
@@ -272,7 +284,11 @@
             books = self._books[said.server] = _Books(said.incarnation)
         self._next_ticket += 1
         books.dispatches[self._next_ticket] = Outstanding(
-            uncached, work.memory_tokens, work.rank, now
+            uncached,
+            work.memory_tokens,
+            work.rank,
+            now,
+            self.estimate_ms(record, work, now) / books.slowness,
         )
         return Ticket(said.server, self._next_ticket)
 
@@ -283,10 +299,15 @@
             item.accepted = number
 
     def first_token(self, ticket: Ticket, now: float) -> None:
-        """Note that a dispatch's prefill is done."""
+        """Note that a dispatch's prefill is done, and learn from how long it took."""
         item = self._find(ticket)
-        if item is not None:
-            item.began = True
+        if item is None:
+            return
+        item.began = True
+        if item.estimate_ms >= LEARNED_FROM_MS:
+            books = self._books[ticket.server]
+            measured = min(MAX_SLOWNESS, max(1.0, (now - item.sent_at) / item.estimate_ms))
+            books.slowness += SLOWNESS_GAIN * (measured - books.slowness)
 
     def ended(self, ticket: Ticket) -> None:
         """Strike a dispatch from the books."""
