--- /dev/null
+++ b/siskinspoke/loadgen/run.py
@@ -0,0 +1,120 @@
+"""Send an open-loop schedule and sum up what callers saw.
+
+Requests leave when they are due, however slow the answers are, and times count from then: a
+slow system cannot hide behind a tool that waits for it.
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+import trio
+from hdrh.histogram import HdrHistogram
+
+from siskinspoke.loadgen.client import Caller, Outcome, idempotency_key, prompt_text
+from siskinspoke.loadgen.mixes import Arrival, Mix, arrivals
+
+LOWEST_US, HIGHEST_US, DIGITS = 100, 3_600_000_000, 3
+LENGTH_BOUNDS = (2_000, 8_000, 32_000, 100_000, 400_000, 1_000_001)
+
+
+class LoadPlan(NamedTuple):
+    """What to send; ``key_of`` is the pattern of customers' keys."""
+
+    mix: Mix
+    model: str
+    service: str
+    rate: float
+    count: int
+    seed: int
+    timeout_ms: int
+    key_of: str
+
+
+class LoadReport:
+    """Sum up outcomes: histograms of time to first token by length, and counts by code."""
+
+    def __init__(self) -> None:
+        self.codes: Counter[str] = Counter()
+        self.whole = 0
+        self.broken = 0
+        self.calls = 0
+        self._by_length = {
+            bound: HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS) for bound in LENGTH_BOUNDS
+        }
+
+    def add(self, outcome: Outcome) -> None:
+        """Take in one outcome."""
+        self.codes[str(outcome.code)] += 1
+        self.whole += outcome.whole
+        self.broken += outcome.code == 0 and not outcome.whole
+        if outcome.prompt_tokens == 0:
+            self.calls += 1
+        elif outcome.first_token is not None:
+            bound = next(b for b in LENGTH_BOUNDS if outcome.prompt_tokens <= b)
+            self._by_length[bound].record_value(int(outcome.first_token * 1e6))
+
+    def rows(self) -> list[dict]:
+        """Return count and percentiles of time to first token, by length, in milliseconds."""
+        return [
+            {
+                "up_to_tokens": bound,
+                "count": histogram.get_total_count(),
+                "p50_ms": histogram.get_value_at_percentile(50) / 1000,
+                "p95_ms": histogram.get_value_at_percentile(95) / 1000,
+                "p99_ms": histogram.get_value_at_percentile(99) / 1000,
+            }
+            for bound, histogram in self._by_length.items()
+            if histogram.get_total_count()
+        ]
+
+    def to_document(self) -> dict:
+        """Return the report for programs."""
+        return {
+            "whole": self.whole,
+            "broken": self.broken,
+            "calls": self.calls,
+            "codes": dict(self.codes),
+            "first_token_by_length": self.rows(),
+        }
+
+    def to_text(self) -> str:
+        """Return the report for people."""
+        lines = [f"{'prompts up to':>14} {'count':>7} {'p50 ms':>9} {'p95 ms':>9} {'p99 ms':>9}"]
+        lines += [
+            f"{row['up_to_tokens']:>14,} {row['count']:>7} {row['p50_ms']:>9.0f} "
+            f"{row['p95_ms']:>9.0f} {row['p99_ms']:>9.0f}"
+            for row in self.rows()
+        ]
+        codes = ", ".join(f"{code}: {count}" for code, count in sorted(self.codes.items()))
+        lines += ["", f"{self.whole} whole, {self.broken} broken; result codes {codes}"]
+        return "\n".join(lines)
+
+
+async def run_load(plan: LoadPlan, entries: list[tuple[str, int]], progress) -> LoadReport:
+    """Send every request of a plan when it is due and return the report."""
+    report = LoadReport()
+    async with Caller(entries, plan.seed) as caller, trio.open_nursery() as nursery:
+        began = trio.current_time()
+
+        async def one(arrival: Arrival) -> None:
+            report.add(await _send(caller, plan, arrival, began + arrival.at))
+
+        for arrival in arrivals(plan.mix, plan.rate, plan.count, plan.seed):
+            await trio.sleep_until(began + arrival.at)
+            nursery.start_soon(one, arrival)
+            if arrival.number % 100 == 99:
+                progress(arrival.number + 1, plan.count)
+    return report
+
+
+async def _send(caller: Caller, plan: LoadPlan, arrival: Arrival, due: float) -> Outcome:
+    key = plan.key_of.format(arrival.customer)
+    if arrival.call:
+        idempotency = idempotency_key(f"load-{plan.seed}-{arrival.number}")
+        return await caller.call(plan.service, key, "send", idempotency, plan.timeout_ms)
+    prompt = prompt_text(
+        arrival.customer, arrival.template, arrival.number, arrival.prompt_tokens, plan.mix.shared
+    )
+    return await caller.complete(
+        plan.model, key, prompt, arrival.max_tokens, plan.timeout_ms, due=due
+    )
--- /dev/null
+++ b/siskinspoke/testing/chaos.py
@@ -0,0 +1,202 @@
+"""Seeded faults against a running site while both kinds of traffic flow, and what must hold."""
+
+import random
+import shutil
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from siskinspoke.core.codes import ResultCode
+from siskinspoke.loadgen.client import Caller, Outcome, idempotency_key, prompt_text
+from siskinspoke.testing.running_site import RunningSite
+from siskinspoke.testing.site import customer_key
+
+CUSTOMER = "municipio-1"
+TIMEOUT_MS = 8_000
+RESENDS = 12
+RESEND_PAUSE_SECONDS = 0.7
+REQUEST_PAUSE_SECONDS = 0.12
+MOST_DOWN = 1
+ANSWER_SLACK_SECONDS = 1.0
+
+
+class CallRecord(NamedTuple):
+    """One keyed call and every answer to it and to its resends."""
+
+    key: str
+    outcomes: list[Outcome]
+
+
+class Chaos:
+    """Own the faults, the traffic and the record of one run."""
+
+    def __init__(self, site: RunningSite, seed: int):
+        self.site = site
+        self.completions: list[Outcome] = []
+        self.calls: list[CallRecord] = []
+        self.faults: list[str] = []
+        self._rng = random.Random(seed)
+        self._traffic = random.Random(seed + 1)
+
+    def run(self, seconds: float) -> None:
+        """Run faults and traffic for a time, then heal everything and let traffic end."""
+        trio.run(self._run, seconds)
+
+    async def _run(self, seconds: float) -> None:
+        async with self.site.caller() as caller, trio.open_nursery() as nursery:
+            with trio.move_on_after(seconds):
+                async with trio.open_nursery() as faults:
+                    faults.start_soon(self._break_things)
+                    number = 0
+                    while True:
+                        number += 1
+                        nursery.start_soon(self._complete, caller, number)
+                        if number % 3 == 0:
+                            nursery.start_soon(self._call, caller, number)
+                        await trio.sleep(REQUEST_PAUSE_SECONDS)
+            await trio.to_thread.run_sync(self.heal)
+
+    async def _complete(self, caller: Caller, number: int) -> None:
+        tokens = self._traffic.choice((1_000, 2_000, 6_000, 30_000))
+        prompt = prompt_text(CUSTOMER, number % 3, number, tokens, 0.3)
+        self.completions.append(
+            await caller.complete("redactor", customer_key(CUSTOMER), prompt, 24, TIMEOUT_MS)
+        )
+
+    async def _call(self, caller: Caller, number: int) -> None:
+        """Call once and resend through other VMs until an answer is final."""
+        record = CallRecord(idempotency_key(f"chaos-{number}"), [])
+        self.calls.append(record)
+        for _ in range(RESENDS):
+            outcome = Outcome(-1, 0, "unknown", "", 0, None, 0.0, False)
+            with trio.move_on_after(TIMEOUT_MS / 1000):
+                outcome = await caller.call(
+                    "despacho", customer_key(CUSTOMER), "x", record.key, TIMEOUT_MS
+                )
+            record.outcomes.append(outcome)
+            if outcome.whole or outcome.code == ResultCode.ALREADY_RAN:
+                return
+            await trio.sleep(RESEND_PAUSE_SECONDS)
+
+    async def _break_things(self) -> None:
+        while True:
+            fault = self._rng.choice(self._kinds())
+            name = fault.__name__.strip("_")
+            self.faults.append(name)
+            await trio.to_thread.run_sync(fault)
+
+    def _kinds(self) -> list[Callable[[], None]]:
+        return [
+            self._kill_entry,
+            self._kill_engine,
+            self._kill_control,
+            self._empty_control,
+            self._freeze_any,
+            self._cut_domain,
+            self._cut_one_way,
+            self._reset_connections,
+        ]
+
+    def _pause(self) -> None:
+        time.sleep(self._rng.uniform(0.3, 1.5))
+
+    def _kill_entry(self) -> None:
+        name = self._rng.choice(self.site.fleet.settings.entries).name
+        self.site.fleet.kill(name)
+        self._pause()
+        self.site.fleet.start_entry(name)
+        self.site.fleet.wait_entries([name])
+
+    def _kill_engine(self) -> None:
+        name = self._rng.choice([item for item in self.site.specs if item.startswith("engine")])
+        self.site.fleet.kill(name)
+        self._pause()
+        self.site.restart_server(name)
+
+    def _kill_control(self) -> None:
+        self._replace_control(empty=False)
+
+    def _empty_control(self) -> None:
+        self._replace_control(empty=True)
+
+    def _replace_control(self, empty: bool) -> None:
+        """Kill a replica, perhaps with its disk, and wait until it counts again."""
+        control = self._rng.choice(self.site.fleet.settings.controls)
+        self.site.fleet.kill(control.name)
+        if empty:
+            shutil.rmtree(control.data_folder)
+        self._pause()
+        self.site.fleet.start_control(control.name)
+        self.site.fleet.wait_listening(control.host, control.port)
+        deadline = time.monotonic() + 10
+        while time.monotonic() < deadline:
+            if self.site.fleet.control_status(control.name)["admitted"]:
+                return
+            time.sleep(0.1)
+        raise AssertionError(f"{control.name} was not admitted again")
+
+    def _freeze_any(self) -> None:
+        fleet = self.site.fleet
+        names = [item.name for item in (*fleet.settings.entries, *fleet.settings.controls)]
+        name = self._rng.choice([*names, *self.site.specs])
+        fleet.freeze(name)
+        time.sleep(self._rng.uniform(0.5, 4.0))
+        fleet.thaw(name)
+
+    def _cut_domain(self) -> None:
+        domain = self._rng.randrange(3)
+        self.site.proxy.isolate(domain, 3)
+        time.sleep(self._rng.uniform(0.5, 4.0))
+        self.site.proxy.isolate(domain, 3, cut=False)
+
+    def _cut_one_way(self) -> None:
+        source, target = self._rng.sample(range(3), 2)
+        self.site.proxy.cut_one_way(source, target)
+        time.sleep(self._rng.uniform(0.5, 4.0))
+        self.site.proxy.cut_one_way(source, target, cut=False)
+
+    def _reset_connections(self) -> None:
+        self.site.proxy.reset_all()
+        self._pause()
+
+    def heal(self) -> None:
+        """End cuts and freezes; every kill has started its process again already."""
+        for source in range(3):
+            for target in range(3):
+                if source != target:
+                    self.site.proxy.cut_one_way(source, target, cut=False)
+        fleet = self.site.fleet
+        for item in (*fleet.settings.entries, *fleet.settings.controls):
+            if not fleet.running(item.name):
+                start = fleet.start_entry if hasattr(item, "internal_port") else fleet.start_control
+                start(item.name)
+        for name in self.site.specs:
+            if not fleet.running(name):
+                self.site.restart_server(name)
+
+    def violations(self, services: tuple[str, ...]) -> list[str]:
+        """Return everything that must hold and did not."""
+        runs = self.site.runs_by_subject(*services)
+        found = [
+            f"answer {item.request_id} is not the caller's whole answer"
+            for item in self.completions
+            if item.code == ResultCode.OK and not item.whole
+        ]
+        limit = TIMEOUT_MS / 1000 + ANSWER_SLACK_SECONDS
+        found += [
+            f"an answer came after {item.total:.2f} s: {item}"
+            for item in self.completions
+            if item.total > limit and item.status
+        ]
+        for record in self.calls:
+            count = runs[f"{CUSTOMER}/{record.key}"]
+            if count > 1:
+                found.append(f"{record.key} ran {count} times: {record.outcomes}")
+            if any(item.whole for item in record.outcomes) and count != 1:
+                found.append(f"{record.key} was answered but ran {count} times")
+            last = record.outcomes[-1] if record.outcomes else None
+            if last is not None and last.run == "not_run" and last.status and count:
+                found.append(f"{record.key} was called not run but ran: {record.outcomes}")
+        return found
--- /dev/null
+++ b/tests/integration/test_chaos.py
@@ -0,0 +1,28 @@
+"""A run of seeded faults with traffic; whatever happens, the promises hold."""
+
+import pytest
+
+from siskinspoke.testing.chaos import Chaos
+from siskinspoke.testing.fleet import wait_until
+
+SECONDS = 30
+SERVICES = ("despacho-sala-a-1", "despacho-sala-b-1")
+
+
+class TestChaos:
+    """Kills, emptied disks, freezes, cuts and resets, one after the other, under traffic.
+
+    Users would see half answers, doubled letters, "not run" for what ran, or engines that
+    stay full.
+    """
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_promises_hold(self, make_site, seed):
+        site = make_site(services=2, entries_per_domain=2)
+        chaos = Chaos(site, seed)
+        chaos.run(SECONDS)
+        print(chaos.faults, len(chaos.completions), sum(c.whole for c in chaos.completions))
+        assert chaos.violations(SERVICES) == []
+        assert sum(item.whole for item in chaos.completions) > len(chaos.completions) / 2
+        site.wait_memory_returned(*[name for name in site.specs if name.startswith("engine")])
+        wait_until(lambda: site.fleet.leader() is not None, "a leader after the faults")
