--- a/siskinspoke/entry/context.py
+++ b/siskinspoke/entry/context.py
@@ -46,6 +46,7 @@
     nursery: trio.Nursery
     open_requests: int = 0
     draining: bool = False
+    drain_begun: trio.Event = field(default_factory=trio.Event)
     drained: trio.Event = field(default_factory=trio.Event)
     _requests: int = 0
 
@@ -83,6 +84,7 @@
     def begin_drain(self) -> None:
         """Refuse new requests from now on."""
         self.draining = True
+        self.drain_begun.set()
         if not self.open_requests:
             self.drained.set()
 
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -15,6 +15,7 @@
 from siskinspoke.coordination.prefixes import PrefixIndex
 from siskinspoke.coordination.retries import RetryBudget
 from siskinspoke.coordination.routing import Router
+from siskinspoke.coordination.watchers import SMALL_SITE
 from siskinspoke.core.counters import Counters, counters_for
 from siskinspoke.entry.backend import Backend
 from siskinspoke.entry.context import EntryContext
@@ -88,13 +89,17 @@
         follower.load()
         limits = context.holder.current.configuration.limits
         drain_seconds = limits.drain_ms / 1000
-        for task in (
+        tasks = [
             AnnouncementFollower(context, port).run,
             follower.run,
-            CacheFollower(context).run,
             context.janitor.run,
             backend.watch_forever,
-        ):
+        ]
+        if len(settings.entries) <= SMALL_SITE:
+            # One busy engine gives some 4 KB of cache events a second.  A daemon of a large
+            # fleet cannot afford to follow them and goes by its own dispatches alone.
+            tasks.append(CacheFollower(context).run)
+        for task in tasks:
             nursery.start_soon(task)
         nursery.start_soon(forget_forever, context)
         async with trio.open_nursery() as servers:
@@ -130,8 +135,7 @@
     """
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_drain_on_signal, context)
-        while not context.draining:
-            await trio.sleep(0.05)
+        await context.drain_begun.wait()
         logger.info("entry {} drains, {} requests open", context.me.name, context.open_requests)
         await trio.sleep(REFUSING_SECONDS)
         with trio.move_on_after(drain_seconds):
--- a/siskinspoke/transport/links.py
+++ b/siskinspoke/transport/links.py
@@ -4,6 +4,7 @@
 a claim needs several messages.
 """
 
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -54,15 +55,33 @@
                     stream = await trio.open_tcp_stream(
                         *self._address, local_address=self._local_host
                     )
-                async with stream:
-                    await self._pump(stream)
-            except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+                async with stream, trio.open_nursery() as nursery:
+                    nursery.start_soon(self._watch, stream, nursery.cancel_scope)
+                    nursery.start_soon(self._pump, stream, nursery.cancel_scope)
+            except (OSError, trio.TooSlowError):
                 self._counters.count("link.broken")
             self._drain()
             await trio.sleep(PAUSE_SECONDS)
 
-    async def _pump(self, stream: trio.SocketStream) -> None:
-        """Send queued messages; a peer that takes none in time counts as broken."""
+    async def _watch(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
+        """End the connection when the peer does.
+
+        Followers send each other nothing until an election.  Without this the first vote
+        request goes into the connection of a peer that has restarted since, is lost, and the
+        election takes a timeout more.
+        """
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(1)
+        self._counters.count("link.broken")
+        scope.cancel()
+
+    async def _pump(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
+        """Send queued messages until the peer is gone or takes none in time."""
+        with contextlib.suppress(trio.BrokenResourceError, trio.TooSlowError):
+            await self._send_forever(stream)
+        scope.cancel()
+
+    async def _send_forever(self, stream: trio.SocketStream) -> None:
         async for item in self._receive:
             frames = [self._frame(item)]
             while len(frames) < OUTBOX_MESSAGES:
