Send configuration changes as patches to VMs that have the version before

Ruled out: fewer customers to a document; every VM must know every customer.

Change: replicas keep the last 64 changes as overlays and send those that an asker lacks; a VM further behind, or one that has only its files, gets the whole document.

--- a/siskinspoke/conf/loader.py
+++ b/siskinspoke/conf/loader.py
@@ -45,6 +45,22 @@
     return merged
 
 
+def difference(old: Any, new: Any) -> Any:
+    """Return the overlay that makes ``new`` of ``old``: merge(old, difference(old, new)) == new.
+
+    Documents hold no null, so null can stand for a field that goes.
+    """
+    if not (isinstance(old, dict) and isinstance(new, dict)):
+        return new
+    overlay = {name: None for name in old if name not in new}
+    for name, value in new.items():
+        if name not in old:
+            overlay[name] = value
+        elif old[name] != value:
+            overlay[name] = difference(old[name], value)
+    return overlay
+
+
 def _locate(fault: Fault, documents: list[Document]) -> Fault:
     """Name the last file that holds the path of a fault, or the last file of all."""
     steps = fault.path.replace("[", ".[").split(".")[1:]
--- a/siskinspoke/control/app.py
+++ b/siskinspoke/control/app.py
@@ -118,8 +118,9 @@
             state.entries_seen[name] = (after, trio.current_time())
         await task.wait_for_version(after, wait_ms / 1000)
         machine = task.machine
-        newer = machine.version > after
-        return json_response((machine.version, machine.document if newer else None))
+        patches = machine.patches_since(after)
+        whole = machine.version > after and patches is None
+        return json_response((machine.version, machine.document if whole else None, patches or []))
 
     @app.get("/v1/status")
     async def status() -> Response:
--- a/siskinspoke/coordination/machine.py
+++ b/siskinspoke/coordination/machine.py
@@ -1,10 +1,12 @@
 """The replicated state: configuration and claims, changed only by committed commands."""
 
 import hashlib
+from collections import deque
 from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 
+from siskinspoke.conf import difference
 from siskinspoke.coordination.claims import ClaimBook
 from siskinspoke.core.codes import ResultCode
 from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, LookupRequest, SettleRequest
@@ -12,6 +14,7 @@
 
 CLAIM, LOOKUP, SETTLE, CONFIGURE = "claim", "lookup", "settle", "configure"
 MAX_ORDERS = 20_000
+MAX_PATCHES = 64
 
 
 class ConfigureRequest(NamedTuple):
@@ -52,6 +55,17 @@
         self.document: dict | None = None
         self.clock_ms = 0
         self._orders: dict[str, tuple[str, int]] = {}
+        self._patches: deque[dict] = deque(maxlen=MAX_PATCHES)
+
+    def patches_since(self, version: int) -> list[dict] | None:
+        """Return the overlays that lead from a version to the present one.
+
+        None means that they are not held; the whole document is needed then.
+        """
+        missing = self.version - version
+        if version < 1 or not 0 < missing <= len(self._patches):
+            return None
+        return list(self._patches)[-missing:]
 
     def apply(self, entry: Entry) -> ClaimAnswer | ConfigureAnswer | None:
         """Apply one command and return its answer.
@@ -89,6 +103,7 @@
         if request.expect != self.version:
             return ConfigureAnswer(int(ResultCode.VERSION_CONFLICT), self.version)
         self.version += 1
+        self._patches.append(difference(self.document or {}, request.document))
         self.document = request.document
         self._orders[request.order] = (digest, self.version)
         if len(self._orders) > MAX_ORDERS:
@@ -109,6 +124,7 @@
         """Replace the state by that of a snapshot."""
         self.claims.load(state["claims"])
         self.version = state["version"]
+        self._patches.clear()
         self.document = state["document"]
         self.clock_ms = state["clock_ms"]
         self._orders = {order: (digest, version) for order, digest, version in state["orders"]}
--- a/siskinspoke/entry/control_client.py
+++ b/siskinspoke/entry/control_client.py
@@ -1,5 +1,6 @@
 """Talk to the control replicas: find the leader, claim, settle, follow the configuration."""
 
+import functools
 import random
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 import trio
 from expression import Error, Ok, Result
 
+from siskinspoke.conf import merge
 from siskinspoke.conf.settings import ControlVM
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.core.counters import Counters
@@ -22,10 +24,20 @@
 
 
 class ConfigurationNews(NamedTuple):
-    """A configuration and its version, as a control replica holds it."""
+    """What a control replica holds: a version, and what leads to it if it is newer.
+
+    ``document`` is the whole configuration; ``patches`` are overlays over the asker's own.
+    """
 
     version: int
     document: dict | None
+    patches: list[dict] = []  # noqa: RUF012  (a NamedTuple's default, never changed)
+
+    def applied_to(self, current: dict) -> dict | None:
+        """Return the newer document, or None where there is nothing newer."""
+        if self.document is not None or not self.patches:
+            return self.document
+        return functools.reduce(merge, self.patches, current)
 
 
 class ControlClient:
--- a/siskinspoke/entry/followers.py
+++ b/siskinspoke/entry/followers.py
@@ -156,8 +156,9 @@
             if news is None:
                 await trio.sleep(PAUSE_SECONDS)
                 continue
-            if news.document is not None:
-                await self._install(news.version, news.document)
+            document = news.applied_to(current.document)
+            if document is not None:
+                await self._install(news.version, document)
             elif news.version < current.version:
                 # The replica lags behind what is in force here: ask another one soon.
                 self._context.counters.count("configuration.replica_lags")
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -4,8 +4,10 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from siskinspoke.conf import load_files, merge
+from siskinspoke.conf import difference, load_files, merge
 from siskinspoke.testing.site import site_document, write_site
 
 ROOT = Path(__file__).parents[2]
@@ -29,6 +31,22 @@
         assert merge(base, overlay) == {"a": {"b": 9, "c": 2}, "d": [7]}
 
 
+DOCUMENTS = st.recursive(
+    st.integers() | st.text(max_size=3) | st.lists(st.integers(), max_size=2),
+    lambda inner: st.dictionaries(st.sampled_from("abcd"), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+class TestDifference:
+    """What replicas send to a VM that has an older version."""
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(old=DOCUMENTS, new=DOCUMENTS)
+    def test_leads_from_old_to_new(self, old, new):
+        assert merge(old, difference(old, new)) == new
+
+
 class TestFaults:
     """Every fault is reported at once, with file, path, id and hint."""
 
