Give orders to engines through the log, and let no server's nonsense end a VM

Cause: (1) orders to engines (load models, adapters, versions, change role) were not built. (2) A read of what runs in the daemon's nursery showed that one chunk which is no JSON, from any announced server, would end the whole entry VM.

Ruled out for 1: sending by entry VMs, which would need a second agreement on who sends; a lease counted from answers heard, which ends later than a follower's promise.

Change: an order's fencing number is its place in the log; the leader sends under a lease counted from what a majority has answered; a new leader waits out the longest flight before loads and before orders to engines that ignore fencing; loads from the weight store are bounded together; siskinspoke order. Nonsense costs its own attempt; one request's fault ends that request (3010).

Left: a leader frozen between its look at the lease and its write can reach an engine that ignores fencing; only a bound on such freezes would protect.

--- a/siskinspoke/conf/defaults.py
+++ b/siskinspoke/conf/defaults.py
@@ -33,6 +33,7 @@
         "heartbeat_ms": Integer(20, 10_000, 150, "pause between a leader's heartbeats"),
         "election_ms": Integer(100, 60_000, 750, "silence after which a replica stands"),
         "snapshot_entries": Integer(10, 1_000_000, 2_000, "log entries between snapshots"),
+        "concurrent_loads": Integer(1, 1_000, 2, "loads from the weight store at a time"),
     },
     default={},
 )
--- a/siskinspoke/conf/settings.py
+++ b/siskinspoke/conf/settings.py
@@ -40,6 +40,7 @@
     heartbeat_ms: int
     election_ms: int
     snapshot_entries: int
+    concurrent_loads: int
 
 
 class Service(NamedTuple):
--- a/siskinspoke/control/app.py
+++ b/siskinspoke/control/app.py
@@ -11,10 +11,12 @@
     CLAIM,
     CONFIGURE,
     LOOKUP,
+    ORDER,
     SETTLE,
     ConfigureBody,
     ConfigureRequest,
 )
+from siskinspoke.coordination.orders import ACTIONS, OrderBody, OrderRequest
 from siskinspoke.core.codes import FACTS, Failure, ResultCode
 from siskinspoke.core.counters import Counters
 from siskinspoke.entry.internal_app import operator_allowed
@@ -26,6 +28,7 @@
 BODY_SECONDS = 10.0
 COMMIT_SECONDS = 2.0
 MAX_WAIT_MS = 30_000
+OPERATORS_KINDS = (CONFIGURE, ORDER)
 SEALED_PATHS = frozenset({"/v1/claim", "/v1/lookup", "/v1/settle"})
 
 
@@ -74,7 +77,7 @@
             message = "no majority confirmed the command in time; it may still be carried out"
             return failure_response(Failure(ResultCode.NO_QUORUM, message, 1_000))
         answer = pending.value
-        return json_response(answer._asdict() if kind == CONFIGURE else answer)
+        return json_response(answer._asdict() if kind in OPERATORS_KINDS else answer)
 
     def not_leader() -> Response:
         document = Failure(ResultCode.NOT_LEADER, "another replica leads").to_document()
@@ -108,6 +111,24 @@
             return not_leader()
         return await commit(CONFIGURE, change)
 
+    @app.post("/v1/orders")
+    async def give_order() -> Response:
+        try:
+            order = OrderRequest(**msgspec.json.decode(await request.get_data(), type=OrderBody))
+        except msgspec.MsgspecError as error:
+            return failure_response(Failure(ResultCode.NOT_JSON, str(error)))
+        if order.action not in ACTIONS:
+            message = f"action: use one of {', '.join(sorted(ACTIONS))}"
+            return failure_response(Failure(ResultCode.INVALID_FIELD, message))
+        return await commit(ORDER, order)
+
+    @app.get("/v1/orders/<name>")
+    async def order_state(name: str) -> Response:
+        found = task.machine.orders.find(name)
+        if found is None:
+            return failure_response(Failure(ResultCode.UNKNOWN_PATH, "no such order here"))
+        return json_response(found._asdict())
+
     @app.get("/v1/configuration")
     async def configuration() -> Response:
         """Return what is newer than ``after``, waiting ``wait_ms`` for it to come."""
--- a/siskinspoke/control/daemon.py
+++ b/siskinspoke/control/daemon.py
@@ -9,6 +9,7 @@
 
 from siskinspoke.conf import Settings
 from siskinspoke.control.app import ControlState, control_app
+from siskinspoke.control.order_task import OrderTask
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.replica import Replica, Times
 from siskinspoke.core.codes import FailureError
@@ -54,6 +55,8 @@
         for link in links.values():
             nursery.start_soon(link.run)
         nursery.start_soon(task.run)
+        orders = OrderTask(task, counters, settings.control.concurrent_loads, me.host)
+        nursery.start_soon(orders.run)
         app = control_app(ControlState(me, settings, task, counters))
         await nursery.start(serve, HttpServer(app, me.host, me.port, GRACEFUL_SECONDS), shutdown)
         logger.info("control replica {} serves on {}:{}", name, me.host, me.port)
--- a/siskinspoke/coordination/machine.py
+++ b/siskinspoke/coordination/machine.py
@@ -8,11 +8,13 @@
 
 from siskinspoke.conf import difference
 from siskinspoke.coordination.claims import ClaimBook
+from siskinspoke.coordination.orders import OrderAnswer, OrderBook, OrderEnd, OrderRequest
 from siskinspoke.core.codes import ResultCode
 from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, LookupRequest, SettleRequest
 from siskinspoke.protocol.replication import Entry
 
 CLAIM, LOOKUP, SETTLE, CONFIGURE = "claim", "lookup", "settle", "configure"
+ORDER, ORDER_END = "order", "order-end"
 MAX_ORDERS = 20_000
 MAX_PATCHES = 64
 
@@ -51,6 +53,7 @@
 
     def __init__(self) -> None:
         self.claims = ClaimBook()
+        self.orders = OrderBook()
         self.version = 0
         self.document: dict | None = None
         self.clock_ms = 0
@@ -67,7 +70,7 @@
             return None
         return list(self._patches)[-missing:]
 
-    def apply(self, entry: Entry) -> ClaimAnswer | ConfigureAnswer | None:
+    def apply(self, entry: Entry) -> ClaimAnswer | ConfigureAnswer | OrderAnswer | None:
         """Apply one command and return its answer.
 
         The leader stamps each command with its wall clock; the highest stamp so far is the
@@ -86,6 +89,11 @@
             case "configure":
                 self._advance(entry.body)
                 return self._configure(msgspec.convert(entry.body["request"], ConfigureRequest))
+            case "order":
+                order = msgspec.convert(entry.body["request"], OrderRequest)
+                return self.orders.give(order, entry.index, self._advance(entry.body))
+            case "order-end":
+                return self.orders.end(msgspec.convert(entry.body["request"], OrderEnd))
             case _:
                 return None
 
@@ -114,6 +122,7 @@
         """Return the whole state for a snapshot."""
         return {
             "claims": self.claims.to_document(),
+            "engine_orders": self.orders.to_document(),
             "version": self.version,
             "document": self.document,
             "clock_ms": self.clock_ms,
@@ -123,6 +132,7 @@
     def load(self, state: dict) -> None:
         """Replace the state by that of a snapshot."""
         self.claims.load(state["claims"])
+        self.orders.load(state["engine_orders"])
         self.version = state["version"]
         self._patches.clear()
         self.document = state["document"]
--- /dev/null
+++ b/siskinspoke/coordination/orders.py
@@ -0,0 +1,186 @@
+"""Orders to engines: what is to be done, as replicated state, and when a leader may send it.
+
+The number of an order is its place in the log, and so its fencing number: a later one is
+greater, whoever leads.  Engines that check it refuse an older order by themselves.  For those that
+ignore it only time protects: a leader sends under its lease and gives an order up after
+FLIGHT_MS, and a new leader waits that long before its first order to such an engine.
+"""
+
+from typing import NamedTuple, TypedDict
+
+from siskinspoke.core.codes import ResultCode
+
+FLIGHT_MS = 3_000.0
+ORDER_LIFE_MS = 60_000
+MAX_FINISHED = 2_000
+LOADING_ACTIONS = frozenset({"load-model", "load-adapter", "load-version"})
+ACTIONS = LOADING_ACTIONS | {"change-role"}
+
+PENDING, DONE, FAILED = "pending", "done", "failed"
+
+
+class OrderRequest(NamedTuple):
+    """An operator's order; ``order`` names it, so that a resend is carried out once."""
+
+    order: str
+    operator: str
+    server: str
+    incarnation: int
+    host: str
+    port: int
+    fencing: bool
+    action: str
+    argument: str
+
+
+class OrderBody(TypedDict):
+    """An order as operators send it; the fields are those of OrderRequest."""
+
+    order: str
+    operator: str
+    server: str
+    incarnation: int
+    host: str
+    port: int
+    fencing: bool
+    action: str
+    argument: str
+
+
+class OrderEnd(NamedTuple):
+    """How an order ended, as its sender saw it."""
+
+    number: int
+    done: bool
+    detail: str
+
+
+class OrderAnswer(NamedTuple):
+    """An order's number and state."""
+
+    code: int
+    number: int
+    state: str
+    detail: str = ""
+
+
+class OrderRecord(NamedTuple):
+    """One order and how far it is; ``given_ms`` is the log's clock when it was accepted."""
+
+    number: int
+    given_ms: int
+    request: OrderRequest
+    state: str
+    detail: str
+
+
+class OrderBook:
+    """Keep orders in the sequence of the log."""
+
+    def __init__(self) -> None:
+        self._records: dict[int, OrderRecord] = {}
+        self._numbers: dict[str, int] = {}
+
+    def give(self, request: OrderRequest, number: int, clock_ms: int) -> OrderAnswer:
+        """Accept an order, or answer for the one of that name."""
+        known = self._numbers.get(request.order)
+        if known is not None:
+            same = self._records[known].request == request
+            code = ResultCode.OK if same else ResultCode.ORDER_REUSED
+            return self._answer(code, self._records[known])
+        record = OrderRecord(number, clock_ms, request, PENDING, "")
+        self._records[number] = record
+        self._numbers[request.order] = number
+        self._forget()
+        return self._answer(ResultCode.OK, record)
+
+    def end(self, end: OrderEnd) -> OrderAnswer | None:
+        """Record how an order ended; the first word counts."""
+        record = self._records.get(end.number)
+        if record is None:
+            return None
+        if record.state == PENDING:
+            state = DONE if end.done else FAILED
+            record = record._replace(state=state, detail=end.detail)
+            self._records[end.number] = record
+        return self._answer(ResultCode.OK, record)
+
+    def find(self, order: str) -> OrderAnswer | None:
+        """Return the state of an order by its name."""
+        number = self._numbers.get(order)
+        return None if number is None else self._answer(ResultCode.OK, self._records[number])
+
+    def _answer(self, code: ResultCode, record: OrderRecord) -> OrderAnswer:
+        return OrderAnswer(int(code), record.number, record.state, record.detail)
+
+    def pending(self) -> list[OrderRecord]:
+        """Return the first pending order of each server: a server's orders go one by one."""
+        firsts: dict[str, OrderRecord] = {}
+        for record in self._records.values():
+            if record.state == PENDING:
+                firsts.setdefault(record.request.server, record)
+        return list(firsts.values())
+
+    def _forget(self) -> None:
+        finished = [n for n, record in self._records.items() if record.state != PENDING]
+        for number in finished[: max(0, len(finished) - MAX_FINISHED)]:
+            del self._numbers[self._records.pop(number).request.order]
+
+    def to_document(self) -> list:
+        """Return all orders for a snapshot."""
+        return [list(record) for record in self._records.values()]
+
+    def load(self, document: list) -> None:
+        """Replace all orders by those of a snapshot."""
+        records = [
+            OrderRecord(number, given, OrderRequest(*request), state, detail)
+            for number, given, request, state, detail in document
+        ]
+        self._records = {record.number: record for record in records}
+        self._numbers = {record.request.order: record.number for record in records}
+
+
+class OrderGate:
+    """Decide which orders a leader may send now; times are monotonic milliseconds."""
+
+    def __init__(self, concurrent_loads: int):
+        self._concurrent_loads = concurrent_loads
+        self._flying: dict[int, OrderRecord] = {}
+        self._leads_since: float | None = None
+
+    def leadership(self, leads: bool, now: float) -> None:
+        """Note whether this replica leads."""
+        if not leads:
+            self._leads_since = None
+        elif self._leads_since is None:
+            self._leads_since = now
+
+    def choose(self, pending: list[OrderRecord], lease_until: float, now: float):
+        """Return the orders to send now, each once until it lands.
+
+        Weights come from a store with a rate limit.  Since one leader sends all orders, its count
+        of loads under way bounds all VMs together; a new leader first lets the old one's loads
+        end, so that a failure domain that returns starts no storm.
+        """
+        if self._leads_since is None or now >= lease_until:
+            return []
+        settled = now - self._leads_since >= FLIGHT_MS
+        chosen = []
+        for record in pending:
+            loading = record.request.action in LOADING_ACTIONS
+            if record.number in self._flying:
+                continue
+            if not settled and (loading or not record.request.fencing):
+                continue
+            if loading and self._loads() >= self._concurrent_loads:
+                continue
+            self._flying[record.number] = record
+            chosen.append(record)
+        return chosen
+
+    def _loads(self) -> int:
+        return sum(r.request.action in LOADING_ACTIONS for r in self._flying.values())
+
+    def landed(self, number: int) -> None:
+        """Note that an order is no longer under way."""
+        self._flying.pop(number, None)
--- a/siskinspoke/coordination/replica.py
+++ b/siskinspoke/coordination/replica.py
@@ -15,6 +15,7 @@
   counting those could lose an accepted change.
 """
 
+import math
 import random
 from enum import Enum
 from typing import Any, NamedTuple
@@ -40,6 +41,7 @@
 NOOP, ADMIT = "noop", "admit"
 MAX_BATCH = 256
 INTRODUCE_MS = 200.0
+LEASE_SHARE = 0.9
 HIGHEST_INCARNATION = 2**62
 
 
@@ -89,6 +91,8 @@
         self.incarnation = 0
         self.heard_at = now
         self.in_flight_until = 0.0
+        self.unanswered_since: float | None = None
+        self.leased_from = -math.inf
 
 
 class Replica:
@@ -369,6 +373,28 @@
         self._advance_commit(now)
         return entry.index
 
+    def lease_until(self) -> float:
+        """Return until when no other replica can have been elected; -inf where none leads.
+
+        A majority grants no trial vote for an election timeout after it has heard the leader.
+        The time counts from the sending of what it has answered, since it may have been heard
+        at once.  A tenth is left for clocks that run at different rates.
+        """
+        if self.role is not Role.LEADER:
+            return -math.inf
+        times = [
+            item.leased_from
+            for name, item in self._progress.items()
+            if self._counts(name, item.incarnation)
+        ]
+        needed = len(self.members) // 2
+        if not needed:
+            return math.inf
+        if len(times) < needed:
+            return -math.inf
+        times.sort(reverse=True)
+        return times[needed - 1] + self._times.election_ms * LEASE_SHARE
+
     def hand_over(self, now: float) -> None:
         """Stop leading in favour of the follower that holds most.
 
@@ -422,6 +448,8 @@
         entries = self.log.between(previous + 1, last)
         append = Append(self.name, self.term, previous, previous_term, entries, self.commit)
         self._out.sends.append((peer, append))
+        if item.unanswered_since is None:
+            item.unanswered_since = now
         if entries:
             item.in_flight_until = now + self._times.heartbeat_ms
 
@@ -440,6 +468,10 @@
         item.incarnation = reply.incarnation
         item.heard_at = now
         item.in_flight_until = 0.0
+        if item.unanswered_since is not None:
+            # The answer is to this message or a later one, so the follower heard then or later.
+            item.leased_from = item.unanswered_since
+            item.unanswered_since = None
         if not reply.accepted:
             item.next_index = max(1, min(reply.match + 1, item.next_index - 1))
             self._send_entries(reply.sender, item, now)
--- a/siskinspoke/core/codes.py
+++ b/siskinspoke/core/codes.py
@@ -50,6 +50,7 @@
     SERVER_ERROR = 3007
     ALREADY_RAN = 3008
     CALLER_GONE = 3009
+    INTERNAL = 3010
     VERSION_CONFLICT = 4001
     NOT_LEADER = 4002
     NO_QUORUM = 4003
@@ -114,6 +115,7 @@
     ResultCode.SERVER_ERROR: CodeFacts(502, Run.RAN, 30, "The backend server gave an error."),
     ResultCode.ALREADY_RAN: CodeFacts(409, Run.RAN, 30, "It ran before; its answer is not kept."),
     ResultCode.CALLER_GONE: CodeFacts(499, Run.UNKNOWN, 30, "The caller hung up."),
+    ResultCode.INTERNAL: CodeFacts(500, Run.UNKNOWN, 30, "A fault of this VM."),
     ResultCode.VERSION_CONFLICT: CodeFacts(409, Run.NOT_RUN, 40, "Another change came first."),
     ResultCode.NOT_LEADER: CodeFacts(421, Run.NOT_RUN, 40, "Ask the leader."),
     ResultCode.NO_QUORUM: CodeFacts(503, Run.UNKNOWN, 40, "No majority answered in time."),
--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -11,7 +11,7 @@
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.assembly import Assembler, Complete, Gap, Ignored, Piece
 from siskinspoke.protocol.claims import Target
-from siskinspoke.protocol.engine import AttemptRequest, CancelState, Chunk
+from siskinspoke.protocol.engine import AttemptRequest, CacheEvents, CancelState, Chunk
 from siskinspoke.transport.http import make_client
 
 CANCEL_SECONDS = 1.0
@@ -129,6 +129,10 @@
             if connection_failed(error):
                 return NotBegun(type(error).__name__, reached=False)
             return Lost(assembler.offset, type(error).__name__)
+        except (msgspec.MsgspecError, ValueError) as error:
+            # A server that speaks nonsense costs its own attempt and nothing else.
+            self._counters.count("backend.nonsense")
+            return Lost(assembler.offset, f"nonsense: {type(error).__name__}")
         finally:
             self._readings.discard(reading)
 
@@ -200,19 +204,19 @@
             try:
                 response = await self._control.post(url, content=msgspec.json.encode(body))
                 if response.status_code == 200:
-                    return msgspec.json.decode(response.content)
-            except (httpx.HTTPError, msgspec.DecodeError):
+                    return msgspec.json.decode(response.content, type=dict)
+            except (httpx.HTTPError, msgspec.MsgspecError):
                 self._counters.count("backend.exchange_failed")
         return None
 
-    async def cache_events(self, target: Target, after: int) -> dict | None:
+    async def cache_events(self, target: Target, after: int) -> CacheEvents | None:
         """Fetch a server's cache events after a sequence number."""
         url = f"http://{target.host}:{target.port}/v1/cache-events?after={after}"
         with trio.move_on_after(CANCEL_SECONDS):
             try:
                 response = await self._control.get(url)
-                return msgspec.json.decode(response.content)
-            except (httpx.HTTPError, msgspec.DecodeError):
+                return msgspec.json.decode(response.content, type=CacheEvents)
+            except (httpx.HTTPError, msgspec.MsgspecError):
                 self._counters.count("backend.exchange_failed")
         return None
 
--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -30,6 +30,14 @@
     """No byte of the call left, or the server refused it."""
 
 
+def _answer_of(response: httpx.Response) -> dict:
+    """Return a service's answer; one that is no JSON object is kept as text."""
+    try:
+        return msgspec.json.decode(response.content, type=dict)
+    except msgspec.MsgspecError:
+        return {"text": response.text}
+
+
 class CallJob:
     """One call of a plain service."""
 
@@ -89,7 +97,7 @@
             self._dispatched = False
             raise _NotBegun
         response.raise_for_status()
-        return msgspec.json.decode(response.content)
+        return _answer_of(response)
 
     def _subject(self) -> str:
         key = self._call.key
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -4,6 +4,7 @@
 
 import trio
 from expression import Error, Result
+from loguru import logger
 
 from siskinspoke.coordination import fairness
 from siskinspoke.coordination.routing import Choice, Ticket, Work, length_class
@@ -146,6 +147,11 @@
                 ended = True
         except ReaderTooSlowError:
             self.failure = Failure(ResultCode.SLOW_READER, "the caller read too slowly")
+        except Exception as error:
+            # The job runs in the nursery of the whole daemon: a fault that got through would
+            # end the VM, and every stream on it, for the sake of one request.
+            logger.error("request {} failed: {!r}", self.request_id, error)
+            self.failure = Failure(ResultCode.INTERNAL, "a fault of this VM")
         finally:
             if not ended and self.failure is None:
                 self.failure = self._cut_short()
--- a/siskinspoke/entry/internal_app.py
+++ b/siskinspoke/entry/internal_app.py
@@ -51,6 +51,10 @@
         {
             "server": record.announcement.server,
             "service": record.announcement.service,
+            "incarnation": record.announcement.incarnation,
+            "host": record.announcement.host,
+            "port": record.announcement.port,
+            "fencing": record.announcement.fencing,
             "failure_domain": record.announcement.failure_domain,
             "heard_ms_ago": round(now - record.heard_at),
             "running": record.announcement.running,
--- a/siskinspoke/entry/resuming.py
+++ b/siskinspoke/entry/resuming.py
@@ -1,6 +1,7 @@
 """Read on in an answer at another entry VM, after the first one died."""
 
 import trio
+from loguru import logger
 
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.entry import groups
@@ -40,6 +41,12 @@
             with self.scope:
                 self.failure = await self._read()
                 ended = True
+        except (trio.BrokenResourceError, trio.TooSlowError):
+            self.failure = Failure(ResultCode.SLOW_READER, "the caller read too slowly")
+        except Exception as error:
+            # As for completions: one request must not end the VM.
+            logger.error("resumed stream {} failed: {!r}", self.request_id, error)
+            self.failure = Failure(ResultCode.INTERNAL, "a fault of this VM")
         finally:
             if not ended and self.failure is None:
                 self.failure = Failure(ResultCode.CALLER_GONE, "the stream was cut")
--- a/siskinspoke/management/base.py
+++ b/siskinspoke/management/base.py
@@ -11,6 +11,7 @@
 
 from siskinspoke.core.codes import FACTS, Failure, FailureError, ResultCode
 from siskinspoke.management import commands as commands_package
+from siskinspoke.management import operators
 
 FLAGS = flags.FLAGS
 
@@ -78,7 +79,8 @@
     if any(word in ("--help", "-h") for word in argv[2:]):
         print(f"siskinspoke {name}: {command.__doc__.strip()}\n")
         print(FLAGS.module_help(command) or "No flags of its own.")
-        print(FLAGS.module_help(sys.modules[__name__]))
+        for module in (operators, sys.modules[__name__]):
+            print(FLAGS.module_help(module))
         return 0
     try:
         rest = FLAGS([argv[0], *argv[2:]])
--- a/siskinspoke/management/commands/apply.py
+++ b/siskinspoke/management/commands/apply.py
@@ -18,8 +18,6 @@
 FLAGS = flags.FLAGS
 
 flags.DEFINE_integer("expect", -1, "Version that the change replaces; -1 means the latest.")
-flags.DEFINE_string("order", "", "Name of the change, to send it again after a lost answer.")
-flags.DEFINE_float("wait", 3.0, "Seconds to wait until it is in force at every entry VM.")
 
 ACCEPT_SECONDS = 6.0
 
--- /dev/null
+++ b/siskinspoke/management/commands/order.py
@@ -0,0 +1,74 @@
+"""Order an engine to load a model, an adapter or a version, or to change its role.
+
+Sending the same --order again gives the same answer and is carried out once.
+"""
+
+import getpass
+import secrets
+import time
+
+from absl import flags
+
+from siskinspoke.conf import settings_from
+from siskinspoke.coordination.orders import ACTIONS, DONE, PENDING
+from siskinspoke.core.codes import FACTS, Failure, ResultCode
+from siskinspoke.management.base import emit, fail
+from siskinspoke.management.operators import Operator
+
+FLAGS = flags.FLAGS
+
+flags.DEFINE_string("to", "", "Backend server that gets the order.")
+flags.DEFINE_enum("action", "load-model", sorted(ACTIONS), "What it shall do.")
+flags.DEFINE_string("argument", "", "The model, adapter, version or role.")
+
+ACCEPT_SECONDS = 6.0
+POLL_SECONDS = 0.2
+
+
+def handle(_arguments: list[str]) -> int:
+    """Give the order, wait for its end, and print it."""
+    settings = settings_from(FLAGS.base, FLAGS.overlay)
+    name = FLAGS.order or secrets.token_hex(8)
+    with Operator(settings) as operator:
+        server = _find(operator, settings, FLAGS.to)
+        if server is None:
+            return fail(Failure(ResultCode.UNREACHABLE, f"no entry VM knows server {FLAGS.to!r}"))
+        body = {
+            "order": name,
+            "operator": getpass.getuser(),
+            "action": FLAGS.action,
+            "argument": FLAGS.argument,
+        } | {field: server[field] for field in ("server", "incarnation", "host", "port", "fencing")}
+        reply = operator.ask_leader("/v1/orders", body, ACCEPT_SECONDS)
+        if reply.status != 200:
+            message = f"not accepted for certain: repeat it with --order={name} to find out"
+            return fail(Failure(ResultCode.NO_QUORUM, message))
+        answer = _wait(operator, settings, name, reply.document)
+    code = ResultCode(answer["code"])
+    if code is not ResultCode.OK:
+        return fail(Failure(code, f"order {name} was used for something else"))
+    text = f"order {name} has number {answer['number']}: {answer['state']} {answer['detail']}"
+    emit(answer, text)
+    return 0 if answer["state"] == DONE else FACTS[ResultCode.CHECK_FAILED].exit_code
+
+
+def _find(operator: Operator, settings, name: str) -> dict | None:
+    """Return what any entry VM knows of a server."""
+    for entry in settings.entries:
+        for server in operator.entry_status(entry.name).document.get("servers", []):
+            if server["server"] == name:
+                return server
+    return None
+
+
+def _wait(operator: Operator, settings, name: str, answer: dict) -> dict:
+    """Ask the replicas until the order has ended or the time is over."""
+    deadline = time.monotonic() + FLAGS.wait
+    while answer["state"] == PENDING and time.monotonic() < deadline:
+        time.sleep(POLL_SECONDS)
+        for control in settings.controls:
+            path = f"/v1/orders/{name}"
+            reply = operator.exchange("GET", control.host, control.port, path)
+            if reply.status == 200 and reply.document["state"] != PENDING:
+                return reply.document
+    return answer
--- a/siskinspoke/management/commands/standin_engine.py
+++ b/siskinspoke/management/commands/standin_engine.py
@@ -15,6 +15,7 @@
 flags.DEFINE_float("step_base_ms", 6.0, "Time of an empty step.")
 flags.DEFINE_float("decode_ms_per_sequence", 0.1, "Decode time of one sequence in a step.")
 flags.DEFINE_integer("chunk_tokens", 1_024, "Tokens of one step at most.")
+flags.DEFINE_float("order_seconds", 0.0, "Time that an order takes.")
 flags.DEFINE_float("slow", 1.0, "Factor by which this engine is slower than it says.")
 
 
@@ -29,6 +30,7 @@
     )
     who = identity()
     server = EngineServer(who, parameters, FLAGS.slow)
+    server.order_seconds = FLAGS.order_seconds
     app = engine_app(server)
     trio.run(run_standin, app, who, announce_addresses(), read_key(), server.report, server.run)
     return 0
--- a/siskinspoke/management/operators.py
+++ b/siskinspoke/management/operators.py
@@ -5,11 +5,15 @@
 
 import httpx
 import msgspec
+from absl import flags
 
 from siskinspoke.conf import Settings
 
 EXCHANGE_SECONDS = 2.0
 
+flags.DEFINE_string("order", "", "Name of the change or order, to send it again if need be.")
+flags.DEFINE_float("wait", 3.0, "Seconds to wait until it is in force, or has ended.")
+
 
 class Reply(NamedTuple):
     """A process's answer; status 0 means that none came."""
--- a/siskinspoke/protocol/engine.py
+++ b/siskinspoke/protocol/engine.py
@@ -47,6 +47,16 @@
     lease_ms: int
 
 
+class CacheEvents(TypedDict):
+    """Answer of GET /v1/cache-events: number, kind and block of each event.
+
+    ``first`` is the number of the first event still held, which shows a gap.
+    """
+
+    first: int
+    events: list[tuple[int, str, int]]
+
+
 class Chunk(NamedTuple):
     """One piece of an answer; ``offset`` is the index of its first token.
 
--- a/siskinspoke/transport/http.py
+++ b/siskinspoke/transport/http.py
@@ -7,6 +7,7 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve as hypercorn_serve
+from loguru import logger
 from quart import Response
 from quart_trio import QuartTrio
 
@@ -41,6 +42,7 @@
     app.register_error_handler(405, _unknown_path)
     app.register_error_handler(413, _too_large)
     app.register_error_handler(408, _body_timeout)
+    app.register_error_handler(500, _internal)
     return app
 
 
@@ -56,6 +58,11 @@
     return failure_response(Failure(ResultCode.BODY_TIMEOUT, "the body did not arrive in time"))
 
 
+async def _internal(error) -> Response:
+    logger.error("request failed: {!r}", getattr(error, "original_exception", error))
+    return failure_response(Failure(ResultCode.INTERNAL, "a fault of this VM"))
+
+
 async def serve(server: HttpServer, shutdown: trio.Event, task_status=trio.TASK_STATUS_IGNORED):
     """Serve until ``shutdown`` is set, then let open answers finish.
 
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -148,3 +148,21 @@
         )
         ((_, reply),) = replica.take_output().sends
         assert not reply.granted
+
+
+class TestLease:
+    """The time in which no other replica can have been elected."""
+
+    def test_lease_ends_before_a_successor_can_lead(self):
+        """In every schedule of faults, nobody leads while another one holds a lease."""
+        for seed in range(150):
+            group = ReplicaGroup(3, seed)
+            group.heal(3_000)
+            for number in numbers(seed, STEPS):
+                group.step(number)
+                holders = [
+                    name
+                    for name, replica in group.replicas.items()
+                    if replica is not None and replica.lease_until() > group.now
+                ]
+                assert len(holders) <= 1, f"seed {seed}: {holders}"
