Claim huge prompts too, call nothing "not run" that has left, and let changed limits hold at once

Cause, found by reading the request path as a newcomer and shown by three tests that first failed: 1. a non-idempotent prompt larger than one engine went to a group without a claim: two resends ran it twice (began at 2 engines); 2. a request that had left for engines which froze before a word was called "not run" at its deadline, though they run it when they thaw; and a resend with a key likewise; 3. limits on bodies, retries and fair shares were read once at start: a change of configuration was "in force" without holding.

Ruled out for 1: refusing keys on huge prompts, which users' clinic summaries need.

Change: groups look the key up, reserve, claim for the head, then dispatch; an attempt counts as dispatched from before its first byte until it is proven not to have begun; limits are taken over when a configuration is installed.

--- a/siskinspoke/coordination/fairness.py
+++ b/siskinspoke/coordination/fairness.py
@@ -30,6 +30,10 @@
         self._window_ms = window_ms
         self._usage: dict[str, _Usage] = {}
 
+    def set_window(self, window_ms: float) -> None:
+        """Change the time constant, as a new configuration says."""
+        self._window_ms = window_ms
+
     def usage(self, customer: str, now: float) -> float:
         """Return a customer's recent work, faded to ``now``."""
         item = self._usage.get(customer)
--- a/siskinspoke/coordination/retries.py
+++ b/siskinspoke/coordination/retries.py
@@ -15,6 +15,10 @@
         self._share = share
         self._credit = START_CREDIT
 
+    def set_share(self, share: float) -> None:
+        """Change the share, as a new configuration says."""
+        self._share = share
+
     def first_attempt(self) -> None:
         """Earn the share of one first attempt."""
         self._credit = min(MAX_CREDIT, self._credit + self._share)
--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -57,7 +57,9 @@
             if self._call.key is not None:
                 return await self._run_claimed()
             return await self._run_plain()
-        run = Run.UNKNOWN if self._dispatched else Run.NOT_RUN
+        # One with a key may be the resend of a request that ran at another VM.
+        unknown = self._dispatched or self._call.key is not None
+        run = Run.UNKNOWN if unknown else Run.NOT_RUN
         return Failure(ResultCode.DEADLINE_PASSED, "the deadline passed", None, run)
 
     def _choose(self) -> ServerRecord | None:
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -19,6 +19,7 @@
     claim_name,
     find_out,
     honest,
+    lookup,
     settle_not_run,
     settle_ran,
 )
@@ -27,7 +28,7 @@
 from siskinspoke.entry.requests import Caller, Completion
 from siskinspoke.entry.stream_tokens import StreamToken
 from siskinspoke.protocol.assembly import Assembler, Piece
-from siskinspoke.protocol.claims import Target
+from siskinspoke.protocol.claims import ClaimAnswer, Target
 from siskinspoke.protocol.engine import GenerateRequest
 from siskinspoke.protocol.prefix import count_tokens, prefix_blocks
 
@@ -163,13 +164,22 @@
 
     def _cut_short(self) -> Failure:
         """Return the failure of a request whose deadline passed or whose caller hung up."""
-        run = Run.UNKNOWN if self._progress.dispatched else Run.NOT_RUN
-        if self._progress.offset:
-            run = Run.RAN
+        run = self._fate()
         if self._progress.abandoned:
             return Failure(ResultCode.CALLER_GONE, "the caller hung up", None, run)
         return Failure(ResultCode.DEADLINE_PASSED, "the deadline passed", None, run)
 
+    def _fate(self) -> Run:
+        """Return what is known of a request that ends without its answer.
+
+        One with a key may be the resend of a request that ran at another VM.
+        """
+        if self._progress.offset:
+            return Run.RAN
+        if self._progress.dispatched or self.completion.key is not None:
+            return Run.UNKNOWN
+        return Run.NOT_RUN
+
     def hang_up(self) -> None:
         """Note that the caller is gone; an attempt that may run only once goes on.
 
@@ -234,13 +244,14 @@
             if chosen.is_error():
                 return self._given_up(chosen.error.message)
             choice = chosen.ok
+            if len(choice.servers) > 1:
+                return await self._serve_by_group()
         return self._given_up("no attempt succeeded")
 
     def _given_up(self, message: str) -> Failure:
         if self._progress.offset:
             return Failure(ResultCode.ENGINE_LOST, message, RETRY_LATER_MS)
-        run = Run.UNKNOWN if self._progress.dispatched else Run.NOT_RUN
-        return Failure(ResultCode.DISPATCH_FAILED, message, RETRY_LATER_MS, run)
+        return Failure(ResultCode.DISPATCH_FAILED, message, RETRY_LATER_MS, self._fate())
 
     def _generate_body(self) -> GenerateRequest:
         progress = self._progress
@@ -262,13 +273,26 @@
         ticket = context.router.dispatched(record, self._work(), choice.uncached_tokens, now_ms())
         self._note_running(target)
         try:
-            end = await self._stream(target, "/v1/generate", body, ticket)
+            end = await self._dispatch(target, body, ticket)
         finally:
             context.router.ended(ticket)
         if isinstance(end, Completed):
             context.router.prefixes.stored(target.server, self._blocks)
-        if not isinstance(end, NotBegun):
-            self._progress.dispatched = True
+        return end
+
+    async def _dispatch(
+        self, target: Target, body: GenerateRequest, ticket: Ticket | None
+    ) -> AttemptEnd:
+        """Send an attempt; from before its first byte on it counts as dispatched.
+
+        The deadline may pass while a frozen server has the request and has said nothing:
+        only a proof that it never began takes the mark back.
+        """
+        before = self._progress.dispatched
+        self._progress.dispatched = True
+        end = await self._stream(target, "/v1/generate", body, ticket)
+        if isinstance(end, NotBegun):
+            self._progress.dispatched = before
         return end
 
     def _note_running(self, target: Target, group: groups.Group | None = None) -> None:
@@ -305,7 +329,6 @@
             await self._deliver(pieces, ticket)
 
         def accepted(number: int) -> None:
-            progress.dispatched = True
             if ticket is not None:
                 context.router.accepted(ticket, number)
 
@@ -341,7 +364,13 @@
 
     async def _serve_by_group(self) -> Failure | None:
         """Serve a prompt that no single engine holds."""
-        context, progress = self._context, self._progress
+        context = self._context
+        if self.completion.key is not None:
+            found = await lookup(context, self._claim_key())
+            if found.is_error():
+                return found.error
+            if found.ok.code != ResultCode.OK:
+                return await self._follow(found.ok)
         refusal: list[Failure] = []
 
         def choose() -> Choice | None:
@@ -351,27 +380,54 @@
                 return None
             return chosen.ok
 
-        progress.attempt = 1
         async with groups.reserved(context, choose, self.request_id) as group:
             if group is None:
                 return refusal[0]
             if not await groups.prefill_helpers(context, group):
                 return self._given_up("a member of the group was lost")
-            body = self._generate_body()
-            body["reservation"] = group.reservation
-            body["prefilled"] = sum(member.tokens for member in group.helpers)
-            target = group.head.target
-            self._note_running(target, group)
-            end = await self._stream(target, "/v1/generate", body, None)
-            for _ in range(RESUME_TRIES):
-                if not isinstance(end, Lost) or not context.is_alive(target):
-                    break
-                end = await self._resume(target)
+            return await self._run_by_group(group)
+
+    async def _run_by_group(self, group: groups.Group) -> Failure | None:
+        """Run the one attempt of a reserved group, claimed first if it may run only once."""
+        context, progress, target = self._context, self._progress, group.head.target
+        if self.completion.key is None:
+            progress.attempt += 1
+        else:
+            outcome = await claim(context, self._claim_key(), self.completion.key, target)
+            if outcome.is_error():
+                return outcome.error
+            if isinstance(outcome.ok, Held):
+                return await self._follow(outcome.ok.answer)
+            progress.attempt = outcome.ok.attempt
+        body = self._generate_body()
+        body["reservation"] = group.reservation
+        body["prefilled"] = sum(member.tokens for member in group.helpers)
+        self._note_running(target, group)
+        end = await self._dispatch(target, body, None)
+        if self.completion.key is not None:
+            return self._outcome(await self._settle(end, target))
+        for _ in range(RESUME_TRIES):
+            if not isinstance(end, Lost) or not context.is_alive(target):
+                break
+            end = await self._resume(target)
         if isinstance(end, Completed):
             progress.running = None
             return None
         return self._given_up("the head of the group was lost")
 
+    async def _follow(self, answer: ClaimAnswer) -> Failure | None:
+        """Read the answer of the attempt that holds the claim, and settle it if need be."""
+        self._progress.attempt = answer.attempt
+        end = await self._attach(answer.target)
+        return self._outcome(await self._settle(end, answer.target))
+
+    def _outcome(self, settled: Settled | None) -> Failure | None:
+        """Return how a claimed request ends that begins no other attempt here."""
+        if settled is not None:
+            return settled.failure
+        message = "the attempt never began; ask again"
+        return Failure(ResultCode.DISPATCH_FAILED, message, RETRY_LATER_MS, Run.NOT_RUN)
+
     async def _serve_claimed(self, choice: Choice) -> Failure | None:
         """Run a non-idempotent request at most once, whoever else asks for it."""
         context, progress = self._context, self._progress
@@ -396,6 +452,8 @@
             if chosen.is_error():
                 return await honest(context, self._claim_key(), chosen.error)
             choice = chosen.ok
+            if len(choice.servers) > 1:
+                return await self._serve_by_group()
         return self._given_up("no attempt began")
 
     def _claim_key(self) -> str:
--- a/siskinspoke/entry/context.py
+++ b/siskinspoke/entry/context.py
@@ -2,12 +2,13 @@
 
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
 
 from siskinspoke.conf import Settings
-from siskinspoke.conf.settings import EntryVM
+from siskinspoke.conf.settings import EntryVM, Limits
 from siskinspoke.coordination.configuration import ConfigurationHolder
 from siskinspoke.coordination.directory import Directory, ServerRecord
 from siskinspoke.coordination.fairness import FairShares
@@ -48,8 +49,17 @@
     draining: bool = False
     drain_begun: trio.Event = field(default_factory=trio.Event)
     drained: trio.Event = field(default_factory=trio.Event)
+    on_limits: list[Callable[[Limits], None]] = field(default_factory=list)
     _requests: int = 0
 
+    def apply_limits(self) -> None:
+        """Let everything that keeps a limit of its own take the one in force."""
+        limits = self.holder.current.configuration.limits
+        self.retries.set_share(limits.retry_share)
+        self.shares.set_window(limits.fair_window_ms)
+        for take in self.on_limits:
+            take(limits)
+
     def next_request_id(self) -> str:
         """Return a request id that no other VM and no other start of this one gives."""
         self._requests += 1
--- a/siskinspoke/entry/followers.py
+++ b/siskinspoke/entry/followers.py
@@ -145,6 +145,7 @@
         if read.ok is not None:
             version, document = msgspec.json.decode(read.ok, type=tuple[int, dict])
             self._context.holder.install(version, document, FROM_DISK)
+            self._context.apply_limits()
 
     async def run(self) -> None:
         """Ask the control replicas, one after the other, for what is newer."""
@@ -169,6 +170,7 @@
         if not context.holder.install(version, document, FROM_CONTROL):
             context.counters.count("configuration.refused")
             return
+        context.apply_limits()
         context.counters.gauge("configuration_version", version)
         logger.info("configuration in force: version {}", version)
         if self._file is not None:
--- a/siskinspoke/entry/public_app.py
+++ b/siskinspoke/entry/public_app.py
@@ -7,6 +7,7 @@
 import trio
 from quart import Response, request
 
+from siskinspoke.conf.settings import Limits
 from siskinspoke.core.codes import Failure, ResultCode, Run
 from siskinspoke.entry.calls import CallJob
 from siskinspoke.entry.claiming import claim_name, honest
@@ -45,6 +46,12 @@
     limits = context.holder.current.configuration.limits
     app = make_app("entry", limits.max_body_bytes, limits.body_timeout_ms / 1000)
 
+    def take_limits(changed: Limits) -> None:
+        app.config["MAX_CONTENT_LENGTH"] = changed.max_body_bytes
+        app.config["BODY_TIMEOUT"] = changed.body_timeout_ms / 1000
+
+    context.on_limits.append(take_limits)
+
     def refuse(failure: Failure) -> Response:
         return failure_response(context.refuse(failure))
 
--- a/tests/integration/test_callers.py
+++ b/tests/integration/test_callers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from siskinspoke.core.codes import ResultCode
+from siskinspoke.management.operators import Operator
 from siskinspoke.testing.site import customer_key
 
 KEY = customer_key("municipio-1")
@@ -97,6 +98,22 @@
             peer.close()
 
 
+class TestLimitsInForce:
+    """A limit that operators change holds at VMs that run already."""
+
+    def test_smaller_bodies(self, make_site):
+        site = make_site(services=0)
+        callers = Callers(site)
+        assert callers.post("/v1/completions", json=GOOD)[0] == 200
+        document = dict(site.fleet.settings.configuration_document)
+        document["limits"] = document["limits"] | {"max_body_bytes": 2_000}
+        body = {"order": "o", "operator": "t", "expect": 0, "document": document}
+        with Operator(site.fleet.settings) as operator:
+            assert operator.ask_leader("/v1/configuration", body, 6).document["code"] == 0
+            assert not operator.wait_in_force(1, 3)
+        assert callers.post("/v1/completions", json=GOOD)[1] == ResultCode.BODY_TOO_LARGE
+
+
 class TestCommands:
     """Operators' commands against a running site."""
 
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -126,6 +126,42 @@
         began = [site.server_state(name)["began"].get(first.request_id, 0) for name in ENGINES]
         assert sum(began) == 1
 
+    def test_huge_non_idempotent_prompt_runs_once(self, make_site):
+        """A summary over several engines is asked for twice, through two VMs."""
+        site = make_site(engine_flags=("--prefill_ms_per_token=0.002", "--chunk_tokens=8192"))
+        key = idempotency_key("huge")
+
+        async def scenario():
+            outcomes = []
+
+            async def one(entry):
+                outcomes.append(
+                    await complete(site, entry, tokens=700_000, timeout_ms=40_000, idempotency=key)
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one, "entry-sala-a-1")
+                nursery.start_soon(one, "entry-sala-b-1")
+            return outcomes
+
+        outcomes = trio.run(scenario)
+        print(outcomes)
+        assert any(item.whole for item in outcomes)
+        began = [sum(site.server_state(name)["began"].values()) for name in ENGINES]
+        assert sum(began) == 1
+        site.wait_memory_returned(*ENGINES)
+
+    def test_frozen_engine_is_not_called_not_run(self, make_site):
+        """All engines freeze before they say a word; the request has left all the same.
+
+        They thaw later and run it.  Calling it "not run" at the deadline would be untrue.
+        """
+        site = make_site()
+        for name in ENGINES:
+            site.fleet.freeze(name)
+        outcome = trio.run(lambda: complete(site, timeout_ms=1_500, output=4))
+        assert (outcome.code, outcome.run) == (ResultCode.DEADLINE_PASSED, "unknown")
+
 
 class TestOwnCaller:
     """Nobody reads another customer's answer."""
