Give each group reservation a name of its own, and release what a cut-short try holds

Cause, found by reading: (1) two VMs that serve resends of one huge request named their reservations alike, so the one that was refused released the other's memory; (2) a deadline in the middle of reserving left the members asked so far to their lease; (3) what the reader of a group's answer raises came wrapped and was taken for a fault of the VM; (4) the stand-in let a thawed owner use a reservation whose lease had run out.

Ruled out: leaving (1) to the engine's check of owners, which not every engine makes.

No test failed before for (1) to (3); they were read, not run.

--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -380,7 +380,7 @@
                 return None
             return chosen.ok
 
-        async with groups.reserved(context, choose, self.request_id) as group:
+        async with groups.reserved(context, choose) as group:
             if group is None:
                 return refusal[0]
             if not await groups.prefill_helpers(context, group):
--- a/siskinspoke/entry/groups.py
+++ b/siskinspoke/entry/groups.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import NamedTuple
 
 import trio
@@ -60,14 +60,20 @@
 
 async def _reserve(context: EntryContext, group: Group) -> bool:
     """Reserve every member in the order of server names, or none."""
-    held: list[Member] = []
-    for member in sorted(group.members, key=lambda item: item.target.server):
-        held.append(member)
-        body = _body(group, member, context.me.name)
-        if await context.backend.post(member.target, "/v1/reserve", body) is None:
-            # The refused member is released too: its grant may only have been lost.
-            release(context, group.reservation, [item.target for item in held])
-            return False
+    asked: list[Target] = []
+    whole = False
+    try:
+        for member in sorted(group.members, key=lambda item: item.target.server):
+            asked.append(member.target)
+            body = _body(group, member, context.me.name)
+            if await context.backend.post(member.target, "/v1/reserve", body) is None:
+                return False
+        whole = True
+    finally:
+        # Also when the deadline or the caller ends the try in its middle, and also at the member
+        # that refused: its grant may only have been lost on the way.
+        if not whole:
+            release(context, group.reservation, asked)
     return True
 
 
@@ -88,31 +94,47 @@
             await context.backend.post(target, "/v1/renew", body)
 
 
+@contextmanager
+def renewed(context: EntryContext, reservation: str, targets: list[Target]):
+    """Renew leases in a task of the daemon for as long as the context is open.
+
+    A nursery here would wrap what the reader of the answer raises in a group.
+    """
+    scope = trio.CancelScope()
+
+    async def renew() -> None:
+        with scope:
+            await renew_forever(context, reservation, targets)
+
+    context.nursery.start_soon(renew)
+    try:
+        yield
+    finally:
+        scope.cancel()
+
+
 @asynccontextmanager
-async def reserved(context: EntryContext, choose, request_id: str):
+async def reserved(context: EntryContext, choose):
     """Hold a whole group; wait for memory within the deadline of the surrounding scope.
 
     ``choose`` returns a fresh routing choice, or None when routing refuses; then None is
-    yielded.
+    yielded.  Each try has a name of its own: resends of one request at two VMs must not
+    release each other's memory.
     """
-    tries = 0
     while True:
-        tries += 1
         choice = choose()
         if choice is None:
             yield None
             return
-        group = group_of(choice, f"{request_id}.{tries}")
+        group = group_of(choice, context.next_request_id())
         if await _reserve(context, group):
             break
         context.counters.count("group.reserve_refused")
         await trio.sleep(PAUSE_SECONDS * context.rng.uniform(0.5, 1.5))
     targets = [member.target for member in group.members]
     try:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(renew_forever, context, group.reservation, targets)
+        with renewed(context, group.reservation, targets):
             yield group
-            nursery.cancel_scope.cancel()
     finally:
         release(context, group.reservation, targets)
 
--- a/siskinspoke/entry/resuming.py
+++ b/siskinspoke/entry/resuming.py
@@ -54,18 +54,12 @@
             self._context.request_closed()
 
     async def _read(self) -> Failure | None:
-        async with trio.open_nursery() as nursery:
-            if self.token.reservation:
-                nursery.start_soon(self._renew_group)
-            failure = await self._stream()
-            nursery.cancel_scope.cancel()
-        return failure
-
-    async def _renew_group(self) -> None:
-        """Keep the memory of the other members, whose first owner may be dead."""
+        """Read the stream; keep a group's memory, whose first owner may be dead."""
         token = self.token
-        targets = [token.target, *token.helpers]
-        await groups.renew_forever(self._context, token.reservation, targets)
+        if not token.reservation:
+            return await self._stream()
+        with groups.renewed(self._context, token.reservation, [token.target, *token.helpers]):
+            return await self._stream()
 
     async def _stream(self) -> Failure | None:
         context, token = self._context, self.token
--- a/siskinspoke/standins/engine_model.py
+++ b/siskinspoke/standins/engine_model.py
@@ -152,12 +152,15 @@
         return count * BLOCK_TOKENS
 
     def start(self, attempt: Attempt, now: float) -> bool:
-        """Take an attempt; False if a tombstone forbids it or it can never fit."""
+        """Take an attempt; False if a tombstone, its size or a lapsed lease forbids it."""
         if attempt.key in self._tombstones:
             return False
         known = self.attempts.get(attempt.key)
         if known is not None:
             return True
+        if attempt.reservation and attempt.reservation not in self.reservations:
+            # The owner froze, its lease ran out, and it thaws: the memory is another's now.
+            return False
         need = attempt.prompt_tokens + attempt.max_tokens
         if not attempt.reservation and need > self.parameters.memory_tokens:
             return False
