--- a/siskinspoke/coordination/replica_types.py
+++ b/siskinspoke/coordination/replica_types.py
@@ -1,5 +1,6 @@
 """What a control replica's decisions are made of: roles, times, what is on disk, what to do."""
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -32,6 +33,24 @@
     entries: tuple[Entry, ...] = ()
 
 
+def restored_from(
+    identity: Identity | None,
+    snapshot: Snapshot | None,
+    records: Iterable[HardState | Admitted | Entry],
+) -> Restored:
+    """Return what a replica finds, from its journal's records in the order of writing."""
+    hard, admitted, entries = HardState(0, ""), [], []
+    for record in records:
+        match record:
+            case HardState():
+                hard = record
+            case Admitted():
+                admitted.append(record)
+            case Entry():
+                entries.append(record)
+    return Restored(identity, hard, snapshot, tuple(admitted), tuple(entries))
+
+
 class Output:
     """What the owner must do, in this order: sync, then send and apply."""
 
--- a/siskinspoke/state/replica_store.py
+++ b/siskinspoke/state/replica_store.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from siskinspoke.coordination.replica_types import Restored
+from siskinspoke.coordination.replica_types import Restored, restored_from
 from siskinspoke.core.codes import Failure, FailureError, ResultCode
 from siskinspoke.protocol import decode_message, encode_message
 from siskinspoke.protocol.replication import Admitted, Entry, HardState, Identity, Snapshot
@@ -74,19 +74,12 @@
     identity = _read_identity(folder, name)
     body = _must(read_checked(folder / SNAPSHOT_FILE))
     snapshot = None if body is None else _decode(body, folder / SNAPSHOT_FILE)
-    hard, admitted, entries = HardState(0, ""), [], []
-    for record in (_decode(item, folder / JOURNAL_FILE) for item in bodies):
-        match record:
-            case HardState():
-                hard = record
-            case Admitted():
-                admitted.append(record)
-            case Entry():
-                entries.append(record)
-    if identity is None and (entries or snapshot is not None):
+    records = [_decode(item, folder / JOURNAL_FILE) for item in bodies]
+    restored = restored_from(identity, snapshot, records)
+    if identity is None and (restored.entries or snapshot is not None):
         message = f"{folder}: a log without an identity; empty the folder to start anew"
         raise FailureError(Failure(ResultCode.JOURNAL_CORRUPT, message))
-    return Restored(identity, hard, snapshot, tuple(admitted), tuple(entries))
+    return restored
 
 
 def open_store(path: str, name: str) -> Result[tuple[ReplicaStore, Restored], Failure]:
--- a/siskinspoke/testing/replica_group.py
+++ b/siskinspoke/testing/replica_group.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from siskinspoke.coordination.replica import NOOP, Replica
-from siskinspoke.coordination.replica_types import Output, Restored, Role, Times
+from siskinspoke.coordination.replica_types import Output, Restored, Role, Times, restored_from
 from siskinspoke.protocol.replication import Admitted, Entry, HardState, Identity, Snapshot
 
 TIMES = Times(heartbeat_ms=50, election_ms=250)
@@ -32,16 +32,7 @@
 
     def restored(self) -> Restored:
         """Return what a restarted replica finds."""
-        hard, admitted, entries = HardState(0, ""), [], []
-        for record in self.records:
-            match record:
-                case HardState():
-                    hard = record
-                case Admitted():
-                    admitted.append(record)
-                case Entry():
-                    entries.append(record)
-        return Restored(self.identity, hard, self.snapshot, tuple(admitted), tuple(entries))
+        return restored_from(self.identity, self.snapshot, self.records)
 
 
 class ReplicaGroup:
