--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.announcements import Announcement, Load, server_key, with_load
 
 FORGET_MS = 60_000
 REMEMBER_CAPACITY_MS = 3_600_000
@@ -21,6 +21,7 @@
     RENEWED = "renewed"
     LEFT = "left"
     STALE = "stale"
+    UNKNOWN = "unknown"
 
 
 @dataclass(slots=True)
@@ -43,6 +44,7 @@
     def __init__(self, lease_ms: float):
         self._lease_ms = lease_ms
         self._records: dict[str, ServerRecord] = {}
+        self._names: dict[int, str] = {}
 
     def hear(self, announcement: Announcement, now: float) -> Heard:
         """Take in one announcement, however late it comes."""
@@ -55,10 +57,24 @@
         if same:
             record.suspected_until = known.suspected_until
         self._records[announcement.server] = record
+        self._names[server_key(announcement.server)] = announcement.server
         if announcement.leaving:
             return Heard.LEFT if was_live else Heard.RENEWED
         return Heard.RENEWED if was_live and same else Heard.JOINED
 
+    def hear_load(self, load: Load, now: float) -> Heard:
+        """Take in the changing part alone; UNKNOWN where the rest is not known."""
+        known = self._records.get(self.name_of(load.key))
+        if known is None or known.announcement.incarnation < load.incarnation:
+            return Heard.UNKNOWN
+        if known.announcement.incarnation > load.incarnation:
+            return Heard.STALE
+        return self.hear(with_load(known.announcement, load), now)
+
+    def name_of(self, key: int) -> str:
+        """Return the name of a known server by its short stand-in, or an empty string."""
+        return self._names.get(key, "")
+
     def _is_stale(self, known: ServerRecord, announcement: Announcement) -> bool:
         """Tell whether a later word of the server is known already.
 
@@ -131,5 +147,6 @@
             keep_ms = FORGET_MS if record.announcement.leaving else REMEMBER_CAPACITY_MS
             if now - record.heard_at > keep_ms:
                 del self._records[name]
+                self._names.pop(server_key(name), None)
                 gone.append(name)
         return gone
--- a/siskinspoke/coordination/watchers.py
+++ b/siskinspoke/coordination/watchers.py
@@ -12,8 +12,9 @@
 
 from siskinspoke.conf.settings import EntryVM
 
-LOCAL_WATCHERS = 6
-REMOTE_WATCHERS = 6
+SMALL_SITE = 12
+LOCAL_WATCHERS = 12
+REMOTE_WATCHERS = 4
 
 
 def _weight(server: str, entry: str) -> int:
@@ -21,12 +22,17 @@
 
 
 def watchers(server: str, domain: str, entries: Sequence[EntryVM]) -> tuple[EntryVM, ...]:
-    """Return the entry VMs that follow a server, most of them in its failure domain."""
+    """Return the entry VMs that follow a server, most of them in its failure domain.
+
+    At a small site all of them do.
+    """
     return _watchers(server, domain, tuple(entries))
 
 
 @functools.lru_cache(maxsize=4_096)
 def _watchers(server: str, domain: str, entries: tuple[EntryVM, ...]) -> tuple[EntryVM, ...]:
+    if len(entries) <= SMALL_SITE:
+        return entries
     ranked = sorted(entries, key=lambda entry: _weight(server, entry.name), reverse=True)
     local = [entry for entry in ranked if entry.failure_domain == domain]
     remote = [entry for entry in ranked if entry.failure_domain != domain]
--- a/siskinspoke/entry/followers.py
+++ b/siskinspoke/entry/followers.py
@@ -1,5 +1,6 @@
 """Tasks that keep an entry VM up to date: announcements, configuration, cache events."""
 
+from collections import OrderedDict
 from pathlib import Path
 
 import msgspec
@@ -10,7 +11,14 @@
 from siskinspoke.coordination.directory import Heard
 from siskinspoke.coordination.watchers import watchers
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
-from siskinspoke.protocol.announcements import Announcement, Spread
+from siskinspoke.protocol.announcements import (
+    Announcement,
+    Load,
+    Spread,
+    Want,
+    load_of,
+    server_key,
+)
 from siskinspoke.state.files import read_checked, write_atomically
 from siskinspoke.transport.datagrams import DatagramPort
 
@@ -19,6 +27,9 @@
 PAUSE_SECONDS = 0.2
 FORGET_SECONDS = 5.0
 CACHE_POLL_SECONDS = 1.0
+WHOLE_AT_FIRST = 3
+MAX_WHOLE = 512
+ASK_MS = 1_000.0
 
 
 class AnnouncementFollower:
@@ -26,12 +37,17 @@
 
     A server's datagram reaches one entry VM, through the balancer; that VM passes it on to
     the server's watchers and to nobody else, so that a large fleet costs each VM a bounded
-    number of datagrams.
+    number of datagrams.  Only what changes is passed on; a watcher that lacks the rest, as
+    after its start, asks for it.
     """
 
     def __init__(self, context: EntryContext, port: DatagramPort):
         self._context = context
         self._port = port
+        self._entries = context.settings.entries
+        self._place = self._entries.index(context.me)
+        self._whole: OrderedDict[int, Announcement] = OrderedDict()
+        self._asked: dict[int, float] = {}
 
     async def run(self) -> None:
         """Handle datagrams forever."""
@@ -43,34 +59,61 @@
                 await self._spread(item)
             case Spread(announcement=announcement):
                 self._hear(announcement)
+            case Load():
+                await self._hear_load(item)
+            case Want(key=key, sender=sender) if key in self._whole:
+                await self._send(Spread(self._whole[key]), sender)
+            case Want():
+                self._context.counters.count("announcement.wanted_unknown")
             case _:
                 self._context.counters.count("datagram.refused.kind")
 
+    async def _send(self, item, place: int) -> None:
+        if 0 <= place < len(self._entries):
+            entry = self._entries[place]
+            await self._port.send(item, entry.host, entry.internal_port)
+
     async def _spread(self, announcement: Announcement) -> None:
-        context = self._context
-        chosen = watchers(
-            announcement.server, announcement.failure_domain, context.settings.entries
-        )
+        self._remember(announcement)
+        whole = announcement.leaving or announcement.seq <= WHOLE_AT_FIRST
+        item = Spread(announcement) if whole else load_of(announcement, self._place)
+        chosen = watchers(announcement.server, announcement.failure_domain, self._entries)
         for entry in chosen:
-            if entry.name == context.me.name:
+            if entry.name == self._context.me.name:
                 self._hear(announcement)
             else:
-                spread = Spread(context.me.name, announcement)
-                await self._port.send(spread, entry.host, entry.internal_port)
+                await self._port.send(item, entry.host, entry.internal_port)
+
+    def _remember(self, announcement: Announcement) -> None:
+        """Keep what a watcher may ask for."""
+        key = server_key(announcement.server)
+        self._whole[key] = announcement
+        self._whole.move_to_end(key)
+        if len(self._whole) > MAX_WHOLE:
+            self._whole.popitem(last=False)
+
+    async def _hear_load(self, load: Load) -> None:
+        """Take in a load; ask, at most once a second, for a server that is not known."""
+        now = now_ms()
+        directory = self._context.directory
+        heard = directory.hear_load(load, now)
+        self._note(heard, directory.name_of(load.key), load.incarnation)
+        if heard is Heard.UNKNOWN and now - self._asked.get(load.key, 0.0) > ASK_MS:
+            self._asked[load.key] = now
+            await self._send(Want(load.key, self._place), load.sender)
 
     def _hear(self, announcement: Announcement) -> None:
+        heard = self._context.directory.hear(announcement, now_ms())
+        self._note(heard, announcement.server, announcement.incarnation)
+
+    def _note(self, heard: Heard, server: str, incarnation: int) -> None:
+        """Count what was heard; log a server that comes or goes."""
         context = self._context
-        heard = context.directory.hear(announcement, now_ms())
         context.counters.count(f"announcement.{heard.value}")
         if heard in (Heard.JOINED, Heard.LEFT):
-            logger.info(
-                "server {}: {} incarnation {}",
-                heard.value,
-                announcement.server,
-                announcement.incarnation,
-            )
+            logger.info("server {}: {} incarnation {}", heard.value, server, incarnation)
         if heard is Heard.JOINED:
-            context.router.prefixes.reset(announcement.server)
+            context.router.prefixes.reset(server)
 
 
 async def forget_forever(context: EntryContext) -> None:
--- a/siskinspoke/protocol/announcements.py
+++ b/siskinspoke/protocol/announcements.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 from siskinspoke.protocol.codec import message
 
 
@@ -34,7 +36,65 @@
 
 @message
 class Spread(NamedTuple):
-    """An announcement that an entry VM passes on to the server's other watchers."""
+    """An announcement that an entry VM passes on whole to another watcher."""
 
-    sender: str
     announcement: Announcement
+
+
+@message
+class Load(NamedTuple):
+    """The part of an announcement that changes, for watchers that know the rest.
+
+    ``key`` stands for the server's name and ``sender`` is the place of the entry VM in the
+    settings; both keep the datagram small, since it is most of what a daemon sends.
+    """
+
+    key: int
+    incarnation: int
+    seq: int
+    free_tokens: int
+    running: int
+    queued: list[int]
+    accepted_seq: int
+    sender: int
+
+
+@message
+class Want(NamedTuple):
+    """A watcher that does not know a server asks for its whole announcement."""
+
+    key: int
+    sender: int
+
+
+def server_key(server: str) -> int:
+    """Return the short stand-in for a server's name."""
+    return xxhash.xxh32_intdigest(server.encode())
+
+
+def load_of(announcement: Announcement, sender: int) -> Load:
+    """Return the changing part of an announcement; ranks at the end without work go."""
+    queued = list(announcement.queued)
+    while queued and not queued[-1]:
+        queued.pop()
+    return Load(
+        server_key(announcement.server),
+        announcement.incarnation,
+        announcement.seq,
+        announcement.free_tokens,
+        announcement.running,
+        queued,
+        announcement.accepted_seq,
+        sender,
+    )
+
+
+def with_load(announcement: Announcement, load: Load) -> Announcement:
+    """Return a known announcement brought up to date by a later load."""
+    return announcement._replace(
+        seq=load.seq,
+        free_tokens=load.free_tokens,
+        running=load.running,
+        queued=load.queued,
+        accepted_seq=load.accepted_seq,
+    )
--- /dev/null
+++ b/tests/coordination/test_directory.py
@@ -0,0 +1,85 @@
+"""Tests of what an entry VM knows of backend servers."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskinspoke.bench.slopes import announcement
+from siskinspoke.coordination.directory import Directory, Heard
+from siskinspoke.protocol.announcements import load_of
+
+LEASE = 3_000
+
+
+def said(seq, incarnation=7, leaving=False):
+    """Return an announcement of one server."""
+    return announcement(1, seq, "sala-a")._replace(incarnation=incarnation, leaving=leaving)
+
+
+class TestOrder:
+    """Announcements overtake each other on their way."""
+
+    def test_leaving_is_final_for_an_incarnation(self):
+        """A server says farewell; an announcement from before, and one from after, come late."""
+        directory = Directory(LEASE)
+        directory.hear(said(5), 0)
+        assert directory.hear(said(6, leaving=True), 1) is Heard.LEFT
+        assert directory.hear(said(5), 2) is Heard.STALE
+        assert directory.hear(said(9), 3) is Heard.STALE
+        assert directory.live(4) == []
+        assert directory.hear(said(1, incarnation=8), 5) is Heard.JOINED
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.permutations([said(1), said(2), said(3), said(4, leaving=True)]))
+    def test_any_order_ends_the_same(self, items):
+        directory = Directory(LEASE)
+        for item in items:
+            directory.hear(item, 0)
+        assert directory.live(1) == []
+
+    def test_older_incarnation_is_stale(self):
+        directory = Directory(LEASE)
+        directory.hear(said(1, incarnation=8), 0)
+        assert directory.hear(said(99, incarnation=7), 1) is Heard.STALE
+        assert directory.superseded(said(1).server, 7)
+
+
+class TestLease:
+    """An announcement is a lease."""
+
+    def test_silent_server_is_gone(self):
+        directory = Directory(LEASE)
+        directory.hear(said(1), 0)
+        assert len(directory.live(LEASE - 1)) == 1
+        assert directory.live(LEASE) == []
+
+    def test_suspected_server_gets_nothing_for_a_lease(self):
+        directory = Directory(LEASE)
+        directory.hear(said(1), 0)
+        directory.suspect(said(1).server, 7, 10)
+        directory.hear(said(2), 20)
+        assert directory.live(30) == []
+        directory.hear(said(3), LEASE)
+        assert len(directory.live(LEASE + 11)) == 1
+
+
+class TestLoads:
+    """Only what changes is passed on."""
+
+    def test_load_renews_a_known_server(self):
+        directory = Directory(LEASE)
+        directory.hear(said(1), 0)
+        later = said(2)._replace(free_tokens=5)
+        assert directory.hear_load(load_of(later, 0), 1) is Heard.RENEWED
+        assert directory.live(2)[0].announcement.free_tokens == 5
+
+    def test_load_of_an_unknown_server_or_start_asks_for_the_rest(self):
+        directory = Directory(LEASE)
+        assert directory.hear_load(load_of(said(1), 0), 0) is Heard.UNKNOWN
+        directory.hear(said(1), 0)
+        newer = load_of(said(1, incarnation=8), 0)
+        assert directory.hear_load(newer, 1) is Heard.UNKNOWN
+
+    def test_load_after_leaving_is_stale(self):
+        directory = Directory(LEASE)
+        directory.hear(said(1, leaving=True), 0)
+        assert directory.hear_load(load_of(said(2), 0), 1) is Heard.STALE
--- /dev/null
+++ b/tests/core/test_docs.py
@@ -0,0 +1,42 @@
+"""Tests that hold the docs against the code."""
+
+import re
+from pathlib import Path
+
+from siskinspoke.core.codes import FACTS, ResultCode
+
+ROOT = Path(__file__).parents[2]
+
+
+class TestCodesPage:
+    """docs/reference/codes.md is the table of the code."""
+
+    def test_every_code_has_its_row(self):
+        page = (ROOT / "docs/reference/codes.md").read_text()
+        for code in ResultCode:
+            facts = FACTS[code]
+            row = (
+                f"| {int(code)} | {code.name} | {facts.status} | {facts.run.value} "
+                f"| {facts.exit_code} | {facts.meaning} |"
+            )
+            assert row in page
+
+
+class TestCountersPage:
+    """docs/reference/counters.md names every counter."""
+
+    def test_every_counter_is_named(self):
+        page = (ROOT / "docs/reference/counters.md").read_text()
+        for path in (ROOT / "siskinspoke").rglob("*.py"):
+            for name in re.findall(r'(?:count|gauge)\(\s*f?"([a-z_.]+)', path.read_text()):
+                assert f"`{name}" in page, f"{name} of {path.name}"
+
+
+class TestNoTraces:
+    """The repo speaks of the product alone."""
+
+    def test_no_paths_of_a_machine(self):
+        for folder in ("siskinspoke", "docs", "scripts", "examples"):
+            for path in (ROOT / folder).rglob("*"):
+                if path.is_file() and path.suffix != ".pyc":
+                    assert "/work/" not in path.read_text(errors="replace"), path
