--- a/tests/core/test_docs.py
+++ b/tests/core/test_docs.py
@@ -3,6 +3,7 @@
 import re
 from pathlib import Path
 
+from siskinspoke.conf.defaults import CONTROL, ENTRY, LIMITS
 from siskinspoke.core.codes import FACTS, ResultCode
 
 ROOT = Path(__file__).parents[2]
@@ -40,3 +41,13 @@
             for path in (ROOT / folder).rglob("*"):
                 if path.is_file() and path.suffix != ".pyc":
                     assert "/work/" not in path.read_text(errors="replace"), path
+
+
+class TestSettingsPage:
+    """docs/reference/settings.md names every field."""
+
+    def test_every_limit_is_named(self):
+        page = (ROOT / "docs/reference/settings.md").read_text()
+        for section, record in (("limits", LIMITS), ("entries[]", ENTRY), ("controls[]", CONTROL)):
+            for name in record.fields:
+                assert f"| `{section}.{name}` |" in page
