--- a/siskinspoke/control/daemon.py
+++ b/siskinspoke/control/daemon.py
@@ -11,7 +11,8 @@
 from siskinspoke.control.app import ControlState, control_app
 from siskinspoke.control.order_task import OrderTask
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
-from siskinspoke.coordination.replica import Replica, Times
+from siskinspoke.coordination.replica import Replica
+from siskinspoke.coordination.replica_types import Times
 from siskinspoke.core.codes import FailureError
 from siskinspoke.core.counters import counters_for
 from siskinspoke.state.replica_store import open_store
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -10,7 +10,8 @@
 from loguru import logger
 
 from siskinspoke.coordination.machine import Machine
-from siskinspoke.coordination.replica import Output, Replica, Role
+from siskinspoke.coordination.replica import Replica
+from siskinspoke.coordination.replica_types import Output, Role
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.replication import Entry
 from siskinspoke.state.replica_store import ReplicaStore
--- a/siskinspoke/coordination/replica.py
+++ b/siskinspoke/coordination/replica.py
@@ -17,9 +17,11 @@
 
 import math
 import random
-from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any
 
+from siskinspoke.coordination.followers import Followers, Progress
+from siskinspoke.coordination.founding import FOUNDER, Founding
+from siskinspoke.coordination.replica_types import Output, Restored, Role, Times
 from siskinspoke.coordination.replicated_log import ReplicatedLog
 from siskinspoke.protocol.replication import (
     Admitted,
@@ -37,62 +39,9 @@
     VoteRequest,
 )
 
-FOUNDER = 1
 NOOP, ADMIT = "noop", "admit"
 MAX_BATCH = 256
-INTRODUCE_MS = 200.0
 LEASE_SHARE = 0.9
-HIGHEST_INCARNATION = 2**62
-
-
-class Role(Enum):
-    """What a replica is at the moment."""
-
-    NEW = "new"
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-class Times(NamedTuple):
-    """Timing in milliseconds."""
-
-    heartbeat_ms: float
-    election_ms: float
-
-
-class Restored(NamedTuple):
-    """What a replica finds on its disk; no identity means an empty folder."""
-
-    identity: Identity | None = None
-    hard: HardState = HardState(0, "")
-    snapshot: Snapshot | None = None
-    admitted: tuple[Admitted, ...] = ()
-    entries: tuple[Entry, ...] = ()
-
-
-class Output:
-    """What the owner must do, in this order: sync, then send and apply."""
-
-    def __init__(self) -> None:
-        self.identity: Identity | None = None
-        self.records: list[HardState | Admitted | Entry] = []
-        self.snapshot: Snapshot | None = None
-        self.sends: list[tuple[str, Any]] = []
-        self.committed: list[Entry] = []
-
-
-class Progress:
-    """What a leader knows of one other replica."""
-
-    def __init__(self, next_index: int, now: float):
-        self.next_index = next_index
-        self.match = 0
-        self.incarnation = 0
-        self.heard_at = now
-        self.in_flight_until = 0.0
-        self.unanswered_since: float | None = None
-        self.leased_from = -math.inf
 
 
 class Replica:
@@ -120,12 +69,10 @@
         self._peers = [member for member in members if member != name]
         self._times = times
         self._rng = rng
-        self._progress: dict[str, Progress] = {}
+        self._followers: Followers | None = None
         self._votes: set[str] = set()
         self._trial = False
-        self._fresh_peers: set[str] = set()
-        self._run = rng.randrange(HIGHEST_INCARNATION)
-        self._introduce_at = now
+        self._founding = Founding(name, self._peers, rng, now)
         self._heartbeat_at = now
         self._leader_heard_at = now
         self._admitted_at: dict[str, int] = {}
@@ -174,7 +121,7 @@
         """Return when ``tick`` has something to do at the latest."""
         match self.role:
             case Role.NEW:
-                return self._introduce_at
+                return self._founding.next_question_at
             case Role.LEADER:
                 return self._heartbeat_at
             case _:
@@ -220,27 +167,14 @@
         if not self._peers:
             self._become_known(FOUNDER, now)
             return
-        if now < self._introduce_at:
-            return
-        self._introduce_at = now + INTRODUCE_MS
-        for peer in self._peers:
-            self._out.sends.append((peer, Introduce(self.name, self._run)))
+        self._out.sends.extend(self._founding.questions(now))
 
     def _on_introduce_reply(self, reply: IntroduceReply, now: float) -> None:
-        """Found the system if every replica is as new; join it if one is not.
-
-        The founders' incarnation may be taken only where no vote of this replica can exist:
-        its candidate would have a term.  The reply must be to this run's question, since an
-        older one may date from before the disk was lost.
-        """
-        if self.role is not Role.NEW or reply.run != self._run:
-            return
-        if not reply.fresh:
-            self._become_known(self._rng.randrange(FOUNDER + 1, HIGHEST_INCARNATION), now)
+        if self.role is not Role.NEW:
             return
-        self._fresh_peers.add(reply.sender)
-        if self._fresh_peers == set(self._peers):
-            self._become_known(FOUNDER, now)
+        incarnation = self._founding.hear(reply)
+        if incarnation is not None:
+            self._become_known(incarnation, now)
 
     def _become_known(self, incarnation: int, now: float) -> None:
         self.identity = Identity(self.name, incarnation)
@@ -359,7 +293,7 @@
     def _become_leader(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.name
-        self._progress = {peer: Progress(self.log.last_index + 1, now) for peer in self._peers}
+        self._followers = Followers(self._peers, self.log.last_index + 1, now, self._counts)
         self.propose(NOOP, None, now)
 
     def propose(self, kind: str, body: Any, now: float) -> int | None:
@@ -382,18 +316,10 @@
         """
         if self.role is not Role.LEADER:
             return -math.inf
-        times = [
-            item.leased_from
-            for name, item in self._progress.items()
-            if self._counts(name, item.incarnation)
-        ]
         needed = len(self.members) // 2
         if not needed:
             return math.inf
-        if len(times) < needed:
-            return -math.inf
-        times.sort(reverse=True)
-        return times[needed - 1] + self._times.election_ms * LEASE_SHARE
+        return self._followers.leased_from(needed) + self._times.election_ms * LEASE_SHARE
 
     def hand_over(self, now: float) -> None:
         """Stop leading in favour of the follower that holds most.
@@ -402,13 +328,9 @@
         """
         if self.role is not Role.LEADER:
             return
-        counted = [
-            (item.match, name)
-            for name, item in self._progress.items()
-            if self._counts(name, item.incarnation)
-        ]
-        if counted:
-            self._out.sends.append((max(counted)[1], Handover(self.name, self.term)))
+        successor = self._followers.best()
+        if successor is not None:
+            self._out.sends.append((successor, Handover(self.name, self.term)))
         self._step_down(now)
 
     def _lead(self, now: float) -> None:
@@ -417,22 +339,18 @@
         An isolated leader would otherwise go on believing; so would one that was frozen and
         thaws: its first tick finds that it has heard nobody for too long.
         """
-        heard = sum(
-            now - item.heard_at < self._times.election_ms
-            for name, item in self._progress.items()
-            if self._counts(name, item.incarnation) or not item.incarnation
-        )
+        heard = self._followers.heard_since(now - self._times.election_ms)
         if not self._is_majority(heard + 1):
             self._step_down(now)
             return
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + self._times.heartbeat_ms
-            for item in self._progress.values():
+            for _, item in self._followers:
                 item.in_flight_until = 0.0
             self._replicate(now, heartbeat=True)
 
     def _replicate(self, now: float, heartbeat: bool = False) -> None:
-        for peer, item in self._progress.items():
+        for peer, item in self._followers:
             behind = item.next_index <= self.log.last_index
             if heartbeat or (behind and now >= item.in_flight_until):
                 self._send_entries(peer, item, now)
@@ -460,7 +378,7 @@
             return
         if self.role is not Role.LEADER or reply.term != self.term:
             return
-        item = self._progress.get(reply.sender)
+        item = self._followers.find(reply.sender)
         if item is None:
             return
         if item.incarnation not in (0, reply.incarnation):
@@ -485,17 +403,8 @@
 
     def _advance_commit(self, now: float) -> None:
         """Commit what a majority holds, counting only this term's entries and known disks."""
-        matches = [self.log.last_index] if self.admitted else []
-        matches += [
-            item.match
-            for name, item in self._progress.items()
-            if self._counts(name, item.incarnation)
-        ]
-        matches.sort(reverse=True)
-        needed = len(self.members) // 2
-        if len(matches) <= needed:
-            return
-        reached = matches[needed]
+        own = self.log.last_index if self.admitted else None
+        reached = self._followers.held_by(len(self.members) // 2, own)
         if reached > self.commit and self.log.term_at(reached) == self.term:
             self._commit_to(reached)
             # Followers learn of the commit at once, so that each may answer for it.
--- /dev/null
+++ b/siskinspoke/entry/answers.py
@@ -0,0 +1,99 @@
+"""Turn what a job puts into its outbox into an HTTP answer, whole or as server-sent events."""
+
+from typing import Any
+
+import msgspec
+from quart import Response
+
+from siskinspoke.entry.completions import CompletionJob
+from siskinspoke.entry.resuming import ResumeJob
+from siskinspoke.entry.stream_tokens import issue_token
+from siskinspoke.protocol.assembly import Piece
+from siskinspoke.transport.http import failure_response, json_response
+
+EVENT_STREAM = "text/event-stream"
+DONE_EVENT = b"data: [DONE]\n\n"
+
+Job = CompletionJob | ResumeJob
+
+
+async def answer_job(job: Job, stream: bool, key: bytes) -> Response:
+    """Return a whole answer, or a stream once its first piece is there.
+
+    Until then a failure still gets a status of its own.  ``key`` seals the token by which the
+    caller resumes the stream elsewhere.
+    """
+    if not stream:
+        return await _whole_answer(job)
+    try:
+        first = await anext(aiter(job.outbox), None)
+    except BaseException:
+        job.hang_up()
+        raise
+    if first is None and job.failure is not None:
+        return failure_response(job.failure)
+    headers = {"Cache-Control": "no-store", "X-Request-Id": job.request_id}
+    events = _events(job, first, issue_token(job.token, key))
+    return Response(events, 200, headers, content_type=EVENT_STREAM)
+
+
+async def _whole_answer(job: Job) -> Response:
+    texts: list[str] = []
+    try:
+        async for pieces in job.outbox:
+            texts.extend(piece.text for piece in pieces)
+    except BaseException:
+        job.hang_up()
+        raise
+    if job.failure is not None:
+        return failure_response(job.failure)
+    return json_response(
+        {
+            "id": job.request_id,
+            "object": "text_completion",
+            "choices": [_choice("".join(texts), "length")],
+            "usage": {"prompt_tokens": job.prompt_tokens, "completion_tokens": job.tokens},
+        }
+    )
+
+
+async def _events(job: Job, first: list[Piece] | None, token: str):
+    """Yield the events of a stream; only a whole answer ends with [DONE]."""
+    finished = False
+    try:
+        yield _event({"id": job.request_id, "resume_token": token})
+        if first is not None:
+            yield _pieces_event(job, first)
+        async for pieces in job.outbox:
+            yield _pieces_event(job, pieces)
+        finished = True
+        if job.failure is not None:
+            yield _event(job.failure.to_document())
+            return
+        last = {"id": job.request_id, "offset": job.tokens, "choices": [_choice("", "length")]}
+        yield _event(last)
+        yield DONE_EVENT
+    finally:
+        # A caller that hangs up closes this generator at once: here its engine is freed.
+        if not finished:
+            job.hang_up()
+
+
+def _event(document: Any) -> bytes:
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+
+def _choice(text: str, finish_reason: str | None) -> dict:
+    return {"index": 0, "text": text, "finish_reason": finish_reason}
+
+
+def _pieces_event(job: Job, pieces: list[Piece]) -> bytes:
+    """Return one event for pieces that arrived together."""
+    return _event(
+        {
+            "id": job.request_id,
+            "offset": pieces[0].offset,
+            "tokens": sum(piece.tokens for piece in pieces),
+            "choices": [_choice("".join(piece.text for piece in pieces), None)],
+        }
+    )
--- a/siskinspoke/entry/public_app.py
+++ b/siskinspoke/entry/public_app.py
@@ -1,14 +1,13 @@
 """The HTTP interface of callers."""
 
 import hashlib
-from typing import Any
 
-import msgspec
 import trio
 from quart import Response, request
 
 from siskinspoke.conf.settings import Limits
 from siskinspoke.core.codes import Failure, ResultCode, Run
+from siskinspoke.entry.answers import answer_job
 from siskinspoke.entry.calls import CallJob
 from siskinspoke.entry.claiming import claim_name, honest
 from siskinspoke.entry.completions import CompletionJob
@@ -23,19 +22,13 @@
 )
 from siskinspoke.entry.requests import read_completion as read_completion_body
 from siskinspoke.entry.resuming import ResumeJob
-from siskinspoke.entry.stream_tokens import issue_token, read_token
+from siskinspoke.entry.stream_tokens import read_token
 from siskinspoke.transport.http import failure_response, json_response, make_app
 
-EVENT_STREAM = "text/event-stream"
-DONE_EVENT = b"data: [DONE]\n\n"
 DRAIN_RETRY_MS = 500
 FULL_RETRY_MS = 1_000
 
 
-def _event(document: Any) -> bytes:
-    return b"data: " + msgspec.json.encode(document) + b"\n\n"
-
-
 def _keyed_request_id(name: str) -> str:
     """Return the id that every resend of a keyed request shares."""
     return "k" + hashlib.blake2b(name.encode(), digest_size=12).hexdigest()
@@ -119,74 +112,7 @@
             return await refuse_request(admitted.error, caller, completion.key)
         context.counters.count("admitted")
         context.nursery.start_soon(job.run, admitted.ok)
-        return await answer_job(job, completion.stream)
-
-    async def answer_job(job: CompletionJob | ResumeJob, stream: bool) -> Response:
-        """Return a whole answer, or a stream once its first piece is there.
-
-        Until then a failure still gets a status of its own.
-        """
-        if not stream:
-            return await whole_answer(job)
-        try:
-            first = await anext(aiter(job.outbox))
-        except StopAsyncIteration:
-            first = None
-        except BaseException:
-            job.hang_up()
-            raise
-        if first is None and job.failure is not None:
-            return failure_response(job.failure)
-        return stream_answer(job, first)
-
-    async def whole_answer(job: CompletionJob | ResumeJob) -> Response:
-        texts: list[str] = []
-        try:
-            async for pieces in job.outbox:
-                texts.extend(piece.text for piece in pieces)
-        except BaseException:
-            job.hang_up()
-            raise
-        if job.failure is not None:
-            return failure_response(job.failure)
-        return json_response(
-            {
-                "id": job.request_id,
-                "object": "text_completion",
-                "choices": [{"index": 0, "text": "".join(texts), "finish_reason": "length"}],
-                "usage": {"prompt_tokens": job.prompt_tokens, "completion_tokens": job.tokens},
-            }
-        )
-
-    def stream_answer(job: CompletionJob | ResumeJob, first) -> Response:
-        async def events():
-            finished = False
-            try:
-                token = issue_token(job.token, context.settings.internal_key)
-                yield _event({"id": job.request_id, "resume_token": token})
-                if first is not None:
-                    yield _pieces_event(job, first)
-                async for pieces in job.outbox:
-                    yield _pieces_event(job, pieces)
-                finished = True
-                if job.failure is not None:
-                    yield _event(job.failure.to_document())
-                    return
-                yield _event(
-                    {
-                        "id": job.request_id,
-                        "offset": job.tokens,
-                        "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
-                    }
-                )
-                yield DONE_EVENT
-            finally:
-                # A caller that hangs up closes this generator at once: here its engine is freed.
-                if not finished:
-                    job.hang_up()
-
-        headers = {"Cache-Control": "no-store", "X-Request-Id": job.request_id}
-        return Response(events(), 200, headers, content_type=EVENT_STREAM)
+        return await answer_job(job, completion.stream, context.settings.internal_key)
 
     @app.post("/v1/streams/resume")
     async def resume() -> Response:
@@ -203,9 +129,12 @@
         token = read_token(text, caller.customer, context.settings.internal_key)
         if token.is_error():
             return refuse(token.error)
+        failure = closed()
+        if failure is not None:
+            return refuse(failure._replace(run=Run.UNKNOWN))
         job = ResumeJob(context, token.ok, offset)
         context.nursery.start_soon(job.run)
-        return await answer_job(job, True)
+        return await answer_job(job, True, context.settings.internal_key)
 
     @app.post("/v1/services/<service>")
     async def services(service: str) -> Response:
@@ -251,21 +180,3 @@
         return json_response({"ok": True})
 
     return app
-
-
-def _pieces_event(job: CompletionJob | ResumeJob, pieces) -> bytes:
-    """Return one event for pieces that arrived together."""
-    return _event(
-        {
-            "id": job.request_id,
-            "offset": pieces[0].offset,
-            "tokens": sum(piece.tokens for piece in pieces),
-            "choices": [
-                {
-                    "index": 0,
-                    "text": "".join(piece.text for piece in pieces),
-                    "finish_reason": None,
-                }
-            ],
-        }
-    )
--- a/siskinspoke/state/replica_store.py
+++ b/siskinspoke/state/replica_store.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from siskinspoke.coordination.replica import Restored
+from siskinspoke.coordination.replica_types import Restored
 from siskinspoke.core.codes import Failure, FailureError, ResultCode
 from siskinspoke.protocol import decode_message, encode_message
 from siskinspoke.protocol.replication import Admitted, Entry, HardState, Identity, Snapshot
--- a/siskinspoke/testing/replica_group.py
+++ b/siskinspoke/testing/replica_group.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from siskinspoke.coordination.replica import NOOP, Output, Replica, Restored, Role, Times
+from siskinspoke.coordination.replica import NOOP, Replica
+from siskinspoke.coordination.replica_types import Output, Restored, Role, Times
 from siskinspoke.protocol.replication import Admitted, Entry, HardState, Identity, Snapshot
 
 TIMES = Times(heartbeat_ms=50, election_ms=250)
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from siskinspoke.coordination.replica import Replica, Restored, Role
+from siskinspoke.coordination.replica import Replica
+from siskinspoke.coordination.replica_types import Restored, Role
 from siskinspoke.protocol.replication import (
     Admitted,
     Entry,
