Tell a server's starts apart by when it started; believe no word that names no server

Cause: the adapter gave each id incarnation 1, and the gateway passed a literal 1 on. A server that starts again under its id counts from 1, so its words were stale until they passed the old ones, and after a deregistration (number 2^60) it never came back; standing, books, kept connections and reservations of the former process were believed. Any heartbeat with readable fields named a server. Change: the start is the incarnation everywhere; a new one clears what was known, ends what waits for the former process; announcements are held against what is known before they are believed.

--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -189,7 +189,9 @@
         if read.is_error():
             self._log.note("servers.not_recalled", reason=read.error.message)
             return
-        self.registry.hear_remembered(read.ok)
+        if read.ok.unread:
+            self._log.note("servers.unread", entries=read.ok.unread)
+        self.registry.hear_remembered(read.ok.announcements)
 
     async def _keep_servers(self) -> None:
         """Write down which servers are known, whenever some have come or left."""
--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -5,12 +5,16 @@
 who knows that there is no newer one.
 """
 
+import math
+from collections.abc import Set
 from typing import NamedTuple
 
 from siskinspoke.control.feed_hub import FeedHub, Held
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.directory import Directory, Heard
 from siskinspoke.coordination.machine import PUBLISH, PublishRequest
+from siskinspoke.coordination.vetting import fault_of
+from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
@@ -19,6 +23,8 @@
 LEAVE_SECONDS = 0.4
 PUBLISH_SECONDS = 0.9
 READ_SECONDS = 0.7
+# Another program may announce without end; one line in this time, in milliseconds, is enough.
+REFUSED_EVERY_MS = 1_000.0
 
 
 class Published(NamedTuple):
@@ -37,6 +43,7 @@
         self._log = log
         self._hub: FeedHub | None = None
         self._task: ReplicaTask | None = None
+        self._refused_at = -math.inf
 
     def attach(self, hub: FeedHub) -> None:
         """Connect the hub that tells the followers."""
@@ -56,9 +63,24 @@
 
     def known(self, server: str) -> Announcement | None:
         """Return the last announcement of a server."""
-        record = self._directory.find(server, 1)
+        record = self._directory.latest(server)
         return record.announcement if record is not None else None
 
+    def fault_of(self, announcement: Announcement, services: Set[str] | None) -> Failure | None:
+        """Return why an announcement is not believed; ``services`` are those in force, if any."""
+        known = self.known(announcement.server)
+        fault = fault_of(announcement, known, services)
+        return None if fault is None else Failure(ResultCode.INVALID_FIELD, fault.value)
+
+    def refuse(self, server: str, fault: Failure) -> None:
+        """Count a word that names no server, and write down some of them."""
+        self._counters.count("announcement.refused")
+        now = now_ms()
+        if now - self._refused_at < REFUSED_EVERY_MS:
+            return
+        self._refused_at = now
+        self._log.note("server.refused", server=server[:100], reason=fault.message[:300])
+
     async def announce(self, announcement: Announcement) -> bool:
         """Take in one announcement; return whether it may be confirmed to its sender."""
         heard = self._directory.hear(announcement, now_ms())
@@ -114,6 +136,7 @@
             server=announcement.server,
             service=announcement.service,
             address=f"{announcement.host}:{announcement.port}",
+            start=announcement.incarnation,
             seq=announcement.seq,
             leaving=announcement.leaving,
             **more,
--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -17,6 +17,8 @@
 # hears announcements 0.7 s after its start, and who is well speaks every 1.2 s; who has left
 # must get no new work after some seconds.
 RECALLED_MS = 2_200
+# The incarnation of a server that does not say when it started.
+UNDATED = 0
 
 
 class Heard(Enum):
@@ -43,6 +45,11 @@
     since: float = 0.0
     recalled: bool = False
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """Return what tells one start of a server from its others."""
+        return self.announcement.server, self.announcement.incarnation
+
     @property
     def order(self) -> tuple[int, int]:
         """Return what decides which of two announcements is the later one."""
@@ -56,6 +63,7 @@
         self._lease_ms = lease_ms
         self._records: dict[str, ServerRecord] = {}
         self._names: dict[int, str] = {}
+        self._dated_services: set[str] = set()
         self.changes = 0
 
     def hear(self, announcement: Announcement, now: float) -> Heard:
@@ -70,8 +78,7 @@
             record.suspected_until = known.suspected_until
             record.proven_at = known.proven_at
             record.since = known.since
-        self._records[announcement.server] = record
-        self._names[server_key(announcement.server)] = announcement.server
+        self._keep(record)
         if announcement.leaving:
             self.changes += was_live
             return Heard.LEFT if was_live else Heard.RENEWED
@@ -83,17 +90,23 @@
     def remember(self, announcement: Announcement, now: float) -> bool:
         """Take in a server that was known before a restart; return whether that is news.
 
-        Its word is old, so it counts for a short time only, unless the server speaks again.
+        Its word is old, so it counts for a short time only, unless the server speaks again.  It
+        replaces what is known of an earlier incarnation alone.
         """
-        if announcement.server in self._records:
+        known = self._records.get(announcement.server)
+        if known is not None and known.announcement.incarnation >= announcement.incarnation:
             return False
         heard_at = now - self._lease_ms + RECALLED_MS
-        self._records[announcement.server] = ServerRecord(
-            announcement, heard_at, since=heard_at, recalled=True
-        )
-        self._names[server_key(announcement.server)] = announcement.server
+        self._keep(ServerRecord(announcement, heard_at, since=heard_at, recalled=True))
         return True
 
+    def _keep(self, record: ServerRecord) -> None:
+        said = record.announcement
+        self._records[said.server] = record
+        self._names[server_key(said.server)] = said.server
+        if said.incarnation != UNDATED:
+            self._dated_services.add(said.service)
+
     def hear_load(self, load: Load, now: float) -> Heard:
         """Take in the changing part alone; UNKNOWN where the rest is not known."""
         known = self._records.get(self.name_of(load.key))
@@ -153,7 +166,16 @@
 
     def _is_live(self, record: ServerRecord, now: float) -> bool:
         last = max(record.heard_at, record.proven_at)
-        return now - last < self._lease_ms and not record.announcement.leaving
+        return now - last < self._lease_ms and self._may_serve(record.announcement)
+
+    def _may_serve(self, said: Announcement) -> bool:
+        """Tell whether a server has not left, and speaks as the others of its service do.
+
+        Where the servers of a service say when they started, one that does not is no server of
+        ours: another program writes to the same place, and a request sent there is lost time.
+        """
+        foreign = said.incarnation == UNDATED and said.service in self._dated_services
+        return not said.leaving and not foreign
 
     def live(self, now: float) -> list[ServerRecord]:
         """Return the servers that may get new work."""
@@ -175,13 +197,17 @@
         return [
             item
             for item in self._records.values()
-            if item.announcement.service == service and not item.announcement.leaving
+            if item.announcement.service == service and self._may_serve(item.announcement)
         ]
 
     def serving(self, service: str, now: float) -> list[ServerRecord]:
         """Return the servers of one service that may get new work."""
         return [item for item in self.live(now) if item.announcement.service == service]
 
+    def latest(self, server: str) -> ServerRecord | None:
+        """Return the record of a server's latest incarnation, live or not."""
+        return self._records.get(server)
+
     def find(self, server: str, incarnation: int) -> ServerRecord | None:
         """Return the record of one incarnation of a server, live or not."""
         record = self._records.get(server)
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -189,6 +189,10 @@
         for server in work.servers:
             self.engine(server).works.pop(name, None)
 
+    def started(self, server: str) -> None:
+        """Empty the book of an engine that has started anew: it holds nothing of before."""
+        self._engines[server] = Engine()
+
     def end_all(self, prefix: str) -> int:
         """Strike all requests whose names begin so; return how many there were."""
         names = [name for name in self._works if name.startswith(prefix)]
--- a/siskinspoke/coordination/standing.py
+++ b/siskinspoke/coordination/standing.py
@@ -94,6 +94,12 @@
             doubled = FIRST_ASIDE_MS * 2 ** min(record.in_a_row - 1, 4)
             record.aside_until = now + min(MOST_ASIDE_MS, doubled)
 
+    def started(self, server: str) -> None:
+        """Forget how a server stood up before it started anew, but not what is still open."""
+        known = self._records.get(server)
+        if known is not None:
+            self._records[server] = _Record(open_requests=known.open_requests)
+
     def is_aside(self, server: str, now: float) -> bool:
         """Tell whether a server is set aside."""
         record = self._records.get(server)
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -17,6 +17,7 @@
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.core.latencies import Latencies
+from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.wire import Call, Wire
@@ -44,6 +45,7 @@
     domains: Domains
     budget: CommonBudget
     pool: Pool
+    attempts: OpenAttempts
     peers: Peers
     counters: Counters
     latencies: Latencies
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -19,8 +19,10 @@
 from siskinspoke.core.latencies import Latencies
 from siskinspoke.core.supervise import keep_running
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
+from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.clients import ClientServer
 from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.lives import hear
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.reports import ask_forever, try_cut_domains_forever
@@ -76,6 +78,7 @@
             domains=domains,
             budget=budget,
             pool=Pool(),
+            attempts=OpenAttempts(),
             peers=Peers(
                 settings.host,
                 settings.failure_domain,
@@ -111,13 +114,14 @@
 
     def _on_news(self, announcements: list[Announcement]) -> None:
         for announcement in announcements:
-            heard = self.gateway.directory.hear(announcement, now_ms())
+            heard = hear(self.gateway, announcement)
             if heard in (Heard.JOINED, Heard.LEFT):
                 self._log.note(
                     f"server.{heard.value}",
                     server=announcement.server,
                     service=announcement.service,
                     address=f"{announcement.host}:{announcement.port}",
+                    start=announcement.incarnation,
                     seq=announcement.seq,
                 )
 
--- a/siskinspoke/gateway/exchange.py
+++ b/siskinspoke/gateway/exchange.py
@@ -30,7 +30,7 @@
     no answer.
     """
     said = server.announcement
-    connection = gateway.pool.take(said.server, now_ms(), fresh_ms)
+    connection = gateway.pool.take(server, now_ms(), fresh_ms)
     try:
         with trio.move_on_after(seconds):
             if connection is None:
@@ -41,7 +41,7 @@
             while (data := await connection.read_data()) is not None:
                 parts.append(data)
             if connection.finish(now_ms()):
-                gateway.pool.put(said.server, connection)
+                gateway.pool.put(server, connection)
             return Reply(answer.status, b"".join(parts))
     except (OSError, PeerError):
         return None
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -2,11 +2,10 @@
 
 from typing import NamedTuple
 
-import trio
-
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.gateway.attempts import STARTED_AGAIN
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded
 from siskinspoke.gateway.upstream import Begun, Broke, NotRun, keep_or_cut, send
@@ -105,30 +104,32 @@
     )
     fresh_ms = FRESH_MS if repeatable else FRESH_ONCE_MS
     gateway.standing.began(name)
+    outcome: Whole | NotRun | Broke = Broke(Trouble.SILENT, "the answer did not end in time")
     try:
-        with trio.move_on_after(seconds) as limit:
-            outcome = await send(gateway, dispatch, server, seconds, fresh_ms)
-            if isinstance(outcome, Begun):
-                outcome = await _read_whole(gateway, name, outcome)
-        if limit.cancelled_caught:
-            outcome = Broke(Trouble.SILENT, "the answer did not end in time")
+        with gateway.attempts.attempt(server) as attempt, attempt.within(seconds):
+            sent = await send(gateway, dispatch, server, seconds, fresh_ms)
+            if isinstance(sent, Begun):
+                sent = await _read_whole(gateway, server, sent)
+            outcome = sent
+        if attempt.restarted and isinstance(outcome, Broke):
+            outcome = Broke(Trouble.BROKEN, STARTED_AGAIN)
     finally:
         gateway.standing.ended(name)
     now = now_ms()
     match outcome:
         case Whole(answer=answer):
             request.note(name, str(answer.status), now)
-            gateway.directory.prove(name, 1, now)
+            gateway.directory.prove(*server.start, now)
             if answer.status >= 500:
                 gateway.standing.failed(name, Trouble.ERROR, now)
             else:
                 gateway.standing.succeeded(name, now - began, now)
         case _:
-            learn(gateway, request, name, outcome)
+            learn(gateway, request, server, outcome)
     return outcome
 
 
-async def _read_whole(gateway: Gateway, server: str, begun: Begun) -> Whole | Broke:
+async def _read_whole(gateway: Gateway, server: ServerRecord, begun: Begun) -> Whole | Broke:
     parts = []
     complete = False
     try:
--- a/siskinspoke/gateway/pool.py
+++ b/siskinspoke/gateway/pool.py
@@ -1,5 +1,6 @@
 """Kept connections to backend servers."""
 
+from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.transport.http1 import ServerConnection
 
 # A server that does not say how long it keeps an idle connection is trusted this long.
@@ -11,14 +12,18 @@
 
 
 class Pool:
-    """Keep idle connections by server, the last used first; times are in milliseconds."""
+    """Keep idle connections by server, the last used first; times are in milliseconds.
+
+    They are kept by start: a connection to a process that is gone must not carry a request for
+    the one that has taken its name.
+    """
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[ServerConnection]] = {}
+        self._idle: dict[tuple[str, int], list[ServerConnection]] = {}
 
-    def take(self, server: str, now: float, fresh_ms: float) -> ServerConnection | None:
+    def take(self, server: ServerRecord, now: float, fresh_ms: float) -> ServerConnection | None:
         """Return a connection used within ``fresh_ms`` on which nothing has arrived since."""
-        kept = self._idle.get(server, [])
+        kept = self._idle.get(server.start, [])
         while kept:
             connection = kept.pop()
             if self._is_usable(connection, now, fresh_ms):
@@ -31,16 +36,16 @@
         most = min(fresh_ms, idle_seconds * 1000 * IDLE_SHARE)
         return now - connection.used_at < most and connection.is_quiet()
 
-    def put(self, server: str, connection: ServerConnection) -> None:
+    def put(self, server: ServerRecord, connection: ServerConnection) -> None:
         """Keep a connection whose answer is complete."""
-        kept = self._idle.setdefault(server, [])
+        kept = self._idle.setdefault(server.start, [])
         if len(kept) >= MOST_IDLE:
             kept.pop(0).cut()
         kept.append(connection)
 
     def prune(self, now: float) -> None:
         """Close connections that have been idle for too long."""
-        for server, kept in list(self._idle.items()):
+        for start, kept in list(self._idle.items()):
             still = []
             for connection in kept:
                 if self._is_usable(connection, now, float("inf")):
@@ -48,9 +53,9 @@
                 else:
                     connection.cut()
             if still:
-                self._idle[server] = still
+                self._idle[start] = still
             else:
-                del self._idle[server]
+                del self._idle[start]
 
     def close(self) -> None:
         """Close all."""
--- a/siskinspoke/gateway/reports.py
+++ b/siskinspoke/gateway/reports.py
@@ -15,6 +15,7 @@
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.exchange import ask
+from siskinspoke.gateway.lives import hear
 from siskinspoke.transport.http1 import connect
 
 EVERY_SECONDS = 1.0
@@ -77,11 +78,16 @@
     said = record.announcement
     question = gateway.wire.report_request(said.server)
     reply = await ask(gateway, record, question, b"", ANSWER_SECONDS, FRESH_MS)
-    pace = None if reply is None else gateway.wire.decode_pace(reply.status, reply.body)
-    gateway.counters.count("report.failed" if pace is None else "report.read")
-    if pace is not None:
-        gateway.directory.prove(said.server, 1, now_ms())
-        gateway.peers.paced(said.server, pace)
+    report = None if reply is None else gateway.wire.decode_report(reply.status, reply.body)
+    gateway.counters.count("report.failed" if report is None else "report.read")
+    if report is not None:
+        incarnation = said.incarnation
+        if report.started is not None and report.started > incarnation:
+            # The engine's next announcement, which may be a second away, has a higher number.
+            incarnation = report.started
+            hear(gateway, said._replace(incarnation=incarnation, seq=0))
+        gateway.directory.prove(said.server, incarnation, now_ms())
+        gateway.peers.paced(said.server, report.pace)
     elif not gateway.domains.is_cut(said.failure_domain, now_ms()):
         gateway.standing.failed(said.server, Trouble.SILENT, now_ms())
 
@@ -108,6 +114,6 @@
     except (OSError, trio.TooSlowError):
         gateway.domains.unreached(said.failure_domain, said.server, now_ms())
         return
-    gateway.pool.put(said.server, connection)
+    gateway.pool.put(record, connection)
     if gateway.domains.reached(said.failure_domain):
         gateway.log.note("domain.back", domain=said.failure_domain, server=said.server)
--- a/siskinspoke/gateway/reservations.py
+++ b/siskinspoke/gateway/reservations.py
@@ -66,6 +66,14 @@
     return None if reply is None else reply.status
 
 
+def _is_gone(gateway: Gateway, held: Held) -> bool:
+    """Tell whether the engine has started anew since, and holds nothing of before.
+
+    A renewal that reached the new process would take memory there that nobody uses.
+    """
+    return gateway.directory.superseded(*held.server.start)
+
+
 @asynccontextmanager
 async def reserved(gateway: Gateway, name: str, members: Sequence[Member]):
     """Hold a group's memory while the context is open; yield Refused where it cannot be had."""
@@ -108,6 +116,8 @@
     """Renew the leases of a group; note who gave no answer."""
 
     async def renew(held: Held) -> None:
+        if _is_gone(gateway, held):
+            return
         if await _order(gateway, held, release=False) is None:
             doubtful.add(held.server.announcement.server)
 
@@ -122,7 +132,7 @@
 async def _release(gateway: Gateway, held: Held, unsure: bool) -> None:
     """Give memory back, again and again where an earlier order may still be carried out."""
     last = trio.current_time() + LATE_SECONDS
-    while True:
+    while not _is_gone(gateway, held):
         status = await _order(gateway, held, release=True)
         unsure = unsure or status is None
         if not unsure or trio.current_time() > last:
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -64,13 +64,19 @@
     )
 
 
-def learn(gateway: Gateway, request: Request, server: str, outcome: NotRun | Broke) -> None:
+def learn(
+    gateway: Gateway, request: Request, record: ServerRecord, outcome: NotRun | Broke
+) -> None:
     """Take in what a failed attempt shows of a server."""
     now = now_ms()
+    server, incarnation = record.start
     request.note(server, outcome.reason, now)
     gateway.counters.count(f"attempt.{outcome.trouble.value}")
+    if gateway.directory.superseded(server, incarnation):
+        # The process that failed is gone, and the new one has not.
+        return
     if isinstance(outcome, NotRun) and outcome.trouble is Trouble.UNREACHABLE and outcome.arrived:
-        gateway.directory.retire(server, 1)
+        gateway.directory.retire(server, incarnation)
         gateway.log.note("server.misdirected", server=server, request=request.call.id)
         return
     faulty, trouble = server, outcome.trouble
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -1,15 +1,15 @@
 """Serve a stream: place it on engines, pass whole events on, and resume it after a break."""
 
-from contextlib import asynccontextmanager
+import math
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
-import trio
-
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.placement import Candidate, Job, Place, Work
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.gateway.attempts import STARTED_AGAIN, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
 from siskinspoke.gateway.reservations import Member, Refused, reserved
@@ -94,9 +94,32 @@
         return self.server.announcement.server
 
     @property
-    def names(self) -> tuple[str, ...]:
+    def servers(self) -> tuple[ServerRecord, ...]:
         """Return all servers, the writing one first."""
-        return (self.name, *(item.announcement.server for item in self.helpers))
+        return (self.server, *self.helpers)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all servers, the writing one first."""
+        return tuple(item.announcement.server for item in self.servers)
+
+    @property
+    def keepers(self) -> tuple[ServerRecord, ...]:
+        """Return the servers that keep some of the prompt until the end."""
+        held = self.held or (0,) * len(self.helpers)
+        kept = [item for item, tokens in zip(self.helpers, held, strict=True) if tokens]
+        return (self.server, *kept)
+
+
+@dataclass(frozen=True)
+class Flow:
+    """What one attempt brings: the answer that has begun, and where it comes from."""
+
+    placed: Placed
+    begun: Begun
+    attempt: Attempt
+    work: int | None
+    began_at: float
 
 
 async def serve_stream(
@@ -230,7 +253,9 @@
     gateway.standing.began(placed.name)
     outcome: Ended | Stopped | Whole | NotRun | Broke = Broke(Trouble.SILENT, "given up")
     try:
-        async with _memory_for(gateway, placed, work) as reservation:
+        async with AsyncExitStack() as stack:
+            attempt = stack.enter_context(gateway.attempts.attempt(*placed.servers))
+            reservation = await stack.enter_async_context(_memory_for(gateway, placed, work))
             if isinstance(reservation, Refused):
                 trouble = Trouble.BUSY if reservation.full else Trouble.UNREACHABLE
                 reason = f"memory could not be reserved at {reservation.server}"
@@ -238,9 +263,13 @@
                 return outcome
             dispatch = _dispatch(request, placed, relay, reservation)
             seconds = _first_seconds(request, placed, began)
-            outcome = await send(gateway, dispatch, placed.server, seconds, FRESH_MS)
+            sent = None
+            with attempt.within(math.inf):
+                sent = await send(gateway, dispatch, placed.server, seconds, FRESH_MS)
+            outcome = sent or Broke(Trouble.BROKEN, STARTED_AGAIN)
             if isinstance(outcome, Begun):
-                outcome = await _pass_on(gateway, request, placed, relay, outcome, work, began)
+                flow = Flow(placed, outcome, attempt, work, began)
+                outcome = await _pass_on(gateway, request, relay, flow)
             return outcome
     finally:
         gateway.standing.ended(placed.name)
@@ -292,18 +321,18 @@
     match outcome:
         case Ended():
             request.note(placed.name, "complete", now)
-            gateway.directory.prove(placed.name, 1, now)
+            gateway.directory.prove(*placed.server.start, now)
             gateway.standing.succeeded(placed.name, None, now)
         case Whole(answer=answer):
             request.note(placed.name, str(answer.status), now)
-            gateway.directory.prove(placed.name, 1, now)
+            gateway.directory.prove(*placed.server.start, now)
             if answer.status >= 500:
                 gateway.standing.failed(placed.name, Trouble.ERROR, now)
         case Stopped(trouble=trouble, reason=reason):
-            learn(gateway, request, placed.name, Broke(trouble, reason))
+            learn(gateway, request, placed.server, Broke(trouble, reason))
         case NotRun() | Broke():
             if outcome.reason != "given up":
-                learn(gateway, request, placed.name, outcome)
+                learn(gateway, request, placed.server, outcome)
 
 
 def _first_seconds(request: Request, placed: Placed, now: float) -> float:
@@ -321,16 +350,11 @@
 
 
 async def _pass_on(
-    gateway: Gateway,
-    request: Request,
-    placed: Placed,
-    relay: Relay,
-    begun: Begun,
-    work: int | None,
-    began: float,
+    gateway: Gateway, request: Request, relay: Relay, flow: Flow
 ) -> Ended | Stopped | Whole:
     """Pass the events of one server on, or return its answer if it is not a stream."""
     complete = False
+    begun = flow.begun
     try:
         if begun.answer.status >= 300:
             parts = []
@@ -345,37 +369,35 @@
             if relay.closes:
                 headers.append((b"Connection", b"close"))
             await relay.client.send_head(begun.answer.status, headers)
-        outcome = await _pass_events(gateway, request, placed, relay, begun, work, began)
+        outcome = await _pass_events(gateway, request, relay, flow)
         complete = isinstance(outcome, Ended)
         return outcome
     except PeerError as error:
         return Stopped(Trouble.BROKEN, str(error))
     finally:
         if complete:
-            keep_or_cut(gateway, placed.name, begun)
+            keep_or_cut(gateway, flow.placed.server, begun)
         else:
             begun.connection.cut()
 
 
 async def _pass_events(
-    gateway: Gateway,
-    request: Request,
-    placed: Placed,
-    relay: Relay,
-    begun: Begun,
-    work: int | None,
-    began: float,
+    gateway: Gateway, request: Request, relay: Relay, flow: Flow
 ) -> Ended | Stopped:
     splitter = EventSplitter()
+    placed = flow.placed
     first = True
     while True:
         now = now_ms()
         if first:
-            seconds = max(0.05, _first_seconds(request, placed, now) - (now - began) / 1000)
+            gone = (now - flow.began_at) / 1000
+            seconds = max(0.05, _first_seconds(request, placed, now) - gone)
         else:
             seconds = max(SILENT_MS, PAUSES * request.route.pause_ms) / 1000
-        with trio.move_on_after(seconds) as limit:
-            data = await begun.connection.read_data()
+        with flow.attempt.within(seconds) as limit:
+            data = await flow.begun.connection.read_data()
+        if limit.cancelled_caught and flow.attempt.restarted:
+            return Stopped(Trouble.BROKEN, STARTED_AGAIN)
         if limit.cancelled_caught:
             return Stopped(Trouble.SILENT, "the stream fell silent")
         if data is None:
@@ -391,8 +413,9 @@
         relay.last_at = now
         if first:
             first = False
-            if work is not None:
-                gateway.peers.wrote(work)
+            flow.attempt.rely_on(placed.keepers)
+            if flow.work is not None:
+                gateway.peers.wrote(flow.work)
             _note_first(gateway, request, placed, now)
         fresh = [event for event in events if _is_new(relay, event)]
         if fresh:
@@ -416,4 +439,4 @@
     if request.first_ms is None:
         request.first_ms = now - request.arrived_ms
         gateway.latencies.record("first_token", request.first_ms)
-    gateway.directory.prove(placed.name, 1, now)
+    gateway.directory.prove(*placed.server.start, now)
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -79,8 +79,7 @@
     as the request was written, nothing shows whether the server has read the request, so one
     that may not be repeated needs a connection that is hardly idle.
     """
-    name = server.announcement.server
-    connection = gateway.pool.take(name, now_ms(), fresh_ms)
+    connection = gateway.pool.take(server, now_ms(), fresh_ms)
     if connection is None:
         connection = await _open(gateway, server)
     if connection is None:
@@ -140,7 +139,7 @@
     return Begun(answer, connection)
 
 
-def keep_or_cut(gateway: Gateway, server: str, begun: Begun) -> None:
+def keep_or_cut(gateway: Gateway, server: ServerRecord, begun: Begun) -> None:
     """Keep a connection whose answer is complete, unless it must not be used again."""
     connection = begun.connection
     if connection.finish(now_ms()) and not begun.answer.closes:
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -79,6 +79,17 @@
     framed: bool
 
 
+class EngineReport(NamedTuple):
+    """What an engine says of itself.
+
+    ``pace`` is over 1 where it is slower than its costs say; ``started`` is the Unix millisecond
+    of its start by its own clock, None where it does not say.
+    """
+
+    pace: float
+    started: int | None
+
+
 class Wire(Protocol):
     """An adapter's formats."""
 
@@ -105,8 +116,8 @@
     def report_request(self, server: str) -> RequestHead:
         """Return the question to an engine how it is."""
 
-    def decode_pace(self, status: int, body: bytes) -> float | None:
-        """Return how much slower than its costs say an engine is, or None if it does not say."""
+    def decode_report(self, status: int, body: bytes) -> EngineReport | None:
+        """Return what an engine says of itself, or None if it cannot be read."""
 
     def release_order(self, server: str, name: str) -> tuple[RequestHead, bytes]:
         """Return the order that gives a reservation back."""
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -5,7 +5,7 @@
 
 from siskinspoke.coordination.routes import RouteTable
 from siskinspoke.core.codes import FACTS, Failure, ResultCode
-from siskinspoke.gateway.wire import Answer, Call, Dispatch, Helper, Prompt
+from siskinspoke.gateway.wire import Answer, Call, Dispatch, EngineReport, Helper, Prompt
 from siskinspoke.platform import configuration, names, orders
 from siskinspoke.transport.http1 import AnswerHead, Headers, RequestHead
 
@@ -138,9 +138,9 @@
         """Return the question to an engine how it is."""
         return orders.report_request(server)
 
-    def decode_pace(self, status: int, body: bytes) -> float | None:
-        """Return how much slower than its costs say an engine is, or None if it does not say."""
-        return orders.decode_pace(status, body)
+    def decode_report(self, status: int, body: bytes) -> EngineReport | None:
+        """Return what an engine says of itself, or None if it cannot be read."""
+        return orders.decode_report(status, body)
 
     def release_order(self, server: str, name: str) -> tuple[RequestHead, bytes]:
         """Return the order that gives a reservation back."""
--- a/siskinspoke/platform/configuration.py
+++ b/siskinspoke/platform/configuration.py
@@ -179,6 +179,11 @@
     return Ok(table)
 
 
+def services_in(document: dict) -> frozenset[str]:
+    """Return the names of the services of a valid configuration."""
+    return frozenset(item["name"] for item in document["services"])
+
+
 def decode_configuration(body: bytes) -> Result[Decoded, Failure]:
     """Return what an operator sent, or why it cannot be in force."""
     try:
--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -1,21 +1,22 @@
 """The platform's calls to a control VM: announcements of servers, and the operator's."""
 
+from typing import Literal
+
 import msgspec
 from expression import Error, Ok, Result
 from quart import Response, request
 
 from siskinspoke.conf.vm import address_from
 from siskinspoke.control.group_daemon import ControlParts
+from siskinspoke.coordination.directory import UNDATED
 from siskinspoke.core.codes import Failure, ResultCode
-from siskinspoke.platform.configuration import decode_configuration
+from siskinspoke.platform.configuration import decode_configuration, services_in
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.transport.http import json_response, make_app
 
 MAX_BODY_BYTES = 16_000_000
 BODY_SECONDS = 5.0
-# Each start of a server has an id of its own, so each id has one incarnation only.
-INCARNATION = 1
-# A deregistration has no number; it goes after all that the server has sent.
+# A deregistration has no number; it goes after all that the same start of the server has sent.
 LAST_SEQ = 2**60
 DRAINING = "draining"
 
@@ -27,7 +28,16 @@
     address: str
     zone: str
     seq: int
-    state: str = "ready"
+    state: Literal["ready", "draining"] = "ready"
+    # The Unix millisecond of the server's start, by its own clock; some deployments leave it out
+    # and give each start an id of its own.
+    born: int = UNDATED
+
+
+class Farewell(msgspec.Struct):
+    """What a server says as it deregisters; the body may also be empty."""
+
+    born: int | None = None
 
 
 def announcement_from(server: str, body: bytes) -> Result[Announcement, Failure]:
@@ -40,6 +50,7 @@
     return Ok(
         _announcement(
             server,
+            beat.born,
             beat.seq,
             beat.state == DRAINING,
             service=beat.service,
@@ -50,7 +61,24 @@
     )
 
 
-def _announcement(server: str, seq: int, leaving: bool, **known) -> Announcement:
+def farewell_from(
+    server: str, body: bytes, known: Announcement | None
+) -> Result[Announcement, Failure]:
+    """Return the leave that a deregistration holds, for the start that it names.
+
+    One that names no start is a word of the latest that is known.
+    """
+    try:
+        said = msgspec.json.decode(body, type=Farewell) if body else Farewell()
+    except msgspec.MsgspecError as error:
+        return Error(Failure(ResultCode.NOT_JSON, str(error)))
+    if known is None:
+        return Ok(_announcement(server, said.born or UNDATED, LAST_SEQ, leaving=True))
+    start = known.incarnation if said.born is None else said.born
+    return Ok(known._replace(incarnation=start, seq=LAST_SEQ, leaving=True))
+
+
+def _announcement(server: str, incarnation: int, seq: int, leaving: bool, **known) -> Announcement:
     fields = {
         "failure_domain": "",
         "host": "",
@@ -60,7 +88,7 @@
     }
     return Announcement(
         server=server,
-        incarnation=INCARNATION,
+        incarnation=incarnation,
         seq=seq,
         kind="server",
         leaving=leaving,
@@ -88,23 +116,28 @@
     app = make_app("control", MAX_BODY_BYTES, BODY_SECONDS)
     registry = parts.registry
 
+    def services() -> frozenset[str] | None:
+        document = registry.held.document
+        return None if document is None else services_in(document)
+
     @app.post("/instances/<server>/heartbeat")
     async def heartbeat(server: str) -> Response:
         read = announcement_from(server, await request.get_data())
-        if read.is_error():
-            return _refusal(read.error)
+        fault = read.error if read.is_error() else registry.fault_of(read.ok, services())
+        if fault is not None:
+            registry.refuse(server, fault)
+            return _refusal(fault)
         if not await registry.announce(read.ok):
             return _unsure("nobody could be told of the leave; ask another VM")
         return json_response({})
 
     @app.post("/instances/<server>/deregister")
     async def deregister(server: str) -> Response:
-        known = registry.known(server)
-        if known is None:
-            leave = _announcement(server, LAST_SEQ, leaving=True)
-        else:
-            leave = known._replace(seq=LAST_SEQ, leaving=True)
-        if not await registry.announce(leave):
+        read = farewell_from(server, await request.get_data(), registry.known(server))
+        if read.is_error():
+            registry.refuse(server, read.error)
+            return _refusal(read.error)
+        if not await registry.announce(read.ok):
             return _unsure("nobody could be told of the leave; ask another VM")
         return json_response({})
 
--- a/siskinspoke/platform/orders.py
+++ b/siskinspoke/platform/orders.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from siskinspoke.gateway.wire import EngineReport
 from siskinspoke.platform import names
 from siskinspoke.transport.http1 import RequestHead
 
@@ -11,6 +12,8 @@
 
     # Over 1 where the engine is slower than its costs say.
     pace: float = 1.0
+    # The Unix millisecond of its start, by its own clock.
+    born: int | None = None
 
 
 def _order(server: str, body: dict) -> tuple[RequestHead, bytes]:
@@ -40,12 +43,13 @@
     return RequestHead("GET", "/report", headers)
 
 
-def decode_pace(status: int, body: bytes) -> float | None:
-    """Return how much slower than its costs say an engine is, or None if it does not say."""
+def decode_report(status: int, body: bytes) -> EngineReport | None:
+    """Return what an engine says of itself, or None if it cannot be read."""
     if status != 200:
         return None
     try:
-        return msgspec.json.decode(body, type=Report).pace
+        report = msgspec.json.decode(body, type=Report)
     except msgspec.MsgspecError:
         # Whoever asked counts a report that says nothing.
         return None
+    return EngineReport(report.pace, report.born)
--- a/tests/coordination/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from siskinspoke.bench.slopes import announcement
-from siskinspoke.coordination.directory import RECALLED_MS, Directory, Heard
+from siskinspoke.coordination.directory import RECALLED_MS, UNDATED, Directory, Heard
 from siskinspoke.protocol.announcements import load_of
 
 LEASE = 3_000
@@ -43,6 +43,94 @@
         assert directory.superseded(said(1).server, 7)
 
 
+class TestStarts:
+    """A server starts again under its name: its numbers begin anew, and it knows nothing."""
+
+    def test_lower_number_of_a_later_start_counts(self):
+        """The caller's requests would miss a healthy server until its numbers pass the old ones."""
+        directory = Directory(LEASE)
+        directory.hear(said(90, incarnation=7), 0)
+        assert directory.hear(said(1, incarnation=8), 10) is Heard.JOINED
+        assert directory.latest(said(1).server).start == (said(1).server, 8)
+        assert len(directory.live(LEASE + 5)) == 1
+
+    def test_start_after_a_deregistration(self):
+        """A deregistration goes after all words of its start, but not after the next start's."""
+        directory = Directory(LEASE)
+        directory.hear(said(2**60, incarnation=7, leaving=True), 0)
+        assert directory.hear(said(1, incarnation=8), 10) is Heard.JOINED
+        assert len(directory.live(11)) == 1
+
+    def test_late_words_of_the_former_start_change_nothing(self):
+        directory = Directory(LEASE)
+        directory.hear(said(1, incarnation=8), 0)
+        assert directory.hear(said(91, incarnation=7), 1) is Heard.STALE
+        assert directory.hear(said(2**60, incarnation=7, leaving=True), 2) is Heard.STALE
+        assert len(directory.live(3)) == 1
+
+    def test_leave_of_the_later_start_counts(self):
+        directory = Directory(LEASE)
+        directory.hear(said(90, incarnation=7), 0)
+        assert directory.hear(said(2**60, incarnation=8, leaving=True), 1) is Heard.LEFT
+        assert directory.live(2) == []
+
+    def test_proof_and_retirement_belong_to_one_start(self):
+        """An answer of the former process comes while the new one is known already."""
+        directory = Directory(LEASE)
+        directory.hear(said(90, incarnation=7), 0)
+        directory.hear(said(1, incarnation=8), 1)
+        directory.retire(said(1).server, 7)
+        directory.prove(said(1).server, 7, LEASE)
+        assert len(directory.live(2)) == 1
+        assert directory.live(LEASE + 2) == []
+
+    def test_recalled_later_start_replaces_the_former(self):
+        directory = Directory(LEASE)
+        directory.hear(said(90, incarnation=7), 0)
+        assert directory.remember(said(3, incarnation=8), 1)
+        assert not directory.remember(said(95, incarnation=7), 2)
+        assert directory.latest(said(1).server).announcement.incarnation == 8
+
+    def test_undated_server_among_dated_ones_gets_nothing(self):
+        """Another program announces a server of our service and does not say when it started."""
+        directory = Directory(LEASE)
+        stranger = announcement(2, 1, "sala-a")._replace(incarnation=UNDATED)
+        directory.hear(stranger, 0)
+        assert len(directory.live(1)) == 1
+        directory.hear(said(1), 1)
+        assert [item.announcement for item in directory.live(2)] == [said(1)]
+        assert [item.announcement for item in directory.remembered(said(1).service)] == [said(1)]
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_vms_that_hear_in_any_order_agree(self, data):
+        """Three VMs hear the words of three starts late and doubled, then tell each other."""
+        words = [
+            said(seq, incarnation=start, leaving=start < 9 and seq == 3)
+            for start in (7, 8, 9)
+            for seq in (1, 2, 3)
+        ]
+        vms = [Directory(LEASE) for _ in range(3)]
+        heard = st.lists(st.sampled_from(words), max_size=12)
+        for vm in vms:
+            for word in data.draw(heard):
+                vm.hear(word, 0)
+        for vm in vms:
+            for other in vms:
+                for record in other.all_known():
+                    vm.hear(record.announcement, 1)
+        last = {vm.latest(said(1).server).order for vm in vms if vm.all_known()}
+        assert len(last) <= 1
+        assert len({len(vm.live(2)) for vm in vms}) == 1
+        if last:
+            start, _ = last.pop()
+            assert len(vms[0].live(2)) == (start == 9 or not _has_left(vms[0]))
+
+
+def _has_left(directory):
+    return directory.latest(said(1).server).announcement.leaving
+
+
 class TestLease:
     """An announcement is a lease."""
 
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -1,5 +1,6 @@
 """One gateway in this process before stand-in servers, with a raw client."""
 
+import json
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -104,12 +105,19 @@
         """Return the gateway."""
         return self.daemon.gateway
 
-    def announce(self, server: StandinServer, service: str, seq: int = 1) -> None:
-        """Make a server known."""
-        body = (
-            f'{{"service":"{service}","address":"{server.host}:{server.port}",'
-            f'"zone":"a","seq":{seq}}}'
-        )
+    def announce(
+        self, server: StandinServer, service: str, seq: int = 1, started: int | None = None
+    ) -> None:
+        """Make a server known, and when it started if it says so."""
+        said = {
+            "service": service,
+            "address": f"{server.host}:{server.port}",
+            "zone": "a",
+            "seq": seq,
+        }
+        if started is not None:
+            said["born"] = started
+        body = json.dumps(said)
         self.daemon._on_news([announcement_from(server.name, body.encode()).ok])
 
     async def connect(self) -> trio.SocketStream:
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,121 @@
+"""Tests of how servers' words on themselves are read."""
+
+import random
+
+import msgspec
+import pytest
+
+from siskinspoke.coordination.directory import UNDATED
+from siskinspoke.platform.control_app import announcement_from, farewell_from
+from siskinspoke.platform.orders import decode_report
+
+BEAT = {
+    "service": "engines",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "seq": 4,
+    "born": 1_790_000_000_123,
+}
+FUZZ_SEED = 20
+FUZZ_ROUNDS = 3_000
+
+
+def beat(**changes) -> bytes:
+    """Return the body of a heartbeat with some fields changed; None leaves a field out."""
+    fields = {name: value for name, value in {**BEAT, **changes}.items() if value is not None}
+    return msgspec.json.encode(fields)
+
+
+class TestHeartbeats:
+    """A heartbeat is read whole or not at all."""
+
+    def test_start_and_number(self):
+        said = announcement_from("i-1", beat()).ok
+        assert (said.incarnation, said.seq) == (BEAT["born"], 4)
+        assert (said.host, said.port, said.leaving) == ("10.0.0.9", 8080, False)
+
+    def test_start_left_out(self):
+        assert announcement_from("i-1", beat(born=None)).ok.incarnation == UNDATED
+
+    def test_leaving(self):
+        assert announcement_from("i-1", beat(state="draining")).ok.leaving
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"\xff\xfe\x00",
+            b"[]",
+            b'{"service":',
+            beat(service=None),
+            beat(address=None),
+            beat(zone=None),
+            beat(seq=None),
+            beat(service=7),
+            beat(address="10.0.0.9"),
+            beat(address="10.0.0.9:http"),
+            beat(seq="4"),
+            beat(seq=True),
+            beat(seq=4.5),
+            beat(state="sleeping"),
+            beat(state=1),
+            beat(born="1790000000123"),
+            beat(born=1.5),
+            beat(born=True),
+        ],
+    )
+    def test_foreign(self, body):
+        assert announcement_from("i-1", body).is_error()
+
+    def test_spoilt_bytes_never_raise(self):
+        """Another program writes whatever it likes; the answer is an error with a number."""
+        rng = random.Random(FUZZ_SEED)
+        whole = beat()
+        for _ in range(FUZZ_ROUNDS):
+            spoilt = bytearray(whole[: rng.randint(0, len(whole))])
+            for _ in range(rng.randint(0, 4)):
+                if spoilt:
+                    spoilt[rng.randrange(len(spoilt))] = rng.randrange(256)
+            for read in (
+                announcement_from("i-1", bytes(spoilt)),
+                farewell_from("i-1", bytes(spoilt), None),
+            ):
+                assert read.is_ok() or read.error.message
+            decode_report(200, bytes(spoilt))
+
+
+class TestFarewells:
+    """A deregistration ends the start that it names."""
+
+    def test_names_its_start(self):
+        known = announcement_from("i-1", beat()).ok
+        former = farewell_from("i-1", b'{"born":1}', known).ok
+        assert (former.incarnation, former.leaving) == (1, True)
+
+    def test_empty_body_means_the_latest_start(self):
+        known = announcement_from("i-1", beat()).ok
+        assert farewell_from("i-1", b"", known).ok.incarnation == BEAT["born"]
+
+    def test_goes_after_all_words_of_its_start(self):
+        known = announcement_from("i-1", beat(seq=10**9)).ok
+        assert farewell_from("i-1", b"", known).ok.seq > 10**9
+
+    def test_unreadable(self):
+        assert farewell_from("i-1", b'{"born":"x"}', None).is_error()
+
+
+class TestReports:
+    """An engine's report tells its pace and its start."""
+
+    def test_start(self):
+        assert decode_report(200, b'{"pace":1.5,"born":12}').started == 12
+
+    def test_start_left_out(self):
+        assert decode_report(200, b'{"pace":1.5}').started is None
+
+    def test_unreadable(self):
+        assert decode_report(200, b'{"pace":"fast"}') is None
+        assert decode_report(503, b"{}") is None
--- a/tests/platform/test_plain_calls.py
+++ b/tests/platform/test_plain_calls.py
@@ -67,7 +67,7 @@
                 for number in range(4):
                     answer = await site.ask("/again/x", f"r{number + 1}")
                     assert answer.body == b"right"
-                site.gateway.directory.retire("i-plain1", 1)
+                site.gateway.directory.retire(*site.gateway.directory.latest("i-plain1").start)
                 answer = await site.ask("/once/x", "r9")
                 assert answer.status == 502
                 assert b"late" not in answer.raw
--- a/tests/state/test_server_file.py
+++ b/tests/state/test_server_file.py
@@ -1,6 +1,9 @@
 """Tests of the list of servers that a control VM keeps."""
 
+import msgspec
+
 from siskinspoke.bench.slopes import announcement
+from siskinspoke.state.files import write_atomically
 from siskinspoke.state.server_file import SERVERS_FILE, load_servers, save_servers
 
 
@@ -10,10 +13,22 @@
     def test_comes_back(self, tmp_path):
         known = [announcement(number, 3, "sala-a") for number in range(4)]
         save_servers(tmp_path, known)
-        assert load_servers(tmp_path).ok == known
+        assert load_servers(tmp_path).ok.announcements == known
 
     def test_no_file(self, tmp_path):
-        assert load_servers(tmp_path).ok == []
+        assert load_servers(tmp_path).ok.announcements == []
+
+    def test_entry_that_names_no_server(self, tmp_path):
+        """An entry has lost a field, another holds a name that no server has; two are well."""
+        well = [announcement(number, 3, "sala-a") for number in range(2)]
+        entries = [list(msgspec.to_builtins(item)) for item in well]
+        short = entries[0][:4]
+        strange = ["i 1\r\nX: y", *entries[1][1:]]
+        data = msgspec.json.encode([short, *entries, strange, 7])
+        write_atomically(tmp_path / SERVERS_FILE, data)
+        read = load_servers(tmp_path).ok
+        assert read.announcements == well
+        assert read.unread == 3
 
     def test_damaged(self, tmp_path):
         save_servers(tmp_path, [announcement(1, 3, "sala-a")])
