Try a short prompt elsewhere as late as that can be in time, and not where all would be late

Hypothesis: second tries are made where they cannot help and left out where they can. Ruled out: lost servers, which looks find. Change: the doubt is weighed when it comes, by what the books say of the other engines then: it is put off while there is time, acted on at the last moment, and dropped where no engine would be in time. A second try, and a stream that goes on, look for an engine that is soon enough for what is left.

--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -1,7 +1,9 @@
 """The attempts that are open at backend servers, to be ended when a server is gone."""
 
+from __future__ import annotations
+
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
 import trio
@@ -11,12 +13,15 @@
 
 STARTED_AGAIN = "the server has started anew"
 UNREACHABLE = "the server cannot be reached any more"
+SLOW = "no answer in time"
 
 
 class Attempt:
-    """An open attempt at one server or several; ``lost`` says why one of them is gone.
+    """An open attempt at one server or several; ``lost`` says why it was ended.
 
-    ``due_at`` is when something should have come, in milliseconds.
+    ``gone`` means that one of the servers is.  In milliseconds: ``due_at`` is when something
+    should have come, ``doubt_at`` when ``reconsider`` is to be asked whether to go on; it may
+    put the moment off and return False.
     """
 
     def __init__(self, servers: Iterable[ServerRecord], repeatable: bool):
@@ -24,7 +29,10 @@
         self._repeatable = repeatable
         self._waiting: trio.CancelScope | None = None
         self.due_at = math.inf
+        self.doubt_at = math.inf
+        self.reconsider: Callable[[Attempt, float], bool] | None = None
         self.lost = ""
+        self.gone = False
 
     @property
     def servers(self) -> list[ServerRecord]:
@@ -51,7 +59,7 @@
         """
         known = self._servers.get(server)
         if known is not None and known.announcement.incarnation < incarnation:
-            self._end(STARTED_AGAIN)
+            self._end(STARTED_AGAIN, gone=True)
 
     def is_unreachable(self, server: str, incarnation: int) -> None:
         """End the attempt if it may be repeated and relies on a server that cannot be reached.
@@ -60,10 +68,17 @@
         """
         known = self._servers.get(server)
         if self._repeatable and known is not None and known.start == (server, incarnation):
-            self._end(UNREACHABLE)
+            self._end(UNREACHABLE, gone=True)
+
+    def doubt(self, now: float) -> None:
+        """End the attempt if another server is the better bet."""
+        self.doubt_at = math.inf
+        if self.reconsider is not None and self.reconsider(self, now):
+            self._end(SLOW, gone=False)
 
-    def _end(self, reason: str) -> None:
+    def _end(self, reason: str, gone: bool) -> None:
         self.lost = reason
+        self.gone = gone
         if self._waiting is not None:
             self._waiting.cancel()
 
@@ -102,6 +117,12 @@
             found |= {server.start: server for server in item.servers}
         return list(found.values())
 
+    def doubt(self, now: float) -> None:
+        """Think again about the attempts whose first token should be there by now."""
+        for item in self._waiting():
+            if item.doubt_at <= now:
+                item.doubt(now)
+
     def started(self, server: str, incarnation: int) -> int:
         """End the attempts at a server's former starts; return how many there were."""
         before = self._waiting()
--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -140,10 +140,11 @@
 
 
 async def look_forever(gateway: Gateway) -> None:
-    """Look at the servers whose answers are overdue, forever."""
+    """Look at the servers whose answers are overdue, and doubt what is late, forever."""
     while True:
         await gateway.attempts.some_open()
         await trio.sleep(TICK_SECONDS)
+        gateway.attempts.doubt(now_ms())
         for server in gateway.attempts.overdue(now_ms()):
             look_soon(gateway, server)
 
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -8,6 +8,7 @@
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
 from siskinspoke.coordination.placement import Candidate, Job, Place, Work
 from siskinspoke.coordination.routes import EngineCosts
+from siskinspoke.coordination.second_tries import doubt_after_ms, move
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
@@ -28,12 +29,14 @@
 # will not come: a request that waits for a dark helper is cut off by its server after 1.5 s.
 LATE_FACTOR = 4.0
 LATE_MS = 1_000.0
-# Where another server could still give the first token within the target, it is tried in time
-# for that, but not before the first had this many times what was expected.
-IN_TIME_FACTOR = 1.3
-# A long prompt is read by several engines, and those that are left may take much longer.
+# Where other engines could still give a long prompt's first token within the target, they are
+# tried in time for that, but not before the first had this many times what was expected.  Those
+# that are left may take much longer.
 LONG_IN_TIME_FACTOR = 3.0
 SOON_FACTOR = 2.0
+# A target that is nearer than this cannot be met any more; the request goes where it does least
+# harm.  Milliseconds.
+LEAST_TARGET_MS = 40.0
 # A pause this many times the longest one that is of use, and at least this long, means that the
 # server is gone: callers give a stream up after eight times, or two seconds, and a long prompt
 # that is read beside a stream may stop it for a second.
@@ -91,6 +94,7 @@
     considered: int = 0
     idle: int = 0
     job: Job | None = None
+    costs: EngineCosts | None = None
     held: tuple[int, ...] = ()
 
     @property
@@ -140,7 +144,7 @@
     near_only = False
     last: Whole | Failure | None = None
     while len(request.tried) - unreached < MOST_TRIES and unreached < MOST_UNREACHED:
-        placed = _place(gateway, request, excluded, near_only)
+        placed = _place(gateway, request, relay, excluded, near_only)
         if placed is None:
             break
         if arrivals and not gateway.budget.take(request.service, now_ms()):
@@ -192,18 +196,24 @@
     """A stream that has begun cannot go on; the client must see that it is cut."""
 
 
-def _job(request: Request) -> Job | None:
+def _job(request: Request, relay: Relay) -> Job | None:
     prompt = request.call.prompt
     if prompt is None:
         return None
-    route = request.route
+    route, now = request.route, now_ms()
     # Where the route's time is short, the first token must leave some of it for the rest.
-    target = min(route.target_ms, FIRST_SHARE * max(1.0, request.left_ms(now_ms())))
+    target = min(route.target_ms, FIRST_SHARE * max(1.0, request.left_ms(now)))
+    if relay.events:
+        left = (route.pause_ms or LONGEST_PAUSE_MS) - (now - relay.last_at)
+    else:
+        left = route.target_ms - (now - request.arrived_ms)
+    if left >= LEAST_TARGET_MS:
+        target = min(target, left)
     return Job(prompt.tokens, prompt.max_tokens, target, route.pause_ms or LONGEST_PAUSE_MS)
 
 
 def _place(
-    gateway: Gateway, request: Request, excluded: set[str], near_only: bool
+    gateway: Gateway, request: Request, relay: Relay, excluded: set[str], near_only: bool
 ) -> Placed | None:
     """Return where the request goes now, or None; ``near_only`` keeps to this failure domain."""
     records = candidates(gateway, request.service, excluded)
@@ -215,7 +225,7 @@
         return None
     service = gateway.table.services.get(request.service)
     costs = service.engine if service is not None else None
-    job = _job(request)
+    job = _job(request, relay)
     if costs is None or job is None:
         return Placed(least_loaded(gateway, records))
     place = _choose(gateway, costs, job, records)
@@ -230,6 +240,7 @@
         considered=place.considered,
         idle=place.idle,
         job=job,
+        costs=costs,
         held=place.held,
     )
 
@@ -276,10 +287,10 @@
             seconds = _first_seconds(request, placed, began)
             sent = None
             if placed.job is not None:
-                attempt.due_at = now_ms() + first_due_ms(placed.expected_ms)
+                _set_watch(gateway, request, placed, attempt)
             with attempt.within(math.inf):
                 sent = await send(gateway, dispatch, placed.server, seconds, fresh_ms)
-            outcome = sent or Broke(Trouble.BROKEN, attempt.lost, gone=True)
+            outcome = sent or _given_up(attempt)
             if isinstance(outcome, Begun):
                 due = event_due_ms(_pass_ms(gateway, request, placed))
                 flow = Flow(placed, outcome, attempt, work, began, due)
@@ -292,6 +303,33 @@
         _judge(gateway, request, placed, outcome)
 
 
+def _given_up(attempt: Attempt) -> Broke:
+    """Return what an attempt shows that was ended by a look or a second thought."""
+    trouble = Trouble.BROKEN if attempt.gone else Trouble.SILENT
+    return Broke(trouble, attempt.lost, attempt.gone)
+
+
+def _set_watch(gateway: Gateway, request: Request, placed: Placed, attempt: Attempt) -> None:
+    """Have the servers looked at, and the place doubted, when the first token is late."""
+    now = now_ms()
+    attempt.due_at = now + first_due_ms(placed.expected_ms)
+    if not (placed.job.short and request.route.repeatable):
+        return
+
+    def reconsider(attempt: Attempt, now: float) -> bool:
+        left = request.route.target_ms - (now - request.arrived_ms)
+        others = candidates(gateway, request.service, {placed.name})
+        hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
+        best = _choose(gateway, placed.costs, hurried, others) if others else None
+        chosen = move(left, None if best is None else best.first_token_ms)
+        if chosen is not None and not chosen.now:
+            attempt.doubt_at = now + chosen.again_ms
+        return chosen is not None and chosen.now
+
+    attempt.reconsider = reconsider
+    attempt.doubt_at = now + doubt_after_ms(placed.expected_ms)
+
+
 @asynccontextmanager
 async def _memory_for(gateway: Gateway, placed: Placed, work: int | None):
     """Hold what the helpers must keep; yield the reservation's name, "" where none is needed.
@@ -364,9 +402,8 @@
         return max(0.0, left) / 1000
     expected, target = placed.expected_ms, request.route.target_ms
     patience = max(LATE_MS, LATE_FACTOR * expected, 1.5 * target)
-    factor = IN_TIME_FACTOR if placed.job.short else LONG_IN_TIME_FACTOR
-    in_time = target - factor * expected
-    if in_time >= SOON_FACTOR * expected:
+    in_time = target - LONG_IN_TIME_FACTOR * expected
+    if not placed.job.short and in_time >= SOON_FACTOR * expected:
         patience = in_time
     return max(0.0, min(left, patience)) / 1000
 
@@ -419,7 +456,8 @@
         with flow.attempt.within(seconds) as limit:
             data = await flow.begun.connection.read_data()
         if limit.cancelled_caught and flow.attempt.lost:
-            return Stopped(Trouble.BROKEN, flow.attempt.lost, gone=True)
+            broke = _given_up(flow.attempt)
+            return Stopped(broke.trouble, broke.reason, broke.gone)
         if limit.cancelled_caught:
             return Stopped(Trouble.SILENT, "the stream fell silent")
         if data is None:
@@ -433,6 +471,7 @@
         if relay.last_at:
             request.longest_pause_ms = max(request.longest_pause_ms, now - relay.last_at)
         relay.last_at = now
+        flow.attempt.doubt_at = math.inf
         flow.attempt.due_at = now + flow.event_due_ms
         if first:
             first = False
--- a/tests/platform/test_lost_servers.py
+++ b/tests/platform/test_lost_servers.py
@@ -173,6 +173,35 @@
         trio.run(run)
 
 
+class TestDoubts:
+    """An engine that takes a request in and never answers is found by the time it takes."""
+
+    def test_second_try_is_in_time(self, tmp_path, monkeypatch):
+        """Two engines of 18 swallow four requests of ten; their machines take connections.
+
+        A short prompt there waited a second, where its target is 300 ms.
+        """
+
+        async def run():
+            Network(monkeypatch)
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Silent()], [Events()]) as (one, two),
+            ):
+                leave_one(site, two)
+
+                async def happen():
+                    await until(lambda: one.seen)
+                    site.announce(two, "engines", started=5)
+
+                answer, took = await ask_while(site, "/stream/x", happen, **PROMPT)
+                assert answer.whole
+                assert took < SOON_SECONDS
+                assert len(two.seen) == 1
+
+        trio.run(run)
+
+
 class TestHearsay:
     """Another VM's word starts a look, and the look decides."""
 
