Read decision logs back into a table of what was late or failed, and why

The request's line gains its target and the longest pause of use, without which a log cannot say what was late.

--- /dev/null
+++ b/siskinspoke/analysis/__init__.py
@@ -0,0 +1,1 @@
+"""Read decision logs back into tables."""
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -264,6 +264,8 @@
             end=request.end,
             status=request.status,
             took=round(took),
+            target=request.route.target_ms,
+            pause_target=request.route.pause_ms,
             first=None if request.first_ms is None else round(request.first_ms),
             expected=None if request.expected_ms is None else round(request.expected_ms),
             tokens=request.call.prompt.tokens if request.call.prompt else None,
--- /dev/null
+++ b/siskinspoke/management/commands/losses.py
@@ -0,0 +1,22 @@
+"""Say from gateways' logs, given as files, which requests were late or failed, and why."""
+
+from pathlib import Path
+
+from siskinspoke.analysis.losses import Losses, request_lines
+from siskinspoke.core.codes import Failure, FailureError, ResultCode
+
+
+def handle(arguments: list[str]) -> int:
+    """Print a table for each route of all requests in the files."""
+    if not arguments:
+        raise FailureError(Failure(ResultCode.USAGE, "name the files of the logs"))
+    losses = Losses()
+    for name in arguments:
+        try:
+            text = Path(name).read_text(errors="replace")
+        except OSError as error:
+            raise FailureError(Failure(ResultCode.USAGE, str(error))) from error
+        for line in request_lines(text.splitlines()):
+            losses.add(line)
+    print(losses.table())
+    return 0
