Pile no more than two unread prompts on an engine that gathers streams

Hypothesis: after a loss of all, VMs with empty books let go what has waited and choose the same engine.

--- a/siskinspoke/bench/pass_bench.py
+++ b/siskinspoke/bench/pass_bench.py
@@ -18,6 +18,7 @@
 
 SMALL = EngineCosts(8, 315_000, 51, 0.85, 0.0085, 0.00285, 177.0, 0.184)
 LARGE = EngineCosts(6, 267_750, 57, 0.85, 0.0085, 0.00285, 177.0, 0.184)
+SLOW_STEPS = EngineCosts(8, 232_000, 43, 1.02, 0.00452, 0.00431, 206.0, 0.138)
 # Most prompt tokens that one step of a pass reads.
 CHUNK_TOKENS = 2_048
 # What one token of an answer weighs against one of a prompt in the size of a generation.
@@ -28,6 +29,8 @@
 LEAST_PATIENCE_MS = 2_000.0
 # A caller that is refused comes back once, after this time.
 COME_BACK_MS = 500.0
+# Entry VMs that are started together have their configuration within this time of each other.
+BACKLOG_MS = 60.0
 
 
 class Kind(NamedTuple):
@@ -55,18 +58,30 @@
 
 
 class Load(NamedTuple):
-    """A fleet and what arrives at it, a second, by kind."""
+    """A fleet and what arrives at it, a second, by kind.
+
+    ``backlog`` is how many short prompts come at once in the beginning, having waited.
+    """
 
     name: str
     costs: EngineCosts
     engines: int
     rates: tuple[tuple[Kind, float], ...]
     lag_ms: float = 3.0
+    backlog: int = 0
 
 
-def load(name: str, costs: EngineCosts, engines: int, *rates: float, lag_ms: float = 3.0) -> Load:
+def load(
+    name: str,
+    costs: EngineCosts,
+    engines: int,
+    *rates: float,
+    lag_ms: float = 3.0,
+    backlog: int = 0,
+) -> Load:
     """Return a load of so many short, middle and long prompts a second."""
-    return Load(name, costs, engines, tuple(zip((SHORT, MIDDLE, LONG), rates, strict=True)), lag_ms)
+    kinds = tuple(zip((SHORT, MIDDLE, LONG), rates, strict=True))
+    return Load(name, costs, engines, kinds, lag_ms, backlog)
 
 
 LOADS = (
@@ -77,6 +92,12 @@
     load("large fleet", LARGE, 78, 63.0, 4.0, 1.7),
     load("large fleet, burst of shorts", LARGE, 78, 150.0, 4.0, 1.7, lag_ms=5.0),
     load("large fleet, burst of longs", LARGE, 78, 70.0, 5.2, 4.6, lag_ms=5.0),
+    load("slow steps, calm", SLOW_STEPS, 18, 19.2, 1.05, 0.88),
+    load("slow steps, burst of shorts", SLOW_STEPS, 18, 48.0, 1.05, 0.88, lag_ms=5.0),
+    load("slow steps, a third lost", SLOW_STEPS, 12, 24.0, 1.2, 0.9, lag_ms=5.0),
+    load(
+        "slow steps, after a loss of all", SLOW_STEPS, 18, 30.0, 1.05, 0.6, lag_ms=6.0, backlog=45
+    ),
     load("overload", SMALL, 23, 75.0, 1.6, 1.2, lag_ms=5.0),
     load("heavy overload", SMALL, 23, 95.0, 1.6, 1.2, lag_ms=5.0),
     load("overload with a third lost", SMALL, 16, 60.0, 1.6, 1.2, lag_ms=5.0),
@@ -192,6 +213,8 @@
 
     def play(self, seconds: float) -> list[Prompt]:
         """Let prompts arrive for a time and all of them end; return them."""
+        for _ in range(self._load.backlog):
+            self._after(self._rng.uniform(0, BACKLOG_MS), self._arrive, SHORT)
         for kind, rate in self._load.rates:
             at = 0.0
             while (at := at + self._rng.expovariate(rate / 1000)) < seconds * 1000:
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -45,6 +45,13 @@
 CROWD_MS = 80.0
 CROWDED_FROM = 0.8
 JITTER_MS = 10.0
+# Prompts that an engine has still to read, beyond so many, make it look worse by this for each.
+# After a loss of all, VMs with empty books let go at once what has waited, and all pile it up on
+# the engine that seems to gather streams; those behind the pile are late.  Share of the worth of
+# short prompts with this and without, in ``bench/pass_bench.py``: 0.94 and 0.90 after a loss of
+# all, 0.92 and 0.89 with a third of the engines lost, no difference on calm days.
+UNREAD_FREE = 2
+UNREAD_MS = 30.0
 # The herd grows with the fleet, whose VMs all choose within the delay of one datagram.  With few
 # engines it is worth less than keeping some free for long prompts (tests: TestBurst): both are
 # left out up to the first number of engines and count in full from the second.
@@ -226,6 +233,7 @@
     units: float
     streams: int
     short_streams: int
+    unread: int
     free_tokens: int
     penalty: float
     pace: float
@@ -240,7 +248,7 @@
     def _view(self, costs: EngineCosts, candidate: Candidate, now: float) -> _View:
         engine = self.books.engine(candidate.server)
         writers, waiting, tightest, units, used, shorts, streams = [], 0.0, 1e9, 0.0, 0, 0, 0
-        tokens_left = 0
+        tokens_left = unread = 0
         for work in engine.works.values():
             writes = work.servers[0] == candidate.server
             used += work.tokens_at(candidate.server)
@@ -251,6 +259,7 @@
                 tightest = min(tightest, work.job.pause_ms)
                 units += work.job.units
                 tokens_left += work.job.max_tokens
+                unread += work.stage is Stage.READING
             if work.stage is Stage.WRITING:
                 writers.append(Writer(work.tokens_at(candidate.server)))
             else:
@@ -271,6 +280,7 @@
             units,
             streams,
             shorts,
+            unread,
             costs.memory_tokens - used,
             candidate.penalty + queue_ms,
             engine.pace,
@@ -400,6 +410,7 @@
             harm = self._harm(view, part)
             own = self._harm_to_self(costs, job, view)
             jitter = herd * rng.uniform(0, JITTER_MS)
+            crowd += UNREAD_MS * max(0, view.unread - UNREAD_FREE)
             packed = PACK_MS * view.streams if view.streams <= costs.slots - SLOTS_LEFT else 0.0
             wait = max(first - part, SOON_ENOUGH_MS)
             return wait + gathered + crowd + jitter - packed + 3 * late + 300 * (harm + own)
--- a/tests/bench/test_pass_bench.py
+++ b/tests/bench/test_pass_bench.py
@@ -37,6 +37,23 @@
         assert earned("calm") >= 0.98
 
 
+class TestPile:
+    """All VMs have lost their books, and 45 callers have waited for them to start again.
+
+    Each VM lets its callers' prompts go within 60 ms, before it has heard of the others'.  All
+    choose the engine that gathers streams; with a pile of prompts to be read there, those behind
+    are late though engines beside it are idle.  Without a limit on the pile they earn 0.90.
+    """
+
+    SEEDS = range(1, 41)
+
+    def test_after_a_loss_of_all(self):
+        load = BY_NAME["slow steps, after a loss of all"]
+        runs = [Run(load, seed).play(3.0) for seed in self.SEEDS]
+        shorts = [item for run in runs for item in run if item.kind.name == "short"]
+        assert outcome_of(shorts).earned >= 0.925
+
+
 class TestModel:
     """The engine model keeps to the arithmetic of passes."""
 
