--- a/siskinspoke/bench/pass_bench.py
+++ b/siskinspoke/bench/pass_bench.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from siskinspoke.coordination.books import Books, Job, Work
 from siskinspoke.coordination.passes import Writer, pass_ms, read_ms
-from siskinspoke.coordination.placement import Books, Candidate, Job, Place, Placement, Work
+from siskinspoke.coordination.placement import Candidate, Place, Placement
 from siskinspoke.coordination.routes import EngineCosts
 
 SMALL = EngineCosts(8, 315_000, 51, 0.85, 0.0085, 0.00285, 177.0, 0.184)
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -1,18 +1,16 @@
 """Choose the engines that read and write a prompt, from books that all entry VMs share.
 
-Every entry VM tells the others what it begins and ends, so each book holds the whole fleet's
-work, late by one datagram.  An engine computes in passes: whatever it reads makes the pass
+An engine computes in passes: whatever it reads makes the pass
 longer for every stream that it writes.  So a long prompt is read in thin parts by several
 engines, preferably by those that write nothing that would suffer, and short prompts gather on
 engines that write short streams already, which leaves others free for long ones.
 """
 
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
-from enum import Enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from siskinspoke.coordination.books import Books, Job, Stage
 from siskinspoke.coordination.passes import Writer, pass_ms, read_ms
 from siskinspoke.coordination.routes import EngineCosts
 
@@ -21,8 +19,6 @@
 GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 17)
 # A stream's pauses should stay within this share of what they may last: passes are estimated.
 PAUSE_SHARE = 0.8
-# Work lost when a stream pauses too long or a first token is late, in units of a short prompt.
-TOKENS_PER_UNIT = 8_000
 # Milliseconds by which a short prompt's first token may be later for joining an engine that
 # writes short streams, rather than opening one that writes none.
 GATHER_MS = 45.0
@@ -57,8 +53,6 @@
 # left out up to the first number of engines and count in full from the second.
 NO_HERD_ENGINES = 24
 FULL_HERD_ENGINES = 64
-# A prompt of this many tokens or fewer is short: it is read in about one pass.
-SHORT_TOKENS = 24_000
 # Cost of each further engine in a group, in the same units: any of them may fail.
 HELPER_COST = 0.004
 # Share of the memory believed to be free that a part of a prompt may take: the books lag, and
@@ -70,70 +64,6 @@
 # An engine with all its slots taken ends a stream every fifth of a second; some may wait there
 # rather than beside a prompt that is read for seconds.  In units of its slots.
 QUEUE_SHARE = 1.5
-# Work that nobody has told the end of is forgotten after this time.
-FORGET_MS = 20_000.0
-
-
-class Stage(Enum):
-    """How far a piece of work has come."""
-
-    READING = "reading"
-    WRITING = "writing"
-
-
-class Job(NamedTuple):
-    """What placement needs to know of a request; times in milliseconds."""
-
-    tokens: int
-    max_tokens: int
-    target_ms: float
-    pause_ms: float
-
-    @property
-    def units(self) -> float:
-        """Return what is lost if the job's answer is late."""
-        return 1.0 + self.tokens / TOKENS_PER_UNIT
-
-    @property
-    def short(self) -> bool:
-        """Tell whether the prompt is read in about one pass."""
-        return self.tokens <= SHORT_TOKENS
-
-
-@dataclass(slots=True)
-class Work:
-    """One request in the books; the first server writes, the others read a part.
-
-    ``held`` are the tokens of the prompt that each other server keeps until the end.  The first
-    one keeps the rest, and the answer.
-    """
-
-    job: Job
-    servers: tuple[str, ...]
-    began_at: float
-    held: tuple[int, ...] = ()
-    stage: Stage = Stage.READING
-
-    @property
-    def parts(self) -> int:
-        """Return how many engines read the prompt."""
-        return len(self.servers)
-
-    def tokens_at(self, server: str) -> int:
-        """Return the tokens of memory that the request takes at one server."""
-        if server == self.servers[0]:
-            return self.job.tokens + self.job.max_tokens - sum(self.held)
-        if not self.held:
-            return 0
-        return self.held[self.servers.index(server) - 1]
-
-
-@dataclass(slots=True)
-class Engine:
-    """The work at one engine, and how much slower it is than its costs say."""
-
-    works: dict[str, Work] = field(default_factory=dict)
-    pace: float = 1.0
 
 
 class Candidate(NamedTuple):
@@ -157,72 +87,6 @@
     idle: int = 0
 
 
-class Books:
-    """All work of the fleet that this VM has heard of."""
-
-    def __init__(self) -> None:
-        self._works: dict[str, Work] = {}
-        self._engines: dict[str, Engine] = {}
-
-    def engine(self, server: str) -> Engine:
-        """Return the book of one engine."""
-        found = self._engines.get(server)
-        if found is None:
-            found = self._engines[server] = Engine()
-        return found
-
-    def begin(self, name: str, work: Work) -> None:
-        """Enter a request; one of the same name is replaced."""
-        self.end(name)
-        self._works[name] = work
-        for server in work.servers:
-            self.engine(server).works[name] = work
-
-    def wrote(self, name: str) -> None:
-        """Note that a request has its first token, so nothing of its prompt is left to read."""
-        work = self._works.get(name)
-        if work is None:
-            return
-        work.stage = Stage.WRITING
-        for server in work.servers[1:]:
-            if not work.tokens_at(server):
-                self.engine(server).works.pop(name, None)
-
-    def end(self, name: str) -> None:
-        """Strike a request from the books."""
-        work = self._works.pop(name, None)
-        if work is None:
-            return
-        for server in work.servers:
-            self.engine(server).works.pop(name, None)
-
-    def started(self, server: str) -> None:
-        """Empty the book of an engine that has started anew: it holds nothing of before."""
-        self._engines[server] = Engine()
-
-    def end_all(self, prefix: str) -> int:
-        """Strike all requests whose names begin so; return how many there were."""
-        names = [name for name in self._works if name.startswith(prefix)]
-        for name in names:
-            self.end(name)
-        return len(names)
-
-    def forget(self, now: float, servers: Iterable[str]) -> None:
-        """Drop work that is too old to be still there, and the books of engines that are gone."""
-        for name, work in list(self._works.items()):
-            if now - work.began_at > FORGET_MS:
-                self.end(name)
-        known = set(servers)
-        for server in list(self._engines):
-            if server not in known and not self._engines[server].works:
-                del self._engines[server]
-
-    @property
-    def open_works(self) -> int:
-        """Return how many requests the books hold."""
-        return len(self._works)
-
-
 class _View(NamedTuple):
     """One engine as a new job would find it; times in milliseconds."""
 
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -8,10 +8,11 @@
 import trio
 
 from siskinspoke.conf.vm import VmSettings
+from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.liveness import Looks
-from siskinspoke.coordination.placement import Books, Placement
+from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.routes import CallKind, ClientLimits, Customer, Route, RouteTable
 from siskinspoke.coordination.standing import Standing
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -9,10 +9,11 @@
 
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.conf.watch import SettingsWatch
+from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.directory import Directory, Heard
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.liveness import Looks
-from siskinspoke.coordination.placement import Books, Placement
+from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.standing import Standing
 from siskinspoke.core.counters import Counters
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -6,8 +6,8 @@
 
 import trio
 
+from siskinspoke.coordination.books import Books, Job, Work
 from siskinspoke.coordination.domains import Domains
-from siskinspoke.coordination.placement import Books, Job, Work
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.peers import EnginePace, WorkBegan, WorkNews
--- /dev/null
+++ b/siskinspoke/gateway/placing.py
@@ -0,0 +1,142 @@
+"""Choose where a stream goes, by what this VM knows of its servers and of the time left."""
+
+from dataclasses import dataclass
+
+from siskinspoke.coordination.books import Job
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.placement import Candidate, Place
+from siskinspoke.coordination.routes import EngineCosts
+from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.servers import candidates, least_loaded
+
+# A server in another failure domain costs two crossings more, about 3 ms.
+REMOTE_MS = 3.0
+# A server that fails part of its requests looks this much slower, times that part.
+FAILING_MS = 400.0
+# A target that is nearer than this cannot be met any more; the request goes where it does least
+# harm.  Milliseconds.
+LEAST_TARGET_MS = 40.0
+# Share of the time left in which the first token should come.
+FIRST_SHARE = 0.6
+# What a stream's pauses may last where its route does not say.  Milliseconds.
+LONGEST_PAUSE_MS = 1_000.0
+
+
+@dataclass
+class Placed:
+    """Where one attempt goes."""
+
+    server: ServerRecord
+    helpers: tuple[ServerRecord, ...] = ()
+    expected_ms: float = 0.0
+    considered: int = 0
+    idle: int = 0
+    job: Job | None = None
+    costs: EngineCosts | None = None
+    is_last: bool = False
+    held: tuple[int, ...] = ()
+
+    @property
+    def name(self) -> str:
+        """Return the writing server."""
+        return self.server.announcement.server
+
+    @property
+    def servers(self) -> tuple[ServerRecord, ...]:
+        """Return all servers, the writing one first."""
+        return (self.server, *self.helpers)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all servers, the writing one first."""
+        return tuple(item.announcement.server for item in self.servers)
+
+    @property
+    def keepers(self) -> tuple[ServerRecord, ...]:
+        """Return the servers that keep some of the prompt until the end."""
+        held = self.held or (0,) * len(self.helpers)
+        kept = [item for item, tokens in zip(self.helpers, held, strict=True) if tokens]
+        return (self.server, *kept)
+
+
+def place(
+    gateway: Gateway,
+    request: Request,
+    last_event_at: float | None,
+    excluded: set[str],
+    near_only: bool,
+) -> Placed | None:
+    """Return where the request goes now, or None.
+
+    ``last_event_at`` is when the client had the stream's last event, None before the first.
+    ``near_only`` keeps to this failure domain.
+    """
+    records = candidates(gateway, request.service, excluded)
+    if near_only:
+        here = gateway.settings.failure_domain
+        near = [item for item in records if item.announcement.failure_domain == here]
+        records = near or records
+    if not records:
+        return None
+    service = gateway.table.services.get(request.service)
+    costs = service.engine if service is not None else None
+    job = _job(request, last_event_at)
+    if costs is None or job is None:
+        return Placed(least_loaded(gateway, records))
+    found = choose(gateway, costs, job, records)
+    if found is None:
+        return None
+    by_name = {record.announcement.server: record for record in records}
+    chosen = [by_name[name] for name in found.servers]
+    return Placed(
+        server=chosen[0],
+        helpers=tuple(chosen[1:]),
+        expected_ms=found.first_token_ms,
+        considered=found.considered,
+        idle=found.idle,
+        job=job,
+        costs=costs,
+        held=found.held,
+    )
+
+
+def _job(request: Request, last_event_at: float | None) -> Job | None:
+    prompt = request.call.prompt
+    if prompt is None:
+        return None
+    route, now = request.route, now_ms()
+    # Where the route's time is short, the first token must leave some of it for the rest.
+    target = min(route.target_ms, FIRST_SHARE * max(1.0, request.left_ms(now)))
+    pause = route.pause_ms or LONGEST_PAUSE_MS
+    job = Job(prompt.tokens, prompt.max_tokens, target, pause)
+    if last_event_at is None:
+        left = route.target_ms - (now - request.arrived_ms)
+    else:
+        left = pause - (now - last_event_at)
+    if job.short and left >= LEAST_TARGET_MS:
+        # A long prompt that is late anyway would be read by one engine, for as long as it takes.
+        return job._replace(target_ms=min(target, left))
+    return job
+
+
+def choose(
+    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
+) -> Place | None:
+    """Return the engines for a job among some servers, or None where none can take it."""
+    here = gateway.settings.failure_domain
+    offered = []
+    for record in records:
+        said = record.announcement
+        penalty = FAILING_MS * gateway.standing.failure_share(said.server)
+        if said.failure_domain != here:
+            penalty += REMOTE_MS
+        offered.append(Candidate(said.server, penalty))
+    return gateway.placement.choose(costs, job, offered, now_ms(), gateway.rng)
+
+
+def pass_ms_at(gateway: Gateway, request: Request, placed: Placed) -> float:
+    """Return how long a pass of the writing engine takes, as the books stand."""
+    service = gateway.table.services.get(request.service)
+    if service is None or service.engine is None:
+        return request.route.pause_ms or LONGEST_PAUSE_MS
+    return gateway.placement.pass_ms(service.engine, placed.name)
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -4,34 +4,33 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
-from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.books import Work
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
-from siskinspoke.coordination.placement import Candidate, Job, Place, Work
-from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.second_tries import doubt_after_ms, move
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.placing import (
+    LEAST_TARGET_MS,
+    LONGEST_PAUSE_MS,
+    Placed,
+    choose,
+    pass_ms_at,
+    place,
+)
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
 from siskinspoke.gateway.reservations import Member, Refused, reserved
-from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded
+from siskinspoke.gateway.servers import candidates, choose_service, learn
 from siskinspoke.gateway.upstream import Begun, Broke, NotRun, keep_or_cut, send
 from siskinspoke.gateway.wire import Dispatch, Helper
 from siskinspoke.protocol.events import EventSplitter, id_of
 from siskinspoke.transport.http1 import ClientConnection, PeerError
 
-# A server in another failure domain costs two crossings more, about 3 ms.
-REMOTE_MS = 3.0
-# A server that fails part of its requests looks this much slower, times that part.
-FAILING_MS = 400.0
 # A first token that is later than this many times what was expected, and at least this late,
 # will not come: a request that waits for a dark helper is cut off by its server after 1.5 s.
 LATE_FACTOR = 4.0
 LATE_MS = 1_000.0
-# A target that is nearer than this cannot be met any more; the request goes where it does least
-# harm.  Milliseconds.
-LEAST_TARGET_MS = 40.0
 # A pause this many times the longest one that is of use, and at least this long, means that the
 # server is gone: callers give a stream up after eight times, or two seconds, and a long prompt
 # that is read beside a stream may stop it for a second.
@@ -47,10 +46,6 @@
 # Callers leave a stream that has not begun after 2 s, four times its target or eight times its
 # longest pause, whichever is longest.
 CALLER_MS = 2_000.0
-# Share of the time left in which the first token should come.
-FIRST_SHARE = 0.6
-# What a stream's pauses may last where its route does not say.  Milliseconds.
-LONGEST_PAUSE_MS = 1_000.0
 TRUNCATED = "the stream broke off"
 # Chunked framing of the bytes that go to the client.
 CHUNKED = (b"Transfer-Encoding", b"chunked")
@@ -65,7 +60,7 @@
     head_sent: bool = False
     last_id: str | None = None
     events: int = 0
-    last_at: float = 0.0
+    last_event_at: float | None = None
 
 
 @dataclass(frozen=True)
@@ -82,43 +77,6 @@
     gone: bool = False
 
 
-@dataclass
-class Placed:
-    """Where one attempt goes."""
-
-    server: ServerRecord
-    helpers: tuple[ServerRecord, ...] = ()
-    expected_ms: float = 0.0
-    considered: int = 0
-    idle: int = 0
-    job: Job | None = None
-    costs: EngineCosts | None = None
-    is_last: bool = False
-    held: tuple[int, ...] = ()
-
-    @property
-    def name(self) -> str:
-        """Return the writing server."""
-        return self.server.announcement.server
-
-    @property
-    def servers(self) -> tuple[ServerRecord, ...]:
-        """Return all servers, the writing one first."""
-        return (self.server, *self.helpers)
-
-    @property
-    def names(self) -> tuple[str, ...]:
-        """Return the names of all servers, the writing one first."""
-        return tuple(item.announcement.server for item in self.servers)
-
-    @property
-    def keepers(self) -> tuple[ServerRecord, ...]:
-        """Return the servers that keep some of the prompt until the end."""
-        held = self.held or (0,) * len(self.helpers)
-        kept = [item for item, tokens in zip(self.helpers, held, strict=True) if tokens]
-        return (self.server, *kept)
-
-
 @dataclass(frozen=True)
 class Flow:
     """What one attempt brings: the answer that has begun, and where it comes from."""
@@ -143,7 +101,7 @@
     near_only = False
     last: Whole | Failure | None = None
     while len(request.tried) - unreached < MOST_TRIES and unreached < MOST_UNREACHED:
-        placed = _place(gateway, request, relay, excluded, near_only)
+        placed = place(gateway, request, relay.last_event_at, excluded, near_only)
         if placed is None:
             break
         if arrivals and not gateway.budget.take(request.service, now_ms()):
@@ -196,72 +154,6 @@
     """A stream that has begun cannot go on; the client must see that it is cut."""
 
 
-def _job(request: Request, relay: Relay) -> Job | None:
-    prompt = request.call.prompt
-    if prompt is None:
-        return None
-    route, now = request.route, now_ms()
-    # Where the route's time is short, the first token must leave some of it for the rest.
-    target = min(route.target_ms, FIRST_SHARE * max(1.0, request.left_ms(now)))
-    pause = route.pause_ms or LONGEST_PAUSE_MS
-    job = Job(prompt.tokens, prompt.max_tokens, target, pause)
-    if relay.events:
-        left = pause - (now - relay.last_at)
-    else:
-        left = route.target_ms - (now - request.arrived_ms)
-    if job.short and left >= LEAST_TARGET_MS:
-        # A long prompt that is late anyway would be read by one engine, for as long as it takes.
-        return job._replace(target_ms=min(target, left))
-    return job
-
-
-def _place(
-    gateway: Gateway, request: Request, relay: Relay, excluded: set[str], near_only: bool
-) -> Placed | None:
-    """Return where the request goes now, or None; ``near_only`` keeps to this failure domain."""
-    records = candidates(gateway, request.service, excluded)
-    if near_only:
-        here = gateway.settings.failure_domain
-        near = [item for item in records if item.announcement.failure_domain == here]
-        records = near or records
-    if not records:
-        return None
-    service = gateway.table.services.get(request.service)
-    costs = service.engine if service is not None else None
-    job = _job(request, relay)
-    if costs is None or job is None:
-        return Placed(least_loaded(gateway, records))
-    place = _choose(gateway, costs, job, records)
-    if place is None:
-        return None
-    by_name = {record.announcement.server: record for record in records}
-    chosen = [by_name[name] for name in place.servers]
-    return Placed(
-        server=chosen[0],
-        helpers=tuple(chosen[1:]),
-        expected_ms=place.first_token_ms,
-        considered=place.considered,
-        idle=place.idle,
-        job=job,
-        costs=costs,
-        held=place.held,
-    )
-
-
-def _choose(
-    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
-) -> Place | None:
-    here = gateway.settings.failure_domain
-    offered = []
-    for record in records:
-        said = record.announcement
-        penalty = FAILING_MS * gateway.standing.failure_share(said.server)
-        if said.failure_domain != here:
-            penalty += REMOTE_MS
-        offered.append(Candidate(said.server, penalty))
-    return gateway.placement.choose(costs, job, offered, now_ms(), gateway.rng)
-
-
 async def _attempt(
     gateway: Gateway, request: Request, placed: Placed, relay: Relay, fresh_ms: float
 ) -> Ended | Stopped | Whole | NotRun | Broke:
@@ -295,7 +187,7 @@
                 sent = await send(gateway, dispatch, placed.server, seconds, fresh_ms)
             outcome = sent or _given_up(attempt)
             if isinstance(outcome, Begun):
-                due = event_due_ms(_pass_ms(gateway, request, placed))
+                due = event_due_ms(pass_ms_at(gateway, request, placed))
                 flow = Flow(placed, outcome, attempt, work, began, due)
                 outcome = await _pass_on(gateway, request, relay, flow)
             return outcome
@@ -323,7 +215,7 @@
         left = request.route.target_ms - (now - request.arrived_ms)
         others = candidates(gateway, request.service, {placed.name})
         hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
-        best = _choose(gateway, placed.costs, hurried, others) if others else None
+        best = choose(gateway, placed.costs, hurried, others) if others else None
         chosen = move(left, None if best is None else best.first_token_ms)
         if chosen is not None and not chosen.now:
             attempt.doubt_at = now + chosen.again_ms
@@ -390,14 +282,6 @@
                 learn(gateway, request, placed.server, outcome)
 
 
-def _pass_ms(gateway: Gateway, request: Request, placed: Placed) -> float:
-    """Return how long a pass of the writing engine takes, as the books stand."""
-    service = gateway.table.services.get(request.service)
-    if service is None or service.engine is None:
-        return request.route.pause_ms or LONGEST_PAUSE_MS
-    return gateway.placement.pass_ms(service.engine, placed.name)
-
-
 def _first_seconds(request: Request, placed: Placed, now: float) -> float:
     """Return how long to wait for the first token before another server is tried."""
     left = request.left_ms(now)
@@ -472,9 +356,10 @@
         if not events:
             continue
         now = now_ms()
-        if relay.last_at:
-            request.longest_pause_ms = max(request.longest_pause_ms, now - relay.last_at)
-        relay.last_at = now
+        if relay.last_event_at is not None:
+            pause = now - relay.last_event_at
+            request.longest_pause_ms = max(request.longest_pause_ms, pause)
+        relay.last_event_at = now
         flow.attempt.doubt_at = math.inf
         flow.attempt.due_at = now + flow.event_due_ms
         if first:
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from siskinspoke.coordination.books import Books, Job, Work
 from siskinspoke.coordination.passes import Writer, pass_ms, read_ms
-from siskinspoke.coordination.placement import Books, Candidate, Job, Placement, Work
+from siskinspoke.coordination.placement import Candidate, Placement
 from siskinspoke.coordination.routes import EngineCosts
 
 COSTS = EngineCosts(8, 315_000, 51, 0.85, 0.0085, 0.00285, 177.0, 0.184)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,8 +2,8 @@
 
 import trio
 
+from siskinspoke.coordination.books import Books, Job, Work
 from siskinspoke.coordination.domains import Domains
-from siskinspoke.coordination.placement import Books, Job, Work
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.core.counters import Counters
 from siskinspoke.gateway.peers import SILENT_MS, Peers
--- a/tests/platform/test_restarted_servers.py
+++ b/tests/platform/test_restarted_servers.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from siskinspoke.coordination.placement import Job, Work
+from siskinspoke.coordination.books import Job, Work
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.gateway.context import now_ms
 from siskinspoke.gateway.reservations import Held, _release, _renew_forever
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from siskinspoke.coordination.placement import Job, Work
+from siskinspoke.coordination.books import Job, Work
 from siskinspoke.gateway.context import now_ms
 from tests.platform.site import gateway_site, read_answer, request_bytes, servers, until
 from tests.platform.standin_server import (
