--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
+from urllib.parse import quote
 
 import trio
 
@@ -80,6 +81,7 @@
     seed: int
     site: GroupSite
     rng: random.Random
+    lives: random.Random
     servers: list[StandinServer] = field(default_factory=list)
     valves: list[Valve] = field(default_factory=list)
     answers: dict[str, tuple[str, int]] = field(default_factory=dict)
@@ -91,6 +93,8 @@
     down: set[str] = field(default_factory=set)
     served: Counter = field(default_factory=Counter)
     kept: dict[tuple[int, str], trio.SocketStream] = field(default_factory=dict)
+    starts: list[int] = field(default_factory=lambda: [1_000] * (PLAIN + ENGINES))
+    words: list[int] = field(default_factory=lambda: [0] * (PLAIN + ENGINES))
 
     def _note(self, fault: str) -> None:
         self.faults.append(f"{trio.current_time() - self.began:.2f} {fault}")
@@ -121,7 +125,12 @@
             await self._until_served()
             with trio.move_on_after(seconds):
                 async with trio.open_nursery() as busy:
-                    for task in (self._break_forever, self._operate_forever, self._read_forever):
+                    for task in (
+                        self._break_forever,
+                        self._operate_forever,
+                        self._read_forever,
+                        self._live_forever,
+                    ):
                         busy.start_soon(task)
                     for number in range(6):
                         busy.start_soon(self._call_forever, number)
@@ -142,20 +151,52 @@
         self.valves.append(valve)
 
     async def _announce_forever(self) -> None:
-        seq = 0
         while True:
-            seq += 1
             for number, valve in enumerate(self.valves):
+                self.words[number] += 1
                 beat = {
                     "service": "plain" if number < PLAIN else "engines",
                     "address": f"127.0.0.1:{valve.port}",
                     "zone": "a",
-                    "seq": seq,
+                    "seq": self.words[number],
+                    "born": self.starts[number],
                 }
                 path = f"/instances/{valve.server.name}/heartbeat"
                 await self._call(self.rng.choice(REGISTRIES), "POST", path, beat)
             await trio.sleep(0.6)
 
+    async def _live_forever(self) -> None:
+        """Let servers start again under their names, and another program announce what it likes.
+
+        Drawn by a source of its own, so that a seed's other faults stay what they were.
+        """
+        while True:
+            await trio.sleep(self.lives.uniform(0.2, 1.2))
+            if self.lives.random() < 0.5:
+                await self._start_again(self.lives.randrange(len(self.valves)))
+            else:
+                await self._write_strangely()
+
+    async def _start_again(self, number: int) -> None:
+        valve = self.valves[number]
+        self._note(f"start again {valve.server.name}")
+        mode, valve.mode = valve.mode, "reset"
+        await trio.sleep(0.1)
+        valve.mode = mode if mode != "reset" else "pass"
+        self.starts[number] += 1_000
+        self.words[number] = 0
+
+    async def _write_strangely(self) -> None:
+        """Announce what names no server; nobody may be sent there, and the others hold."""
+        name = self.lives.choice([server.name for server in self.servers] + ["i-strange", "i 1"])
+        beat = {"service": "engines", "address": "127.0.0.1:9", "zone": "a", "seq": 10**6}
+        spoil = self.lives.choice(("service", "address", "seq", "state", "none"))
+        if spoil != "none":
+            beat[spoil] = self.lives.choice((None, 7, "strange", [1]))
+        registry = self.lives.choice(REGISTRIES)
+        self._note(f"strange word on {name}, {spoil}")
+        await self._call(registry, "POST", f"/instances/{quote(name)}/heartbeat", beat)
+
     async def _call(self, name: str, method: str, path: str, body=None):
         return await trio.to_thread.run_sync(self.site.call, name, method, path, body)
 
@@ -361,7 +402,7 @@
 
 def run_soak(seed: int, folder: Path, net: int, seconds: float) -> Soak:
     """Run one seed and return its record."""
-    soak = Soak(seed, GroupSite(folder, net), random.Random(seed))
+    soak = Soak(seed, GroupSite(folder, net), random.Random(seed), random.Random(seed + 1_000_000))
     try:
         trio.run(soak.run, seconds)
     finally:
