Wait for connections by how long connections take

Cause, by reasoning from a grown site's links of 10 Mbit/s: a configuration of 100 KB keeps an opening packet for 80 ms, and a look that gives up after 50 ms would take sound servers for lost. Change: mean and mean deviation of connection times, as for a retransmission, between 50 and 200 ms.

--- a/siskinspoke/coordination/liveness.py
+++ b/siskinspoke/coordination/liveness.py
@@ -27,6 +27,15 @@
 # One that could not be is looked at again after this time, until it can be.
 UNREACHED_MS = 500.0
 
+# A connection within a site takes 3 to 5 ms; a lost opening packet is sent again after a second.
+LEAST_CONNECT_MS = 50.0
+MOST_CONNECT_MS = 200.0
+# Gains of the mean and of the mean deviation, and deviations beyond the mean, as TCP has them for
+# its retransmissions, but for twice as many deviations: to give up wrongly costs a whole prompt.
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+DEVIATIONS = 8.0
+
 
 def first_due_ms(expected_ms: float) -> float:
     """Return how long after its sending a first token is overdue."""
@@ -43,6 +52,36 @@
     return max(LEAST_WHOLE_MS, USUAL_DUE * usual_ms)
 
 
+class ConnectTimer:
+    """Learn how long connections take, and from when on one will not come; in milliseconds.
+
+    On links that are slow or full an opening packet waits behind what is being sent, 80 ms behind
+    one configuration at 10 Mbit/s, and sound servers would be taken for lost.  The time is the mean
+    and a multiple of the mean deviation, as for a retransmission.
+    """
+
+    def __init__(self) -> None:
+        self._mean: float | None = None
+        self._deviation = 0.0
+
+    def took(self, ms: float) -> None:
+        """Note how long a connection has taken."""
+        if self._mean is None:
+            self._mean, self._deviation = ms, ms / 2
+            return
+        error = ms - self._mean
+        self._mean += MEAN_GAIN * error
+        self._deviation += DEVIATION_GAIN * (abs(error) - self._deviation)
+
+    @property
+    def give_up_ms(self) -> float:
+        """Return how long a connection is waited for."""
+        if self._mean is None:
+            return MOST_CONNECT_MS
+        wanted = self._mean + DEVIATIONS * self._deviation
+        return min(MOST_CONNECT_MS, max(LEAST_CONNECT_MS, wanted))
+
+
 @dataclass(slots=True)
 class _Look:
     at: float
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -11,7 +11,7 @@
 from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
-from siskinspoke.coordination.liveness import Looks
+from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.routes import CallKind, ClientLimits, Customer, Route, RouteTable
@@ -49,6 +49,7 @@
     pool: Pool
     attempts: OpenAttempts
     looks: Looks
+    connects: ConnectTimer
     peers: Peers
     counters: Counters
     latencies: Latencies
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -12,7 +12,7 @@
 from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.directory import Directory, Heard
 from siskinspoke.coordination.domains import Domains
-from siskinspoke.coordination.liveness import Looks
+from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.standing import Standing
@@ -83,6 +83,7 @@
             pool=Pool(),
             attempts=OpenAttempts(),
             looks=Looks(),
+            connects=ConnectTimer(),
             peers=Peers(
                 settings.host,
                 settings.failure_domain,
--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -7,11 +7,10 @@
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.transport.http1 import ServerConnection, connect
 
-# A connection within a site takes 3 to 5 ms.  A lost opening packet is sent again after a second,
-# so another is opened beside the first: 3 packets in 100 are lost on a bad link, and one look
+# A lost opening packet is sent again after a second, so another connection is opened beside the
+# first after this part of the time: 3 packets in 100 are lost on a bad link, and one connection
 # alone would take as many sound servers for lost.
-SECOND_TRY_SECONDS = 0.02
-GIVE_UP_SECONDS = 0.05
+SECOND_TRY_SHARE = 0.4
 # A VM may stand still for a tenth of a second when its processor's quota is used up.  What it has
 # not heard in that time proves nothing, so it tries once more.
 STOOD_STILL_SECONDS = 0.03
@@ -22,14 +21,15 @@
 async def reach(gateway: Gateway, server: ServerRecord) -> ServerConnection | None:
     """Connect to a server, or return None where its machine does not answer or refuses."""
     began = trio.current_time()
-    connection = await _race(gateway, server)
+    seconds = gateway.connects.give_up_ms / 1000
+    connection = await _race(gateway, server, seconds)
     took = trio.current_time() - began
-    if connection is None and took > GIVE_UP_SECONDS + STOOD_STILL_SECONDS:
-        connection = await _race(gateway, server)
+    if connection is None and took > seconds + STOOD_STILL_SECONDS:
+        connection = await _race(gateway, server, seconds)
     return connection
 
 
-async def _race(gateway: Gateway, server: ServerRecord) -> ServerConnection | None:
+async def _race(gateway: Gateway, server: ServerRecord, seconds: float) -> ServerConnection | None:
     """Return the first of two connections, the second of them opened a little later."""
     said = server.announcement
     opened: list[ServerConnection] = []
@@ -37,17 +37,19 @@
     async def open_one(delay: float) -> None:
         await trio.sleep(delay)
         gateway.counters.count("server.connects")
+        began = now_ms()
         try:
-            opened.append(await connect(said.host, said.port, gateway.settings.host, now_ms()))
+            opened.append(await connect(said.host, said.port, gateway.settings.host, began))
+            gateway.connects.took(now_ms() - began)
         except OSError:
             # Refused: the caller takes the server for lost, and the other try would learn the same.
             gateway.counters.count("server.refused_connection")
         nursery.cancel_scope.cancel()
 
-    with trio.move_on_after(GIVE_UP_SECONDS):
+    with trio.move_on_after(seconds):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(open_one, 0.0)
-            nursery.start_soon(open_one, SECOND_TRY_SECONDS)
+            nursery.start_soon(open_one, seconds * SECOND_TRY_SHARE)
     for spare in opened[1:]:
         spare.cut()
     return opened[0] if opened else None
