--- /dev/null
+++ b/tests/platform/test_control_app.py
@@ -0,0 +1,133 @@
+"""Tests of the calls by which servers make themselves known to a control VM."""
+
+import msgspec
+import trio
+
+from siskinspoke.control.group_daemon import ControlParts
+from siskinspoke.control.registry import Registry
+from siskinspoke.control.replica_task import now_ms
+from siskinspoke.coordination.directory import Directory
+from siskinspoke.core.counters import Counters
+from siskinspoke.core.latencies import Latencies
+from siskinspoke.platform.control_app import control_app
+from tests.feeds.test_follower import Quiet
+
+LEASE_MS = 4_800
+
+
+class Hub:
+    """A hub with one follower that confirms all it is told."""
+
+    followers = 1
+
+    def __init__(self):
+        self.told = []
+
+    def tell(self, announcements):
+        """Remember what the follower was told."""
+        self.told += announcements
+        return len(self.told)
+
+    def renew(self, announcement):
+        """Leave renewals out."""
+
+    async def confirmed(self, number, seconds):
+        """Return that nobody is missing."""
+        return 0
+
+
+class Control:
+    """A control VM's application without its group, and a client."""
+
+    def __init__(self):
+        self.counters = Counters()
+        self.directory = Directory(LEASE_MS)
+        self.hub = Hub()
+        registry = Registry(self.directory, self.counters, Quiet())
+        registry.attach(self.hub)
+        app = control_app(ControlParts(registry, self.counters, Latencies(), Quiet()))
+        self.client = app.test_client()
+
+    async def beat(self, server, **changes):
+        """Send a heartbeat; return the status of its answer."""
+        fields = {
+            "service": "engines",
+            "address": "10.0.0.9:8080",
+            "zone": "a",
+            "seq": 4,
+            "born": 1_000,
+            **changes,
+        }
+        return await self.post(f"/instances/{server}/heartbeat", msgspec.json.encode(fields))
+
+    async def post(self, path, body=b""):
+        """Send a call; return the status of its answer."""
+        return (await self.client.post(path, data=body)).status_code
+
+    def live(self):
+        """Return the names and starts of the servers that may get work."""
+        return [record.start for record in self.directory.live(now_ms())]
+
+
+class TestForeignWords:
+    """A word that names no server is refused, and what is known holds."""
+
+    def test_refused_and_nothing_lost(self):
+        """Another program writes to the control VMs while a healthy server is known."""
+
+        async def run():
+            control = Control()
+            assert await control.beat("i-1") == 200
+            strange = [
+                ("i-1", {"address": "10.0.0.66:8080", "seq": 99}),
+                ("i-1", {"service": "other", "seq": 99}),
+                ("i-2", {"state": "asleep"}),
+                ("i-2", {"seq": "4"}),
+                ("i-2", {"born": 1.5}),
+                ("i%202", {}),
+            ]
+            for server, changes in strange:
+                assert await control.beat(server, **changes) == 400
+            assert await control.post("/instances/i-2/heartbeat", b"\xff{") == 400
+            assert control.live() == [("i-1", 1_000)]
+            assert len(control.hub.told) == 1
+
+        trio.run(run)
+
+
+class TestStarts:
+    """A server starts again under its name."""
+
+    def test_lower_number_of_a_later_start(self):
+        async def run():
+            control = Control()
+            await control.beat("i-1", seq=90)
+            assert await control.beat("i-1", seq=1, born=2_000) == 200
+            assert control.live() == [("i-1", 2_000)]
+
+        trio.run(run)
+
+    def test_after_its_deregistration(self):
+        async def run():
+            control = Control()
+            await control.beat("i-1", seq=90)
+            assert await control.post("/instances/i-1/deregister") == 200
+            assert control.live() == []
+            assert await control.beat("i-1", seq=1, born=2_000) == 200
+            assert control.live() == [("i-1", 2_000)]
+
+        trio.run(run)
+
+    def test_late_deregistration_of_the_former_start(self):
+        """The deregistration was on its way while the server started again."""
+
+        async def run():
+            control = Control()
+            await control.beat("i-1", seq=90)
+            await control.beat("i-1", seq=1, born=2_000)
+            assert await control.post("/instances/i-1/deregister", b'{"born":1000}') == 200
+            assert control.live() == [("i-1", 2_000)]
+            assert await control.post("/instances/i-1/deregister", b'{"born":2000}') == 200
+            assert control.live() == []
+
+        trio.run(run)
