Listen for callers before the rest of an entry VM is loaded

Ruled out: compiling at start (the caches are there); the libraries, of which none that matters can be left out. Change: the command line listens on the public address first, with what the interpreter has; callers wait in the queue until the server of clients takes the listener over. Test first: tests/transport/test_early.py (nothing of it existed: a caller of that time was refused).

--- a/siskinspoke/__main__.py
+++ b/siskinspoke/__main__.py
@@ -7,7 +7,13 @@
 # settings have changed would end it; it reads them after this anyway.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from siskinspoke.management import execute  # noqa: E402  (the signal comes first)
+# Callers may connect from now on, while the rest is loaded.
+from siskinspoke.transport.early import listen_early  # noqa: E402  (the signal comes first)
+
+if sys.argv[1:2] == ["gateway"]:
+    listen_early(sys.argv[2:])
+
+from siskinspoke.management import execute  # noqa: E402  (the listener comes first)
 
 
 def run() -> None:
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -9,6 +9,7 @@
 from siskinspoke.gateway.plain import Whole, retry_after, serve_plain
 from siskinspoke.gateway.streams import StreamCutError, serve_stream
 from siskinspoke.gateway.wire import Call
+from siskinspoke.transport.early import BACKLOG, take_early
 from siskinspoke.transport.http1 import (
     BadRequestError,
     ClientConnection,
@@ -20,7 +21,6 @@
 # The last word leaves this long before the route's timeout: it must cross the network, and
 # timers fire some milliseconds late.
 LAST_WORD_MS = 40.0
-BACKLOG = 2_048
 # A client reuses a connection up to the idle limit; the answer that offered the connection
 # needs time to reach it, and its next request to reach us.
 IDLE_GRACE_SECONDS = 1.0
@@ -45,10 +45,13 @@
         self._gateway = gateway
 
     async def serve(self, host: str, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Serve clients forever."""
-        await trio.serve_tcp(
-            self._serve_one, port, host=host, backlog=BACKLOG, task_status=task_status
-        )
+        """Serve clients forever, first those who have connected while the program was loaded."""
+        early = take_early(host, port)
+        if early is None:
+            listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        else:
+            listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(early))]
+        await trio.serve_listeners(self._serve_one, listeners, task_status=task_status)
 
     async def _serve_one(self, stream: trio.SocketStream) -> None:
         gateway = self._gateway
--- /dev/null
+++ b/tests/transport/test_early.py
@@ -0,0 +1,80 @@
+"""Tests of listening before the program is loaded."""
+
+import json
+import socket
+
+import trio
+
+from siskinspoke.gateway.clients import ClientServer
+from siskinspoke.platform import SETTINGS_VARIABLE
+from siskinspoke.transport.early import listen_early, take_early
+from tests.platform.site import gateway_site, read_answer, request_bytes, servers
+from tests.platform.standin_server import Whole
+
+HOST = "127.0.0.1"
+
+
+def free_port() -> int:
+    """Return a port that is free."""
+    with socket.socket() as found:
+        found.bind((HOST, 0))
+        return found.getsockname()[1]
+
+
+def settings_file(tmp_path, **fields) -> str:
+    """Write a settings file and return its path."""
+    path = tmp_path / "vm.json"
+    path.write_text(json.dumps(fields))
+    return str(path)
+
+
+class TestEarly:
+    """Callers who come while an entry VM is loaded wait a moment, and are served."""
+
+    def test_caller_of_that_time_is_served(self, tmp_path):
+        """All entry VMs are killed and started again; a caller connects 0.1 s later.
+
+        Its machine refused the connection, as nobody listened yet, and its second and last try met
+        the same half a second.
+        """
+
+        async def run():
+            port = free_port()
+            listen_early([f"--vm_file={settings_file(tmp_path, public=f'{HOST}:{port}')}"])
+            stream = await trio.open_tcp_stream(HOST, port)
+            await stream.send_all(request_bytes("/again/x"))
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", [Whole(b"done")]),
+                trio.open_nursery() as nursery,
+            ):
+                await nursery.start(ClientServer(site.gateway).serve, HOST, port)
+                answer = await read_answer(stream)
+                nursery.cancel_scope.cancel()
+            assert answer.status == 200
+            assert answer.body == b"done"
+
+        trio.run(run)
+
+    def test_file_that_the_environment_names(self, tmp_path, monkeypatch):
+        port = free_port()
+        path = settings_file(tmp_path, public=f"{HOST}:{port}")
+        monkeypatch.setenv(SETTINGS_VARIABLE, path)
+        listen_early([])
+        with take_early(HOST, port) as listener:
+            assert listener.getsockname() == (HOST, port)
+        assert take_early(HOST, port) is None
+
+    def test_what_is_wrong_is_left_to_the_command(self, tmp_path):
+        for fields in ({}, {"public": ""}, {"public": 7}, {"public": "nobody"}):
+            listen_early([f"--vm_file={settings_file(tmp_path, **fields)}"])
+        listen_early([f"--vm_file={tmp_path / 'missing'}"])
+        assert take_early(HOST, 1) is None
+
+    def test_address_that_is_taken(self, tmp_path):
+        with socket.socket() as other:
+            other.bind((HOST, 0))
+            other.listen()
+            port = other.getsockname()[1]
+            listen_early([f"--vm_file={settings_file(tmp_path, public=f'{HOST}:{port}')}"])
+            assert take_early(HOST, port) is None
