End a look that was broken off, so that its server is looked at again

Found while the change was read once more: a cancelled connection leaves two nurseries as a group of exceptions, which `except Cancelled` does not match. The look stayed under way, nobody looked again, and a server that was lost at that moment would have been passed over by this VM until its next start or an answer. Test first: test_look_that_was_broken_off (timed out before).

--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -63,12 +63,15 @@
     ``told`` means that another VM has said that the server is lost.
     """
     gateway.looks.began(server.start, now_ms())
+    finished = False
     try:
         connection = await reach(gateway, server)
-    except trio.Cancelled:
-        # Whoever asked has gone; a look that nobody ends would be under way forever.
-        gateway.looks.drop(server.start)
-        raise
+        finished = True
+    finally:
+        if not finished:
+            # Whoever asked has gone.  A look that nobody ends would be under way forever, and the
+            # server passed over for good.
+            gateway.looks.drop(server.start)
     gateway.looks.ended(server.start, connection is not None, now_ms())
     if connection is None:
         lost(gateway, server, told)
--- a/tests/platform/test_lost_servers.py
+++ b/tests/platform/test_lost_servers.py
@@ -260,6 +260,32 @@
 
         trio.run(run)
 
+    def test_look_that_was_broken_off(self, tmp_path, monkeypatch):
+        """A caller leaves while its VM tries to reach a lost server, and then the server is back.
+
+        The look counted as under way from then on, so nobody looked again, and the VM passed the
+        server over for good.
+        """
+
+        async def run():
+            network = Network(monkeypatch)
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Events()]) as (one,),
+            ):
+                record = site.gateway.directory.latest(one.name)
+                network.dark.add(one.port)
+                await reaching.look(site.gateway, record)
+                with trio.move_on_after(0.02):
+                    await reaching.connect_to(site.gateway, record)
+                network.dark.clear()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(reaching.look_again_forever, site.gateway)
+                    await until(lambda: not site.gateway.standing.is_unreachable(one.name))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
 
 class TestStandingStill:
     """A VM that stood still itself has learned nothing."""
