Count a server that cannot be reached as tried, and take a refused connection for a sign of life

Cause: a look 0.1 s after the sending found no connection, the attempt was ended and sent elsewhere, and a server that was lost did not count against the route's attempts; but the first one had run it. Change: a refusal ends nothing; what cannot be reached counts as tried, and an attempt that may go nowhere else is not ended. Only a former start surely does no more work. Test first: TestRefusals (the stream was begun again elsewhere before).

--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -24,9 +24,9 @@
     put the moment off and return False.
     """
 
-    def __init__(self, servers: Iterable[ServerRecord], repeatable: bool):
+    def __init__(self, servers: Iterable[ServerRecord], may_move: bool):
         self._servers = {item.announcement.server: item for item in servers}
-        self._repeatable = repeatable
+        self._may_move = may_move
         self._waiting: trio.CancelScope | None = None
         self.due_at = math.inf
         self.doubt_at = math.inf
@@ -62,12 +62,12 @@
             self._end(STARTED_AGAIN, gone=True)
 
     def is_unreachable(self, server: str, incarnation: int) -> None:
-        """End the attempt if it may be repeated and relies on a server that cannot be reached.
+        """End the attempt if it relies on a server that cannot be reached, and may go elsewhere.
 
-        The answer of one that may not be repeated could still come, after a cut.
+        The answer of one that may not could still come, after a cut.
         """
         known = self._servers.get(server)
-        if self._repeatable and known is not None and known.start == (server, incarnation):
+        if self._may_move and known is not None and known.start == (server, incarnation):
             self._end(UNREACHABLE, gone=True)
 
     def doubt(self, now: float) -> None:
@@ -91,9 +91,9 @@
         self._some = trio.Event()
 
     @contextmanager
-    def attempt(self, *servers: ServerRecord, repeatable: bool) -> Iterator[Attempt]:
+    def attempt(self, *servers: ServerRecord, may_move: bool) -> Iterator[Attempt]:
         """Keep an attempt while the context is open; its waits end if a server is gone."""
-        found = Attempt(servers, repeatable)
+        found = Attempt(servers, may_move)
         self._attempts.add(found)
         self._some.set()
         try:
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -6,6 +6,7 @@
 from siskinspoke.coordination.liveness import whole_due_ms
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.gateway.attempts import STARTED_AGAIN
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded
 from siskinspoke.gateway.upstream import Begun, Broke, NotRun, keep_or_cut, send
@@ -56,7 +57,8 @@
         name = server.announcement.server
         excluded.add(name)
         fresh_ms = FRESH_MS if request.route.repeatable and not lost else FRESH_ONCE_MS
-        outcome = await _attempt(gateway, request, server, bool(ran), fresh_ms)
+        is_last = ran + 1 >= request.route.max_attempts
+        outcome = await _attempt(gateway, request, server, is_last, fresh_ms)
         match outcome:
             case Whole(answer=answer):
                 if answer.status < 500 or not request.route.repeatable:
@@ -72,8 +74,8 @@
             case Broke(reason=reason, gone=gone):
                 if not request.route.repeatable:
                     return Failure(ResultCode.FATE_UNKNOWN, reason)
-                # A server that is gone does no work for the request any more.
-                ran += not gone
+                # One that cannot be reached may work on; only a former start surely does not.
+                ran += reason != STARTED_AGAIN
                 lost += gone
                 arrivals += 1
                 last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
@@ -95,7 +97,7 @@
     left = request.left_ms(began)
     repeatable = request.route.repeatable
     seconds = left / 1000
-    if repeatable and not is_last and request.route.max_attempts > 1:
+    if repeatable and not is_last:
         seconds *= FIRST_SHARE
     dispatch = Dispatch(
         call=request.call,
@@ -109,7 +111,7 @@
     outcome: Whole | NotRun | Broke = Broke(Trouble.SILENT, "the answer did not end in time")
     try:
         with (
-            gateway.attempts.attempt(server, repeatable=repeatable) as attempt,
+            gateway.attempts.attempt(server, may_move=repeatable and not is_last) as attempt,
             attempt.within(seconds),
         ):
             attempt.due_at = began + whole_due_ms(gateway.standing.usual_ms([name], began))
--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -1,5 +1,7 @@
 """Connect to backend servers, and find out which of them cannot be reached."""
 
+from enum import Enum
+
 import trio
 
 from siskinspoke.coordination.directory import ServerRecord
@@ -18,23 +20,38 @@
 AGAIN_SECONDS = 0.25
 
 
-async def reach(gateway: Gateway, server: ServerRecord) -> ServerConnection | None:
-    """Connect to a server, or return None where its machine does not answer or refuses."""
+class NoConnection(Enum):
+    """Why there is no connection to a server.
+
+    A machine that refuses one is there: its process does not listen, and then its open connections
+    are reset, or it has as many connections as it takes, and works on at what it has.
+    """
+
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+async def reach(gateway: Gateway, server: ServerRecord) -> ServerConnection | NoConnection:
+    """Connect to a server, or return why there is no connection."""
     began = trio.current_time()
     seconds = gateway.connects.give_up_ms / 1000
     connection = await _race(gateway, server, seconds)
     took = trio.current_time() - began
-    if connection is None and took > seconds + STOOD_STILL_SECONDS:
+    if connection is NoConnection.SILENT and took > seconds + STOOD_STILL_SECONDS:
         connection = await _race(gateway, server, seconds)
     return connection
 
 
-async def _race(gateway: Gateway, server: ServerRecord, seconds: float) -> ServerConnection | None:
+async def _race(
+    gateway: Gateway, server: ServerRecord, seconds: float
+) -> ServerConnection | NoConnection:
     """Return the first of two connections, the second of them opened a little later."""
     said = server.announcement
     opened: list[ServerConnection] = []
+    refused = False
 
     async def open_one(delay: float) -> None:
+        nonlocal refused
         await trio.sleep(delay)
         gateway.counters.count("server.connects")
         began = now_ms()
@@ -42,7 +59,8 @@
             opened.append(await connect(said.host, said.port, gateway.settings.host, began))
             gateway.connects.took(now_ms() - began)
         except OSError:
-            # Refused: the caller takes the server for lost, and the other try would learn the same.
+            # The other try would learn the same.
+            refused = True
             gateway.counters.count("server.refused_connection")
         nursery.cancel_scope.cancel()
 
@@ -52,7 +70,9 @@
             nursery.start_soon(open_one, seconds * SECOND_TRY_SHARE)
     for spare in opened[1:]:
         spare.cut()
-    return opened[0] if opened else None
+    if opened:
+        return opened[0]
+    return NoConnection.REFUSED if refused else NoConnection.SILENT
 
 
 async def connect_to(
@@ -65,19 +85,24 @@
     gateway.looks.began(server.start, now_ms())
     finished = False
     try:
-        connection = await reach(gateway, server)
+        found = await reach(gateway, server)
         finished = True
     finally:
         if not finished:
             # Whoever asked has gone.  A look that nobody ends would be under way forever, and the
             # server passed over for good.
             gateway.looks.drop(server.start)
-    gateway.looks.ended(server.start, connection is not None, now_ms())
-    if connection is None:
-        lost(gateway, server, told)
-    else:
-        _reached(gateway, server)
-    return connection
+    gateway.looks.ended(server.start, found is not NoConnection.SILENT, now_ms())
+    match found:
+        case NoConnection.SILENT:
+            lost(gateway, server, told)
+        case NoConnection.REFUSED:
+            # What is open there may well be worked on, so nothing ends.
+            pass
+        case ServerConnection():
+            _reached(gateway, server)
+            return found
+    return None
 
 
 def _reached(gateway: Gateway, server: ServerRecord) -> None:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -9,7 +9,7 @@
 from siskinspoke.coordination.second_tries import doubt_after_ms, move
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
-from siskinspoke.gateway.attempts import Attempt
+from siskinspoke.gateway.attempts import STARTED_AGAIN, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.placing import (
     LEAST_TARGET_MS,
@@ -133,8 +133,8 @@
                     near_only = True
                     continue
             case Broke(reason=reason, gone=gone) | Stopped(reason=reason, gone=gone):
-                # A server that is gone does no work for the request any more.
-                ran += not gone
+                # One that cannot be reached may work on; only a former start surely does not.
+                ran += reason != STARTED_AGAIN
                 lost += gone
                 arrivals += 1
                 if not request.route.repeatable:
@@ -170,7 +170,7 @@
     try:
         async with AsyncExitStack() as stack:
             attempt = stack.enter_context(
-                gateway.attempts.attempt(*placed.servers, repeatable=request.route.repeatable)
+                gateway.attempts.attempt(*placed.servers, may_move=_may_move(request, placed))
             )
             reservation = await stack.enter_async_context(_memory_for(gateway, placed, work))
             if isinstance(reservation, Refused):
@@ -198,6 +198,11 @@
         _judge(gateway, request, placed, outcome)
 
 
+def _may_move(request: Request, placed: Placed) -> bool:
+    """Tell whether another server may be tried after this one."""
+    return request.route.repeatable and not placed.is_last
+
+
 def _given_up(attempt: Attempt) -> Broke:
     """Return what an attempt shows that was ended by a look or a second thought."""
     trouble = Trouble.BROKEN if attempt.gone else Trouble.SILENT
@@ -208,7 +213,7 @@
     """Have the servers looked at, and the place doubted, when the first token is late."""
     now = now_ms()
     attempt.due_at = now + first_due_ms(placed.expected_ms)
-    if placed.is_last or not (placed.job.short and request.route.repeatable):
+    if not (placed.job.short and _may_move(request, placed)):
         return
 
     def reconsider(attempt: Attempt, now: float) -> bool:
--- a/tests/platform/test_lost_servers.py
+++ b/tests/platform/test_lost_servers.py
@@ -202,6 +202,40 @@
         trio.run(run)
 
 
+class TestRefusals:
+    """A server that takes no more connections works on at what it has."""
+
+    def test_nothing_ends(self, tmp_path, monkeypatch):
+        """A look is refused, since the server has as many connections as it takes.
+
+        Taken for lost, its stream was begun again elsewhere while it worked on: one request ran at
+        more servers than its route allows.
+        """
+
+        async def refuse(*_args):
+            raise ConnectionRefusedError
+
+        async def run():
+            script = [Events(last=4, pause=0.2)]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", script, [Events(last=4)]) as (one, two),
+            ):
+                leave_one(site, two)
+
+                async def happen():
+                    await until(lambda: one.seen)
+                    monkeypatch.setattr(reaching, "connect", refuse)
+                    site.announce(two, "engines", started=5)
+
+                answer, _ = await ask_while(site, "/stream/x", happen, **PROMPT)
+                assert answer.whole
+                assert len(one.seen) == 1
+                assert two.seen == []
+
+        trio.run(run)
+
+
 class TestHearsay:
     """Another VM's word starts a look, and the look decides."""
 
@@ -298,7 +332,7 @@
             tries.append(trio.current_time())
             if len(tries) == 1:
                 time.sleep(0.1)
-                return None
+                return reaching.NoConnection.SILENT
             return "connection"
 
         async def run():
