--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -51,7 +51,7 @@
         """Go on with these servers only; what becomes of the others no longer matters."""
         self._servers = {item.announcement.server: item for item in servers}
 
-    def has_started(self, server: str, incarnation: int) -> None:
+    def end_if_restarted(self, server: str, incarnation: int) -> None:
         """End the attempt if one of its servers has started since.
 
         Without this a caller waits for a process that is gone until the silence is long enough,
@@ -61,7 +61,7 @@
         if known is not None and known.announcement.incarnation < incarnation:
             self._end(STARTED_AGAIN, gone=True)
 
-    def is_unreachable(self, server: str, incarnation: int) -> None:
+    def end_if_lost(self, server: str, incarnation: int) -> None:
         """End the attempt if it relies on a server that cannot be reached, and may go elsewhere.
 
         The answer of one that may not could still come, after a cut.
@@ -127,14 +127,14 @@
         """End the attempts at a server's former starts; return how many there were."""
         before = self._waiting()
         for item in before:
-            item.has_started(server, incarnation)
+            item.end_if_restarted(server, incarnation)
         return sum(bool(item.lost) for item in before)
 
     def lost(self, server: str, incarnation: int) -> int:
         """End the attempts at a server that cannot be reached; return how many there were."""
         before = self._waiting()
         for item in before:
-            item.is_unreachable(server, incarnation)
+            item.end_if_lost(server, incarnation)
         return sum(bool(item.lost) for item in before)
 
     def _waiting(self) -> list[Attempt]:
