Count pieces as delivered once they are handed over, and ask a silent server before giving it up

Cause of 3004 after one resumption: the announcements of an engine lapse with the entry VM that heard them, and half a second of silence then ended the stream of a sound engine; now a small question decides. Ruled out: the resumed side (fails openly), the assembler (gaps end an attempt), the test's client.

--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -16,6 +16,8 @@
 
 CANCEL_SECONDS = 1.0
 SILENCE_SECONDS = 0.5
+# No server has counted so many cache events, so a question for later ones has a short answer.
+NO_EVENTS_AFTER = 2**62
 
 
 @dataclass(frozen=True)
@@ -62,9 +64,11 @@
 class _Reading:
     """One attempt that waits for its server, for the watchdog."""
 
+    target: Target
     scope: trio.CancelScope
     is_alive: IsAlive
     heard_at: float
+    asked: bool = False
 
 
 class Backend:
@@ -84,12 +88,28 @@
         A frozen server keeps its connections open and sends nothing: only the lapse of its
         announcement tells it from one that is busy with a long prefill.
         """
-        while True:
-            await trio.sleep(SILENCE_SECONDS)
-            quiet_since = trio.current_time() - SILENCE_SECONDS
-            for reading in self._readings:
-                if reading.heard_at < quiet_since and not reading.is_alive():
-                    reading.scope.cancel()
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(SILENCE_SECONDS)
+                for reading in self._readings:
+                    if self._is_doubtful(reading) and not reading.asked:
+                        reading.asked = True
+                        nursery.start_soon(self._give_up_unless_answered, reading)
+
+    def _is_doubtful(self, reading: _Reading) -> bool:
+        quiet_since = trio.current_time() - SILENCE_SECONDS
+        return reading.heard_at < quiet_since and not reading.is_alive()
+
+    async def _give_up_unless_answered(self, reading: _Reading) -> None:
+        """Ask a silent server something small, and end its attempt if no answer comes.
+
+        Its announcements also lapse when the VM dies to which it sent them, and a busy server
+        may then be silent between two tokens; its stream would be cut though it is well.
+        """
+        answer = await self.cache_events(reading.target, NO_EVENTS_AFTER)
+        reading.asked = False
+        if answer is None and self._is_doubtful(reading):
+            reading.scope.cancel()
 
     async def __aenter__(self) -> "Backend":
         for client in (self._streams, self._single_use, self._control):
@@ -114,7 +134,7 @@
         client = self._single_use if single_use else self._streams
         url = f"http://{target.host}:{target.port}{path}"
         content = msgspec.json.encode(body)
-        reading = _Reading(trio.CancelScope(), is_alive, trio.current_time())
+        reading = _Reading(target, trio.CancelScope(), is_alive, trio.current_time())
         self._readings.add(reading)
         try:
             with reading.scope:
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -350,15 +350,17 @@
         )
 
     async def _deliver(self, pieces: list[Piece], ticket: Ticket | None) -> None:
-        """Hand pieces to the caller's side, which may hold up nobody but itself."""
+        """Hand pieces to the caller's side, which may hold up nobody but itself.
+
+        Pieces count as delivered only once they are handed over.  A VM that thaws finds them
+        together with the lapse of their server, and gives the attempt up in this very wait; if
+        they counted then, the next attempt would go on behind them and leave a gap.
+        """
         progress = self._progress
         if progress.first_token_at is None:
             progress.first_token_at = trio.current_time()
             if ticket is not None:
                 self._context.router.first_token(ticket, now_ms())
-        for piece in pieces:
-            progress.offset = piece.offset + piece.tokens
-            progress.text.append(piece.text)
         with trio.move_on_after(self._limits.reader_timeout_ms / 1000) as scope:
             try:
                 await self._send.send(pieces)
@@ -366,6 +368,9 @@
                 progress.abandoned = True
         if scope.cancelled_caught:
             raise ReaderTooSlowError
+        for piece in pieces:
+            progress.offset = piece.offset + piece.tokens
+            progress.text.append(piece.text)
 
     async def _serve_by_group(self) -> Failure | None:
         """Serve a prompt that no single engine holds."""
