Part a large fleet into cells that share books, and ask others where a cell is short

Change: VMs and engines of a failure domain are ranked by hash and cut into cells of 24 VMs at most; books, budget news, lost servers and questions to engines stay in the cell, work at another cell's engines is told to that cell, and a prompt that would wait over 0.6 of its target is offered to two other cells. A fleet of 24 VMs or fewer is one cell, as before. VMs with open work show that they live every 0.8 s.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -11,6 +11,7 @@
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.feed import (
+    EntryPeer,
     Follow,
     Holds,
     News,
@@ -203,7 +204,7 @@
 
     def _current_roster(self) -> Roster:
         entries = {
-            (item.follow.host, item.follow.peer_port)
+            EntryPeer(item.follow.host, item.follow.peer_port, item.follow.failure_domain)
             for item in self._sessions
             if item.follow.peer_port
         }
--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -97,6 +97,7 @@
         if known is not None and known.announcement.incarnation >= announcement.incarnation:
             return False
         heard_at = now - self._lease_ms + RECALLED_MS
+        self.changes += 1
         self._keep(ServerRecord(announcement, heard_at, since=heard_at, recalled=True))
         return True
 
--- a/siskinspoke/feeds/follower.py
+++ b/siskinspoke/feeds/follower.py
@@ -9,6 +9,7 @@
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.feed import (
+    EntryPeer,
     Follow,
     Holds,
     News,
@@ -58,6 +59,7 @@
     name: str
     host: str
     peer_port: int
+    failure_domain: str = ""
 
 
 def pause_after(failures: int) -> float:
@@ -90,7 +92,8 @@
         self._heard_at: dict[str, float] = {}
         self._following: dict[str, trio.CancelScope] = {}
         self._connected: set[str] = set()
-        self._peers: dict[tuple[str, int], float] = {}
+        self._peers: dict[EntryPeer, float] = {}
+        self._comings = 0
         self._installed = trio.Event()
 
     @property
@@ -105,8 +108,13 @@
         return tuple(sorted(named | set(self._seeds)))
 
     @property
-    def peers(self) -> list[tuple[str, int]]:
-        """Return where the other entry VMs hear each other.
+    def comings(self) -> int:
+        """Return how often an entry VM has come to be known."""
+        return self._comings
+
+    @property
+    def peers(self) -> list[EntryPeer]:
+        """Return the other entry VMs that are known.
 
         One that is cut off from the control VMs stands on no roster, but serves on: without
         its peers' news its books would fill with work that has long ended.
@@ -114,10 +122,22 @@
         now = trio.current_time()
         return [peer for peer, at in self._peers.items() if now - at < PEER_SECONDS]
 
-    def heard_peer(self, host: str) -> None:
+    def heard_peer(self, host: str, failure_domain: str) -> None:
         """Note that an entry VM lives, from its own word."""
-        if host != self._me.host:
-            self._peers[(host, self._me.peer_port)] = trio.current_time()
+        self._note_peer(EntryPeer(host, self._me.peer_port, failure_domain))
+
+    def _note_peer(self, peer: EntryPeer) -> None:
+        if peer.host == self._me.host:
+            return
+        self._comings += peer not in self._peers
+        self._peers[peer] = trio.current_time()
+
+    def forget_peers(self) -> None:
+        """Drop the entry VMs that nobody has named for long."""
+        now = trio.current_time()
+        for peer, at in list(self._peers.items()):
+            if now - at >= PEER_SECONDS:
+                del self._peers[peer]
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take over other seeds, as changed settings name them."""
@@ -171,7 +191,11 @@
         async with stream:
             tune(stream.socket)
             follow = Follow(
-                self._me.name, self._me.host, self._me.peer_port, self._listener.version()
+                self._me.name,
+                self._me.host,
+                self._me.peer_port,
+                self._listener.version(),
+                self._me.failure_domain,
             )
             await self._send(stream, follow)
             async with trio.open_nursery() as nursery:
@@ -221,9 +245,8 @@
         match opened.ok:
             case Roster() as roster:
                 self._rosters[host] = roster
-                now = trio.current_time()
-                self._peers |= {tuple(item): now for item in roster.entries}
-                self._peers.pop((self._me.host, self._me.peer_port), None)
+                for peer in roster.entries:
+                    self._note_peer(peer)
             case Publication(version=version, document=document):
                 self._listener.on_publication(version, document)
                 event, self._installed = self._installed, trio.Event()
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -20,8 +20,10 @@
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.core.latencies import Latencies
 from siskinspoke.gateway.attempts import OpenAttempts
+from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.pool import Pool
+from siskinspoke.gateway.questions import Questions
 from siskinspoke.gateway.wire import Call, Wire
 
 # How long after it was told to stop a VM still takes requests.  The balancer sends no more after
@@ -50,6 +52,8 @@
     attempts: OpenAttempts
     looks: Looks
     connects: ConnectTimer
+    cells: CellView
+    questions: Questions
     peers: Peers
     counters: Counters
     latencies: Latencies
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -22,15 +22,19 @@
 from siskinspoke.core.supervise import keep_running
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
 from siskinspoke.gateway.attempts import OpenAttempts
+from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.clients import ClientServer
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.lives import hear
 from siskinspoke.gateway.peers import Peers
+from siskinspoke.gateway.placing import offer
 from siskinspoke.gateway.pool import Pool
+from siskinspoke.gateway.questions import Questions
 from siskinspoke.gateway.reaching import hear_lost, look_again_forever, look_forever
 from siskinspoke.gateway.reports import ask_forever, try_cut_domains_forever
 from siskinspoke.gateway.wire import Wire
 from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.transport.datagrams import open_datagram_port
 from siskinspoke.transport.pages import Page, Pages, metrics_pages, serve_pages
 
@@ -63,8 +67,9 @@
             on_remembered=self._on_remembered,
             version=lambda: self.gateway.table.version if self.gateway.table else 0,
         )
+        directory = Directory(settings.announce_every_ms * LEASES_PER_ANNOUNCEMENT)
         self._feeds = FeedSet(
-            Me(settings.name, settings.host, settings.peer_port),
+            Me(settings.name, settings.host, settings.peer_port, settings.failure_domain),
             settings.seed_hosts,
             settings.feed_port,
             settings.internal_key,
@@ -72,10 +77,22 @@
             counters,
             log,
         )
+        cells = CellView(
+            EntryPeer(settings.host, settings.peer_port, settings.failure_domain),
+            directory,
+            lambda: self._feeds.peers,
+            lambda: self._feeds.comings,
+        )
+        questions = Questions(
+            settings.host,
+            settings.peer_port,
+            lambda question: offer(self.gateway, question),
+            counters,
+        )
         self.gateway = Gateway(
             settings=settings,
             wire=wire,
-            directory=Directory(settings.announce_every_ms * LEASES_PER_ANNOUNCEMENT),
+            directory=directory,
             placement=Placement(books),
             standing=Standing(),
             domains=domains,
@@ -84,13 +101,16 @@
             attempts=OpenAttempts(),
             looks=Looks(),
             connects=ConnectTimer(),
+            cells=cells,
+            questions=questions,
             peers=Peers(
                 settings.host,
                 settings.failure_domain,
                 books,
                 budget,
                 domains,
-                lambda: self._feeds.peers,
+                cells,
+                questions,
                 counters,
                 self._feeds.heard_peer,
                 lambda server: hear_lost(self.gateway, server),
@@ -146,9 +166,6 @@
         """Tell whether new clients may come: this VM can serve, and is not about to stop."""
         return self.gateway.table is not None and not self.gateway.draining
 
-    def _peer_hosts(self) -> list[str]:
-        return [host for host, _ in self._feeds.peers]
-
     def _ready_pages(self) -> Pages:
         return {"/readyz": lambda: Page(200 if self._ready else 503)}
 
@@ -167,7 +184,7 @@
                 (gateway.peers.run, port),
                 (self._feeds.run,),
                 (self._chores_forever,),
-                (ask_forever, gateway, self._peer_hosts),
+                (ask_forever, gateway),
                 (try_cut_domains_forever, gateway),
                 (look_forever, gateway),
                 (look_again_forever, gateway),
@@ -211,6 +228,8 @@
             now = now_ms()
             gateway.budget.set_vms(1 + len(self._feeds.peers), 1 + gateway.peers.heard(now))
             gateway.directory.forget(now)
+            self._feeds.forget_peers()
+            gateway.cells.refresh()
             names = [item.announcement.server for item in gateway.directory.all_known()]
             gateway.standing.forget(names)
             gateway.books.forget(now, names)
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -1,4 +1,8 @@
-"""Tell the other entry VMs what this one begins and ends at engines, and hear it of them."""
+"""Tell the other entry VMs of a cell what this one begins and ends at engines, and hear it of them.
+
+Work at engines of another cell is told to that cell, whose books hold them.  Everything else
+concerns this VM's own cell alone.
+"""
 
 import random
 from collections.abc import Callable
@@ -7,10 +11,19 @@
 import trio
 
 from siskinspoke.coordination.books import Books, Job, Work
+from siskinspoke.coordination.cells import Cell
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.core.counters import Counters
-from siskinspoke.protocol.peers import EnginePace, WorkBegan, WorkNews
+from siskinspoke.gateway.cells import CellView
+from siskinspoke.gateway.questions import Questions
+from siskinspoke.protocol.peers import (
+    EnginePace,
+    PlaceOffer,
+    PlaceQuestion,
+    WorkBegan,
+    WorkNews,
+)
 from siskinspoke.transport.datagrams import DatagramPort
 
 # A change of pace by less than this moves no choice.
@@ -20,9 +33,12 @@
 TELL_SECONDS = 0.2
 # News of one kind that wait; more cannot come in that time.
 MOST_NEWS = 512
-# A VM with open work says something of it every few hundred milliseconds.  One that has said
-# nothing for this long is dead, or cut off together with its callers' streams; its work would
-# fill the books until it is forgotten, and the engines that it names would look taken.
+# A VM with open work shows that it lives this often where it has no news: in a large fleet each
+# has less than one request a second, and its work would be struck while streams are written.
+ALIVE_MS = 800.0
+# One that has said nothing for this long is dead, or cut off together with its callers' streams;
+# its work would fill the books until it is forgotten, and the engines that it names would look
+# taken.
 SILENT_MS = 2_500.0
 # A VM that has had no request for this long, or cannot be heard, has no part in the budget.
 HEARD_MS = 5_000.0
@@ -38,9 +54,10 @@
         books: Books,
         budget: CommonBudget,
         domains: Domains,
-        addresses: Callable[[], list[tuple[str, int]]],
+        cells: CellView,
+        questions: Questions,
         counters: Counters,
-        heard_peer: Callable[[str], None],
+        heard_peer: Callable[[str, str], None],
         heard_lost: Callable[[str], None],
     ):
         self._host = host
@@ -48,7 +65,8 @@
         self._books = books
         self._budget = budget
         self._domains = domains
-        self._addresses = addresses
+        self._cells = cells
+        self._questions = questions
         self._counters = counters
         self._heard_peer = heard_peer
         self._heard_lost = heard_lost
@@ -56,7 +74,10 @@
         # Tells this start of the process from earlier ones on the same VM.
         self._start = f"{random.getrandbits(32):x}"
         self._heard: dict[str, tuple[str, float]] = {}
-        self._news = self._no_news()
+        self._news: dict[Cell, WorkNews] = {}
+        # Who keeps the books of this VM's open work, by its number.
+        self._watching: dict[int, set[Cell]] = {}
+        self._told_at: dict[Cell, float] = {}
         self._urgent = trio.Event()
 
     def began(self, work: Work) -> int:
@@ -73,28 +94,32 @@
             job.pause_ms,
             list(work.held),
         )
-        self._tell(self._news.began, news)
+        self._watching[number] = self._cells.watching(work.servers)
+        for cell in self._watching[number]:
+            self._tell(self._news_for(cell).began, news)
         self._urgent.set()
         return number
 
     def wrote(self, number: int) -> None:
         """Note the first token of work."""
         self._books.wrote(self._name(number))
-        self._tell(self._news.wrote, number)
+        for cell in self._watching[number]:
+            self._tell(self._news_for(cell).wrote, number)
 
     def ended(self, number: int) -> None:
         """Strike work from the books."""
         self._books.end(self._name(number))
-        self._tell(self._news.ended, number)
+        for cell in self._watching.pop(number):
+            self._tell(self._news_for(cell).ended, number)
 
     def cut(self, domain: str) -> None:
         """Tell the others that a failure domain has come to be out of reach."""
-        self._tell(self._news.cuts, domain)
+        self._tell(self._own_news().cuts, domain)
         self._urgent.set()
 
     def lost(self, server: str) -> None:
         """Tell the others that a server cannot be reached from here."""
-        self._tell(self._news.lost, server)
+        self._tell(self._own_news().lost, server)
         self._urgent.set()
 
     def paced(self, server: str, pace: float) -> None:
@@ -102,7 +127,7 @@
         changed = abs(self._books.engine(server).pace - pace) > PACE_NEWS
         self._books.engine(server).pace = pace
         if changed:
-            self._tell(self._news.paces, EnginePace(server, pace))
+            self._tell(self._own_news().paces, EnginePace(server, pace))
 
     def _name(self, number: int) -> str:
         return _work_name(self._host, self._start, number)
@@ -110,6 +135,15 @@
     def _no_news(self) -> WorkNews:
         return WorkNews(self._host, self._start, [], [], [], [], [], self._domain, [], [])
 
+    def _news_for(self, cell: Cell) -> WorkNews:
+        found = self._news.get(cell)
+        if found is None:
+            found = self._news[cell] = self._no_news()
+        return found
+
+    def _own_news(self) -> WorkNews:
+        return self._news_for(self._cells.mine)
+
     def _tell(self, items: list, item: Any) -> None:
         if len(items) >= MOST_NEWS:
             self._counters.count("peers.dropped")
@@ -120,18 +154,38 @@
         """Send and receive forever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(port.receive_forever, self._hear)
+            self._questions.use(port)
             while True:
                 with trio.move_on_after(TELL_SECONDS):
                     await self._urgent.wait()
                 self._urgent = trio.Event()
-                news, self._news = self._news, self._no_news()
-                if news.says_anything or self._budget.has_repeats_to_tell:
-                    news.calls.extend(self._budget.take_news())
-                    await port.send_to_all(news, self._addresses())
+                await self._tell_all(port)
+
+    async def _tell_all(self, port: DatagramPort) -> None:
+        now = trio.current_time() * 1000
+        news, self._news = self._news, {}
+        mine = self._cells.mine
+        if mine in news or self._budget.has_repeats_to_tell:
+            news.setdefault(mine, self._no_news()).calls.extend(self._budget.take_news())
+        for cell in self._silent_to(now):
+            news.setdefault(cell, self._no_news())
+        for cell, item in news.items():
+            self._told_at[cell] = now
+            await port.send_to_all(item, self._cells.addresses(cell))
+
+    def _silent_to(self, now: float) -> set[Cell]:
+        """Return the cells that hold open work of this VM and have not heard of it lately."""
+        open_at = {cell for cells in self._watching.values() for cell in cells}
+        for cell in self._told_at.keys() - open_at:
+            del self._told_at[cell]
+        return {cell for cell in open_at if now - self._told_at.get(cell, 0.0) > ALIVE_MS}
 
     def heard(self, now: float) -> int:
-        """Return how many other VMs have spoken lately; ``now`` is in milliseconds."""
-        return sum(now - at < HEARD_MS for _, at in self._heard.values())
+        """Return how many VMs of the cell have spoken lately; ``now`` is in milliseconds."""
+        return sum(
+            now - at < HEARD_MS and self._cells.is_neighbour(host)
+            for host, (_, at) in self._heard.items()
+        )
 
     def forget_silent(self, now: float) -> None:
         """Strike the work of VMs that have fallen silent; ``now`` is in milliseconds."""
@@ -141,20 +195,28 @@
             if now - at > HEARD_MS:
                 del self._heard[host]
 
-    def _note_speaker(self, host: str, start: str) -> None:
+    def _note_speaker(self, host: str, start: str, domain: str) -> None:
         """Remember who spoke; a VM that was started anew has none of its earlier work."""
         known = self._heard.get(host)
         if known is not None and known[0] != start:
             self._books.end_all(_work_name(host, known[0], ""))
         self._heard[host] = (start, trio.current_time() * 1000)
-        self._heard_peer(host)
+        self._heard_peer(host, domain)
 
     async def _hear(self, item: Any) -> None:
-        if not isinstance(item, WorkNews):
-            self._counters.count("datagram.refused.kind")
-            return
+        match item:
+            case WorkNews():
+                self._hear_news(item)
+            case PlaceQuestion():
+                await self._questions.answer(item)
+            case PlaceOffer():
+                self._questions.hear(item)
+            case _:
+                self._counters.count("datagram.refused.kind")
+
+    def _hear_news(self, item: WorkNews) -> None:
         host, start = item.host, item.start
-        self._note_speaker(host, start)
+        self._note_speaker(host, start, item.domain)
         now = trio.current_time() * 1000
         for began in item.began:
             job = Job(began.tokens, began.max_tokens, began.target_ms, began.pause_ms)
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -4,13 +4,13 @@
 
 from siskinspoke.coordination.books import Job
 from siskinspoke.coordination.directory import ServerRecord
-from siskinspoke.coordination.placement import Candidate, Place
+from siskinspoke.coordination.placement import DRAWN_ENGINES, Candidate, Place
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.servers import candidates, least_loaded
+from siskinspoke.gateway.servers import REMOTE_MS, candidates, in_cell, least_loaded
+from siskinspoke.gateway.widening import ask_others, is_short
+from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
 
-# A server in another failure domain costs two crossings more, about 3 ms.
-REMOTE_MS = 3.0
 # A server that fails part of its requests looks this much slower, times that part.
 FAILING_MS = 400.0
 # A target that is nearer than this cannot be met any more; the request goes where it does least
@@ -59,7 +59,7 @@
         return (self.server, *kept)
 
 
-def place(
+async def place(
     gateway: Gateway,
     request: Request,
     last_event_at: float | None,
@@ -83,11 +83,29 @@
     job = _job(request, last_event_at)
     if costs is None or job is None:
         return Placed(least_loaded(gateway, records))
-    found = choose(gateway, costs, job, records)
+    found = choose(gateway, costs, job, in_cell(gateway, request.service, records))
+    if not near_only and gateway.cells.others and is_short(found, request.route.target_ms):
+        offered = await ask_others(gateway, request.service, job, excluded, found)
+        found = offered or found or _blind(gateway, costs, job, records)
     if found is None:
         return None
-    by_name = {record.announcement.server: record for record in records}
-    chosen = [by_name[name] for name in found.servers]
+    return _placed(gateway, found, job, costs)
+
+
+def _blind(
+    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
+) -> Place | None:
+    """Return a place at engines of other cells, whose work this VM knows nothing of.
+
+    This is for the moments after a loss in which no VM of another cell answers; an engine that is
+    full says so at once.
+    """
+    drawn = gateway.rng.sample(records, min(len(records), DRAWN_ENGINES))
+    return choose(gateway, costs, job, drawn)
+
+
+def _placed(gateway: Gateway, found: Place, job: Job, costs: EngineCosts) -> Placed:
+    chosen = [gateway.directory.latest(name) for name in found.servers]
     return Placed(
         server=chosen[0],
         helpers=tuple(chosen[1:]),
@@ -134,6 +152,20 @@
     return gateway.placement.choose(costs, job, offered, now_ms(), gateway.rng)
 
 
+def offer(gateway: Gateway, question: PlaceQuestion) -> PlaceOffer:
+    """Return where this VM would place a prompt that came to a VM of another cell."""
+    service = gateway.table.services.get(question.service) if gateway.table else None
+    found = None
+    if service is not None and service.engine is not None:
+        job = Job(question.tokens, question.max_tokens, question.target_ms, question.pause_ms)
+        records = candidates(gateway, question.service, set(question.excluded))
+        mine = in_cell(gateway, question.service, records)
+        found = choose(gateway, service.engine, job, mine)
+    if found is None:
+        return PlaceOffer(question.number, [], 0.0, [])
+    return PlaceOffer(question.number, list(found.servers), found.first_token_ms, list(found.held))
+
+
 def pass_ms_at(gateway: Gateway, request: Request, placed: Placed) -> float:
     """Return how long a pass of the writing engine takes, as the books stand."""
     service = gateway.table.services.get(request.service)
--- a/siskinspoke/gateway/reports.py
+++ b/siskinspoke/gateway/reports.py
@@ -2,7 +2,7 @@
 
 An engine that has turned slow, or dark, looks like any other until work that was sent there is
 late.  One small question a second to each engine finds out before.  The entry VM that asks is
-drawn by rendezvous hashing among those of the site, so each engine is asked once whatever the
+drawn by rendezvous hashing among those of its cell, so each engine is asked once whatever the
 number of VMs, and another one takes over when the VMs that are known change.
 """
 
@@ -17,6 +17,7 @@
 from siskinspoke.gateway.exchange import ask
 from siskinspoke.gateway.lives import hear
 from siskinspoke.gateway.reaching import look, look_soon
+from siskinspoke.gateway.servers import in_cell
 
 EVERY_SECONDS = 1.0
 ANSWER_SECONDS = 0.4
@@ -52,24 +53,29 @@
         return self._mine
 
 
-async def ask_forever(gateway: Gateway, peers) -> None:
-    """Ask this VM's part of the engines, forever; ``peers`` returns the other VMs' hosts."""
+async def ask_forever(gateway: Gateway) -> None:
+    """Ask this VM's part of its cell's engines, forever."""
     asked = Asked(gateway.settings.host)
     async with trio.open_nursery() as nursery:
         while True:
             await trio.sleep(EVERY_SECONDS)
             engines = {record.announcement.server: record for record in _engines(gateway)}
-            for name in asked.of(peers(), engines):
+            neighbours = [host for host, _ in gateway.cells.addresses(gateway.cells.mine)]
+            for name in asked.of(neighbours, engines):
                 nursery.start_soon(_ask, gateway, engines[name])
 
 
 def _engines(gateway: Gateway) -> list[ServerRecord]:
-    """Return the servers of services whose servers are engines."""
+    """Return the engines that this VM's cell keeps books of."""
     if gateway.table is None:
         return []
     now = now_ms()
     services = [item.name for item in gateway.table.services.values() if item.engine is not None]
-    return [record for name in services for record in gateway.directory.serving(name, now)]
+    return [
+        record
+        for name in services
+        for record in in_cell(gateway, name, gateway.directory.serving(name, now))
+    ]
 
 
 async def _ask(gateway: Gateway, record: ServerRecord) -> None:
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -5,6 +5,9 @@
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.upstream import Broke, NotRun
 
+# A server in another failure domain costs two crossings more, about 3 ms.
+REMOTE_MS = 3.0
+
 
 def choose_service(gateway: Gateway, request: Request) -> str:
     """Return one service of the route, by weight, among those that have servers."""
@@ -32,6 +35,12 @@
     return [by_name[name] for name in usable]
 
 
+def in_cell(gateway: Gateway, service: str, records: list[ServerRecord]) -> list[ServerRecord]:
+    """Return the servers that this VM's cell keeps books of."""
+    mine = gateway.cells.servers(service)
+    return [record for record in records if record.announcement.server in mine]
+
+
 def _one_an_address(records: list[ServerRecord]) -> list[ServerRecord]:
     """Keep the server that was heard of last at each address: the others there are gone."""
     latest: dict[tuple[str, int], ServerRecord] = {}
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -21,7 +21,7 @@
 )
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
 from siskinspoke.gateway.reservations import Member, Refused, reserved
-from siskinspoke.gateway.servers import candidates, choose_service, learn
+from siskinspoke.gateway.servers import candidates, choose_service, in_cell, learn
 from siskinspoke.gateway.upstream import Begun, Broke, NotRun, keep_or_cut, send
 from siskinspoke.gateway.wire import Dispatch, Helper
 from siskinspoke.protocol.events import EventSplitter, id_of
@@ -101,7 +101,7 @@
     near_only = False
     last: Whole | Failure | None = None
     while len(request.tried) - unreached < MOST_TRIES and unreached < MOST_UNREACHED:
-        placed = place(gateway, request, relay.last_event_at, excluded, near_only)
+        placed = await place(gateway, request, relay.last_event_at, excluded, near_only)
         if placed is None:
             break
         if arrivals and not gateway.budget.take(request.service, now_ms()):
@@ -218,7 +218,9 @@
 
     def reconsider(attempt: Attempt, now: float) -> bool:
         left = request.route.target_ms - (now - request.arrived_ms)
-        others = candidates(gateway, request.service, {placed.name})
+        others = in_cell(
+            gateway, request.service, candidates(gateway, request.service, {placed.name})
+        )
         hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
         best = choose(gateway, placed.costs, hurried, others) if others else None
         chosen = move(left, None if best is None else best.first_token_ms)
--- /dev/null
+++ b/siskinspoke/gateway/widening.py
@@ -0,0 +1,77 @@
+"""Ask other cells for room where this VM's own cell is short of it.
+
+A cell holds a part of its failure domain's engines.  A burst, a clump of long prompts or a loss
+of engines may fill one cell while others have room.  Two others are asked for each prompt that
+would wait too long, one of this failure domain first; the better offer is taken.  Their VMs keep
+the books of their engines, so an offer is as good as a choice of their own.
+"""
+
+from collections.abc import Iterable
+
+from siskinspoke.coordination.books import Job
+from siskinspoke.coordination.cells import Cell
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.placement import Place
+from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.servers import REMOTE_MS
+from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
+
+# Two choices spread prompts nearly as well as knowing all cells; more are mostly more datagrams.
+ASKED_CELLS = 2
+# A cell is short for a prompt whose first token is expected later than this part of its target.
+# Expectations are off by a third, so beyond it one in ten first tokens comes late.
+SHORT_FROM = 0.6
+# Another cell must be better by this factor: a prompt that leaves its own adds to the work of a
+# cell that it is not dealt to.
+BETTER_BY = 0.8
+
+
+def is_short(found: Place | None, target_ms: float) -> bool:
+    """Tell whether a prompt should be offered to other cells."""
+    return found is None or found.first_token_ms > SHORT_FROM * target_ms
+
+
+async def ask_others(
+    gateway: Gateway, service: str, job: Job, excluded: Iterable[str], found: Place | None
+) -> Place | None:
+    """Return the best place in some other cells if it is better than what was found, or None."""
+    asked = _to_ask(gateway)
+    question = PlaceQuestion("", 0, service, *job, sorted(excluded))
+    offers = await gateway.questions.ask(question, asked)
+    places = [place for offer in offers if (place := _place_of(gateway, offer)) is not None]
+    if not places:
+        return None
+    best = min(places, key=lambda place: place.first_token_ms)
+    if found is not None and best.first_token_ms > BETTER_BY * found.first_token_ms:
+        return None
+    gateway.counters.count("cells.widened")
+    return best
+
+
+def _to_ask(gateway: Gateway) -> list[tuple[str, int]]:
+    """Return one VM of each cell to ask, drawn by lot."""
+    now, here = now_ms(), gateway.settings.failure_domain
+    cells = [cell for cell in gateway.cells.others if not gateway.domains.is_cut(cell.domain, now)]
+    near = [cell for cell in cells if cell.domain == here]
+    far = [cell for cell in cells if cell.domain != here]
+    chosen: list[Cell] = gateway.rng.sample(near, min(1, len(near)))
+    chosen += gateway.rng.sample(far, min(ASKED_CELLS - len(chosen), len(far)))
+    known = [gateway.cells.addresses(cell) for cell in chosen]
+    return [gateway.rng.choice(addresses) for addresses in known if addresses]
+
+
+def _place_of(gateway: Gateway, offer: PlaceOffer) -> Place | None:
+    """Return an offered place, or None where this VM knows a reason against it."""
+    records = [gateway.directory.latest(name) for name in offer.servers]
+    if any(record is None or not _is_usable(gateway, record) for record in records):
+        return None
+    first_ms = offer.first_token_ms
+    if records[0].announcement.failure_domain != gateway.settings.failure_domain:
+        first_ms += REMOTE_MS
+    return Place(tuple(offer.servers), first_ms, tuple(offer.held))
+
+
+def _is_usable(gateway: Gateway, record: ServerRecord) -> bool:
+    said, now = record.announcement, now_ms()
+    cut = gateway.domains.is_cut(said.failure_domain, now)
+    return not (said.leaving or cut or gateway.standing.is_aside(said.server, now))
--- a/siskinspoke/protocol/feed.py
+++ b/siskinspoke/protocol/feed.py
@@ -21,6 +21,15 @@
     host: str
     peer_port: int
     version: int
+    failure_domain: str = ""
+
+
+class EntryPeer(NamedTuple):
+    """An entry VM, and where it hears the others."""
+
+    host: str
+    port: int
+    failure_domain: str
 
 
 @message
@@ -28,7 +37,7 @@
     """The hosts of all control VMs that the hub knows, and the entry VMs that follow it."""
 
     controls: list[str]
-    entries: list[tuple[str, int]]
+    entries: list[EntryPeer]
 
 
 @message
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -28,6 +28,33 @@
     pace: float
 
 
+@message
+class PlaceQuestion(NamedTuple):
+    """A VM whose own cell is short asks one of another cell where it would place a prompt.
+
+    ``excluded`` are the servers that the request has tried.  Times in milliseconds.
+    """
+
+    host: str
+    number: int
+    service: str
+    tokens: int
+    max_tokens: int
+    target_ms: float
+    pause_ms: float
+    excluded: list[str]
+
+
+@message
+class PlaceOffer(NamedTuple):
+    """Where the asked VM would place it, the writing server first; no servers mean nowhere."""
+
+    number: int
+    servers: list[str]
+    first_token_ms: float
+    held: list[int]
+
+
 @message
 class WorkNews(NamedTuple):
     """What an entry VM has begun, brought to its first token and ended, by its own numbers.
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -3,10 +3,15 @@
 import trio
 
 from siskinspoke.coordination.books import Books, Job, Work
+from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.core.counters import Counters
+from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.peers import SILENT_MS, Peers
+from siskinspoke.gateway.questions import Questions
+from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.protocol.peers import WorkBegan, WorkNews
 from siskinspoke.transport.datagrams import open_datagram_port
 from tests.platform.site import until
@@ -15,6 +20,16 @@
 JOB = Job(5_000, 900, 300, 250)
 
 
+def cell_view(host: str, others: list[str]) -> CellView:
+    """Return the cells of a small site, which are one, with two engines in their books."""
+    directory = Directory(5_000)
+    for name in ("e1", "e2"):
+        said = Announcement(name, 1, 1, "a", host, 1, "", "m", False, False, 0, 0, 0, [], 0, 0)
+        directory.hear(said, 0)
+    known = [EntryPeer(other, PORT, "a") for other in others]
+    return CellView(EntryPeer(host, PORT, "a"), directory, lambda: known, lambda: 0)
+
+
 def peers(host: str, books: Books, domains: Domains | None = None) -> Peers:
     """Return the peers of one VM, which tells nobody."""
     budget = CommonBudget(0.2, 100)
@@ -25,9 +40,10 @@
         books,
         budget,
         domains,
-        lambda: [],
+        cell_view(host, []),
+        Questions(host, PORT, lambda question: None, Counters()),
         Counters(),
-        lambda _host: None,
+        lambda _host, _domain: None,
         lambda _server: None,
     )
 
@@ -104,16 +120,17 @@
                 running = {}
                 for host in books:
                     port = await open_datagram_port(host, PORT, b"k", Counters())
-                    others = [(other, PORT) for other in books if other != host]
+                    others = [other for other in books if other != host]
                     running[host] = Peers(
                         host,
                         "a",
                         books[host],
                         CommonBudget(0.2, 100),
                         Domains(),
-                        lambda o=others: o,
+                        cell_view(host, others),
+                        Questions(host, PORT, lambda question: None, Counters()),
                         Counters(),
-                        lambda _host: None,
+                        lambda _host, _domain: None,
                         lambda _server: None,
                     )
                     nursery.start_soon(running[host].run, port)
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -1,6 +1,7 @@
 """Proofs on answers: whole, to their own caller, in time, and without leaving memory behind."""
 
 import random
+import time
 
 import pytest
 import trio
@@ -15,6 +16,8 @@
 ENGINES = ("engine-sala-a-1", "engine-sala-b-1", "engine-anexo-1")
 SLOW_DECODE = ("--step_base_ms=40",)
 TOKENS = 60
+# Announcements last 3 s.
+FROZEN_SECONDS = 3.6
 
 
 async def complete(site, *entries, tokens=2_000, output=TOKENS, timeout_ms=20_000, **options):
@@ -70,6 +73,27 @@
         assert outcome.resumed >= 1
         site.wait_memory_returned(*ENGINES)
 
+    def test_entry_frozen_in_mid_answer(self, make_site):
+        """A clerk's answer lacks words in its middle, and still ends as complete.
+
+        The VM that passes it on freezes for longer than announcements last.  As it thaws it
+        finds words of the engine and the lapse of its announcement at the same moment, gives
+        the attempt up, and goes on elsewhere: exactly where it stopped.
+        """
+        site = make_site(engine_flags=SLOW_DECODE, entries_per_domain=2)
+        name = "entry-sala-a-1"
+
+        def freeze_and_thaw(_) -> None:
+            site.fleet.freeze(name)
+            time.sleep(FROZEN_SECONDS)
+            site.fleet.thaw(name)
+
+        outcome = trio.run(
+            lambda: during(site, freeze_and_thaw, "entry-sala-b-1", entry=site.entry_address(name))
+        )
+        assert outcome.whole, outcome
+        site.wait_memory_returned(*ENGINES)
+
     def test_engine_killed_in_mid_answer(self, make_site):
         """An engine dies; the VM goes on at another one, and the caller sees no seam."""
         site = make_site(engine_flags=SLOW_DECODE)
