--- /dev/null
+++ b/tests/gateway/test_cells.py
@@ -0,0 +1,234 @@
+"""Tests of what VMs of a large fleet tell each other, and ask each other, across cells."""
+
+import random
+from types import SimpleNamespace
+
+import trio
+import trio.testing
+
+from siskinspoke.coordination.books import Books, Job, Work
+from siskinspoke.coordination.directory import Directory
+from siskinspoke.coordination.domains import Domains
+from siskinspoke.coordination.placement import Place
+from siskinspoke.coordination.retries import CommonBudget
+from siskinspoke.coordination.standing import Standing, Trouble
+from siskinspoke.core.counters import Counters
+from siskinspoke.gateway.cells import CellView
+from siskinspoke.gateway.peers import Peers
+from siskinspoke.gateway.questions import Questions
+from siskinspoke.gateway.widening import ask_others, is_short
+from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.feed import EntryPeer
+from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion, WorkNews
+
+PORT = 17_342
+JOB = Job(5_000, 900, 300, 250)
+DOMAINS = ("a", "b")
+VMS_A_DOMAIN = 30
+ENGINES_A_DOMAIN = 30
+# The time at which each run of a mock clock begins.
+START_MS = 0.0
+
+
+def engine(number: int, domain: str) -> Announcement:
+    name = f"{domain}-{number}"
+    return Announcement(name, 1, 1, domain, "10.9.9.9", 1, "", "m", False, False, 0, 0, 0, [], 0, 0)
+
+
+class Fleet:
+    """A fleet of two failure domains with two cells each, as one VM knows it."""
+
+    def __init__(self, me: str = "10.0.0.0"):
+        self.directory = Directory(60_000)
+        for domain in DOMAINS:
+            for number in range(ENGINES_A_DOMAIN):
+                self.directory.hear(engine(number, domain), 0)
+        self.vms = [
+            EntryPeer(f"10.0.{index}.{number}", PORT, domain)
+            for index, domain in enumerate(DOMAINS)
+            for number in range(VMS_A_DOMAIN)
+        ]
+        mine = next(vm for vm in self.vms if vm.host == me)
+        others = [vm for vm in self.vms if vm.host != me]
+        self.cells = CellView(mine, self.directory, lambda: others, lambda: 1)
+
+
+class Port:
+    """A datagram port that keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[object, list]] = []
+
+    async def send_to_all(self, item, addresses) -> None:
+        self.sent.append((item, list(addresses)))
+
+    async def send(self, item, host, port) -> None:
+        self.sent.append((item, [(host, port)]))
+
+
+def peers_of(fleet: Fleet, books: Books) -> Peers:
+    return Peers(
+        "10.0.0.0",
+        "a",
+        books,
+        CommonBudget(0.2, 100),
+        Domains(),
+        fleet.cells,
+        Questions("10.0.0.0", PORT, lambda question: None, Counters()),
+        Counters(),
+        lambda _host, _domain: None,
+        lambda _server: None,
+    )
+
+
+class TestTelling:
+    """Work is told to those who keep the books of its engines, and to nobody else."""
+
+    def test_fleet_has_cells_of_bounded_size(self):
+        fleet = Fleet()
+        assert len(fleet.cells.others) == 3
+        assert len(fleet.cells.addresses(fleet.cells.mine)) == VMS_A_DOMAIN // 2 - 1
+        assert len(fleet.cells.servers("m")) == ENGINES_A_DOMAIN // 2
+
+    def told(self, server_of) -> tuple[Fleet, list[tuple[WorkNews, list]]]:
+        """Return what one VM tells of work at a server that is chosen from the fleet."""
+        fleet, port = Fleet(), Port()
+
+        async def run():
+            peers = peers_of(fleet, Books())
+            number = peers.began(Work(JOB, (server_of(fleet),), 0.0))
+            await peers._tell_all(port)
+            peers.wrote(number)
+            peers.ended(number)
+            await peers._tell_all(port)
+
+        trio.run(run)
+        return fleet, port.sent
+
+    def test_work_in_the_own_cell_stays_there(self):
+        """With 195 VMs, telling each of them took nine tenths of the fleet's processor time."""
+        fleet, sent = self.told(lambda fleet: min(fleet.cells.servers("m")))
+        mine = fleet.cells.addresses(fleet.cells.mine)
+        assert [addresses for _, addresses in sent] == [mine, mine]
+        assert sent[0][0].began
+        assert sent[1][0].wrote == sent[1][0].ended == [1]
+
+    def test_work_in_another_cell_is_told_there(self):
+        """VMs of that cell would otherwise take its engine for free, and pile work on it."""
+        fleet, sent = self.told(lambda fleet: "b-3")
+        watching = fleet.cells.watching(["b-3"])
+        assert fleet.cells.mine not in watching
+        heard = {address for _, addresses in sent for address in addresses}
+        expected = {at for cell in watching for at in fleet.cells.addresses(cell)}
+        assert heard >= expected
+
+    def test_open_work_is_told_again_while_nothing_else_is_said(self):
+        """A VM with one long stream has no news; its work must not be taken for a dead VM's."""
+        fleet, port = Fleet(), Port()
+
+        async def run():
+            peers = peers_of(fleet, Books())
+            peers.began(Work(JOB, (min(fleet.cells.servers("m")),), 0.0))
+            await peers._tell_all(port)
+            await peers._tell_all(port)
+            assert len(port.sent) == 1
+            await trio.sleep(1.0)
+            await peers._tell_all(port)
+            assert len(port.sent) == 2
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def asking_gateway(fleet: Fleet, offers: list[PlaceOffer]) -> SimpleNamespace:
+    """Return a gateway whose questions are answered with these offers."""
+
+    async def ask(question: PlaceQuestion, asked: list) -> list[PlaceOffer]:
+        gateway.asked = asked
+        return offers
+
+    gateway = SimpleNamespace(
+        rng=random.Random(1),
+        cells=fleet.cells,
+        directory=fleet.directory,
+        domains=Domains(),
+        standing=Standing(),
+        settings=SimpleNamespace(failure_domain="a"),
+        questions=SimpleNamespace(ask=ask),
+        counters=Counters(),
+    )
+    return gateway
+
+
+def widened(gateway, found: Place | None, excluded=()) -> Place | None:
+    clock = trio.testing.MockClock()
+    return trio.run(ask_others, gateway, "m", JOB, excluded, found, clock=clock)
+
+
+class TestWidening:
+    """A clump of long prompts fills one cell while others have room."""
+
+    def test_cell_with_room_asks_nobody(self):
+        assert not is_short(Place(("a-1",), 110.0), 300.0)
+        assert is_short(Place(("a-1",), 250.0), 300.0)
+        assert is_short(None, 300.0)
+
+    def test_full_cell_takes_the_better_offer(self):
+        offers = [PlaceOffer(1, ["a-1"], 150.0, []), PlaceOffer(1, ["b-1"], 90.0, [])]
+        gateway = asking_gateway(Fleet(), offers)
+        assert widened(gateway, None).servers == ("b-1",)
+        assert len(gateway.asked) == 2
+
+    def test_slightly_better_offer_is_left_alone(self):
+        """The asked cell has callers of its own."""
+        gateway = asking_gateway(Fleet(), [PlaceOffer(1, ["b-1"], 190.0, [])])
+        assert widened(gateway, Place(("a-1",), 200.0)) is None
+
+    def test_offer_behind_a_cut_is_of_no_use(self):
+        """The asked VM is reached, but its failure domain's engines are not."""
+        gateway = asking_gateway(Fleet(), [PlaceOffer(1, ["b-1"], 90.0, [])])
+        for name in ("b-4", "b-5"):
+            gateway.domains.unreached("b", name, START_MS)
+        assert widened(gateway, None) is None
+        assert all(host.startswith("10.0.0.") for host, _ in gateway.asked)
+
+    def test_server_that_failed_here_is_passed_over(self):
+        gateway = asking_gateway(Fleet(), [PlaceOffer(1, ["b-1"], 90.0, [])])
+        gateway.standing.failed("b-1", Trouble.SILENT, START_MS)
+        assert widened(gateway, None) is None
+
+
+class TestQuestions:
+    """A question has an answer within some milliseconds, or none."""
+
+    def test_unanswered_question_costs_a_bounded_time(self):
+        """The VM asked has been killed; the caller's prompt must not wait for it."""
+
+        async def run():
+            questions = Questions("10.0.0.0", PORT, lambda question: None, Counters())
+            questions.use(Port())
+            began = trio.current_time()
+            question = PlaceQuestion("", 0, "m", *JOB, [])
+            assert await questions.ask(question, [("10.0.0.1", PORT)]) == []
+            assert trio.current_time() - began < 0.1
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_late_and_doubled_offers_harm_nobody(self):
+        async def run():
+            questions = Questions("10.0.0.0", PORT, lambda question: None, Counters())
+            questions.use(Port())
+            offers = []
+
+            async def ask():
+                question = PlaceQuestion("", 0, "m", *JOB, [])
+                offers.extend(await questions.ask(question, [("10.0.0.1", PORT)]))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.testing.wait_all_tasks_blocked()
+                questions.hear(PlaceOffer(1, ["b-1"], 90.0, []))
+                questions.hear(PlaceOffer(1, ["b-1"], 90.0, []))
+            questions.hear(PlaceOffer(1, ["b-1"], 90.0, []))
+            assert offers == [PlaceOffer(1, ["b-1"], 90.0, [])]
+
+        trio.run(run)
