Bring configurations from the own failure domain, and renewals of it alone in a large fleet

Change: the control VM of the follower's own domain has the first turn; a fleet parted into cells hears renewals by domain, but for services of 24 servers or fewer. Tests: TestRenewals, test_hub_of_the_own_domain_comes_first.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -1,10 +1,12 @@
 """The hub of a control VM: it tells every follower what this VM knows, as it learns it."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import trio
 
+from siskinspoke.coordination.cells import MOST_VMS
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.watchers import rendezvous_order
 from siskinspoke.core.counters import Counters
@@ -32,12 +34,15 @@
 # A roster is said again after this time: followers forget whom nobody names.
 ROSTER_SECONDS = 5.0
 OUTBOX_FRAMES = 1_024
+# Every entry VM hears the renewals of a service with up to so many servers, wherever they are.  Of
+# a larger one, in a fleet that is parted into cells, it hears those of its own failure domain,
+# which are all that its books hold: 870 servers' renewals would be 14 KB a second to each VM.
+FEW_SERVERS = 24
 # Each hub gives the one before it this time to bring a follower a configuration: a crossing and
 # what 100 KB take on a small VM's link.  With six hubs, five of them lost, the last has its turn
 # after 0.75 s, where a change must be in force within 2 s.
 TURN_SECONDS = 0.15
 LAST_TURN_SECONDS = 0.75
-TICK = Renewals([])
 
 
 class Held(NamedTuple):
@@ -70,6 +75,7 @@
     def __init__(
         self,
         host: str,
+        failure_domain: str,
         directory: Directory,
         controls: Callable[[], list[str]],
         held: Callable[[], Held],
@@ -78,6 +84,7 @@
         log: DecisionLog,
     ):
         self._host = host
+        self._failure_domain = failure_domain
         self._directory = directory
         self._controls = controls
         self._held = held
@@ -86,7 +93,8 @@
         self._log = log
         self._sessions: set[Session] = set()
         self._number = 0
-        self._renewed: dict[str, tuple[str, int, int]] = {}
+        self._renewed: dict[str, Announcement] = {}
+        self._control_domains = {host: failure_domain}
         self._confirmation = trio.Event()
 
     async def serve(self, host: str, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -163,6 +171,8 @@
         """Tell a new follower everything, also which servers have left."""
         self._sessions.add(session)
         follow = session.follow
+        if not follow.peer_port:
+            self._control_domains[follow.host] = follow.failure_domain
         self._log.note("follower.joined", follower=follow.name, host=follow.host)
         self._send(session, self._current_roster())
         held = self._held()
@@ -226,7 +236,7 @@
         """
         if session.version >= held.version:
             return
-        turn = self._turn(session.follow.host) if session.version else 0
+        turn = self._turn(session.follow) if session.version else 0
         if not turn:
             self._bring(session, held)
             return
@@ -247,9 +257,14 @@
         session.brought = held.version
         self._send(session, Publication(held.version, held.document))
 
-    def _turn(self, follower: str) -> int:
-        """Return how many hubs come before this one for a follower; all hubs agree on it."""
-        ranked = rendezvous_order(follower, self._controls())
+    def _turn(self, follow: Follow) -> int:
+        """Return how many hubs come before this one for a follower; all hubs agree on it.
+
+        Those of its own failure domain come first: of 195 copies of a configuration that rendezvous
+        hashing alone spreads over five domains, 156 cross from one to another.
+        """
+        ranked = rendezvous_order(follow.host, self._controls())
+        ranked.sort(key=lambda host: self._control_domains.get(host) != follow.failure_domain)
         return ranked.index(self._host) if self._host in ranked else len(ranked)
 
     def tell(self, announcements: list[Announcement]) -> int:
@@ -264,8 +279,7 @@
 
     def renew(self, announcement: Announcement) -> None:
         """Tell all followers soon that a server has spoken again."""
-        said = announcement
-        self._renewed[said.server] = (said.server, said.incarnation, said.seq)
+        self._renewed[announcement.server] = announcement
 
     @property
     def followers(self) -> int:
@@ -292,6 +306,37 @@
             if roster != last_roster or due:
                 last_roster, told_at = roster, trio.current_time()
                 self._send_all(roster)
-            self._send_all(Renewals(list(self._renewed.values())) if self._renewed else TICK)
-            self._renewed.clear()
+            self._send_renewals()
             self._counters.gauge("feed.followers", len(self._sessions))
+
+    def _send_renewals(self) -> None:
+        """Tell each follower who has spoken again of those that it needs to know of."""
+        renewed, self._renewed = list(self._renewed.values()), {}
+        large = self._large_services()
+        frames: dict[str | None, bytes] = {}
+        for session in list(self._sessions):
+            follow = session.follow
+            # Control VMs pass on what they know to their own followers, so they hear all.
+            domain = follow.failure_domain if follow.peer_port and large else None
+            if domain not in frames:
+                frames[domain] = frame_of(self._key, _renewals_for(domain, renewed, large))
+            self._send_frame(session, frames[domain])
+
+    def _large_services(self) -> set[str]:
+        """Return the services whose servers are known by failure domain only."""
+        entries = sum(bool(session.follow.peer_port) for session in self._sessions)
+        if entries <= MOST_VMS:
+            return set()
+        sizes = Counter(item.announcement.service for item in self._directory.all_known())
+        return {service for service, size in sizes.items() if size > FEW_SERVERS}
+
+
+def _renewals_for(domain: str | None, renewed: list[Announcement], large: set[str]) -> Renewals:
+    """Return what followers of a failure domain hear, or those that hear all."""
+    return Renewals(
+        [
+            (said.server, said.incarnation, said.seq)
+            for said in renewed
+            if domain is None or said.failure_domain == domain or said.service not in large
+        ]
+    )
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -72,6 +72,7 @@
         self._feeds = self._make_feeds()
         self._hub = FeedHub(
             self._watch.settings.host,
+            self._watch.settings.failure_domain,
             self._directory,
             self._control_hosts,
             lambda: self.registry.held,
@@ -91,7 +92,7 @@
             version=lambda: 2**62,
         )
         return FeedSet(
-            Me(settings.name, settings.host, 0),
+            Me(settings.name, settings.host, 0, settings.failure_domain),
             settings.seed_hosts,
             settings.feed_port,
             settings.internal_key,
--- a/tests/control/test_feed_hub.py
+++ b/tests/control/test_feed_hub.py
@@ -5,14 +5,19 @@
 import trio
 
 from siskinspoke.control.feed_hub import TURN_SECONDS, FeedHub, Held
+from siskinspoke.coordination.cells import MOST_VMS
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.watchers import rendezvous_order
 from siskinspoke.core.counters import Counters
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
+from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.feed import Follow
+from siskinspoke.transport.frames import LENGTH_BYTES, open_frame
 from tests.feeds.test_follower import Quiet
 
 ENTRY = "127.0.0.9"
 HUBS = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
+DOMAINS = dict(zip(HUBS, ("a", "b", "c"), strict=True))
 IN_TURN = rendezvous_order(ENTRY, HUBS)
 SOON_SECONDS = 1.0
 
@@ -20,7 +25,8 @@
 class Site:
     """Three hubs and one entry VM, which has configuration 1."""
 
-    def __init__(self, version: int = 1):
+    def __init__(self, version: int = 1, domain: str = ""):
+        self.domain = domain
         self.held = dict.fromkeys(HUBS, Held(version, {}))
         self.got: list[int] = []
         self.version = version
@@ -45,14 +51,15 @@
 
 
 @asynccontextmanager
-async def running(site: Site):
+async def running(site: Site, directory: Directory | None = None):
     """Run hubs and follower; yield once the follower hears all hubs."""
     port = await free_port()
     async with trio.open_nursery() as nursery:
         for host in HUBS:
             site.hubs[host] = FeedHub(
                 host,
-                Directory(4_800),
+                DOMAINS[host],
+                directory or Directory(4_800),
                 lambda: HUBS,
                 lambda host=host: site.held[host],
                 b"k",
@@ -63,7 +70,13 @@
         listener = Listener(site.install, print, lambda _: None, print, lambda: site.version)
         listener = listener._replace(on_news=lambda _: None)
         site.feeds = FeedSet(
-            Me("entry", ENTRY, 9), tuple(HUBS), port, b"k", listener, Counters(), Quiet()
+            Me("entry", ENTRY, 9, site.domain),
+            tuple(HUBS),
+            port,
+            b"k",
+            listener,
+            Counters(),
+            Quiet(),
         )
         nursery.start_soon(site.feeds.run)
         with trio.fail_after(SOON_SECONDS):
@@ -139,3 +152,78 @@
                 assert site.version == 2
 
         trio.run(run)
+
+    def test_hub_of_the_own_domain_comes_first(self):
+        """Of 195 copies of a change 156 crossed between failure domains, whose bytes are dear."""
+
+        async def run(domain):
+            async with running(Site(domain=domain)) as site:
+                for host in HUBS:
+                    follow = Follow("entry", ENTRY, 9, 1, domain)
+                    site.hubs[host]._control_domains |= DOMAINS
+                    is_first = site.hubs[host]._turn(follow) == 0
+                    assert is_first == (DOMAINS[host] == domain)
+
+        for domain in DOMAINS.values():
+            trio.run(run, domain)
+
+
+class Session:
+    """A follower that keeps what it is sent."""
+
+    def __init__(self, host: str, peer_port: int, domain: str):
+        self.follow = Follow(host, host, peer_port, 1, domain)
+        self.outbox = self
+        self.frames: list[bytes] = []
+
+    def send_nowait(self, frame: bytes) -> None:
+        """Take a frame."""
+        self.frames.append(frame)
+
+    @property
+    def heard(self) -> set[str]:
+        """Return the servers whose renewals have come."""
+        opened = [open_frame(b"k", frame[LENGTH_BYTES:]).ok for frame in self.frames]
+        return {server for renewals in opened for server, _, _ in renewals.items}
+
+
+class TestRenewals:
+    """Who hears that a server has spoken again."""
+
+    def renewed(self, entries: int) -> list[Session]:
+        """Have 60 engines and a plain server of two domains speak; return all followers."""
+        directory = Directory(4_800)
+        hub = FeedHub(
+            HUBS[0], "a", directory, lambda: HUBS, lambda: None, b"k", Counters(), Quiet()
+        )
+        sessions = [Session(f"g{number}", 9, "ab"[number % 2]) for number in range(entries)]
+        sessions.append(Session("control", 0, "b"))
+        hub._sessions = set(sessions)
+        for number in range(60):
+            said = server(f"engine-{number}", "m", "ab"[number % 2])
+            directory.hear(said, 0)
+            hub.renew(said)
+        plain = server("plain", "p", "a")
+        directory.hear(plain, 0)
+        hub.renew(plain)
+        hub._send_renewals()
+        return sessions
+
+    def test_all_of_a_small_fleet_hear_all(self):
+        assert all(len(item.heard) == 61 for item in self.renewed(MOST_VMS))
+
+    def test_large_fleet_hears_its_own_domain_and_small_services(self):
+        """At 870 servers the renewals of all would be 14 KB a second for each VM."""
+        *entries, control = self.renewed(MOST_VMS + 1)
+        for item in entries:
+            number = "ab".index(item.follow.failure_domain)
+            engines = {f"engine-{index}" for index in range(number, 60, 2)}
+            assert item.heard == engines | {"plain"}
+        assert len(control.heard) == 61
+
+
+def server(name: str, service: str, domain: str) -> Announcement:
+    """Return a server's announcement."""
+    return Announcement(
+        name, 1, 1, domain, "10.9.9.9", 1, "", service, False, False, 0, 0, 0, [], 0, 0
+    )
