--- a/siskinspoke/gateway/cells.py
+++ b/siskinspoke/gateway/cells.py
@@ -4,6 +4,7 @@
 
 from siskinspoke.coordination.cells import Cell, Cells, Server
 from siskinspoke.coordination.directory import Directory
+from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.feed import EntryPeer
 
 Address = tuple[str, int]
@@ -22,11 +23,13 @@
         directory: Directory,
         peers: Callable[[], list[EntryPeer]],
         changes: Callable[[], int],
+        log: DecisionLog,
     ):
         self._me = me
         self._directory = directory
         self._peers = peers
         self._changes = changes
+        self._log = log
         self._cells = Cells({me.host: me.failure_domain}, ())
         self._ports: dict[str, int] = {}
         self._seen: tuple[int, int] | None = None
@@ -39,9 +42,24 @@
             self._ports = {peer.host: peer.port for peer in peers}
             vms = {peer.host: peer.failure_domain for peer in peers}
             vms[self._me.host] = self._me.failure_domain
+            before = (self._cells.of(self._me.host), len(self._cells.all))
             self._cells = Cells(vms, _servers(self._directory))
+            self._note_change(before, len(vms))
         return self._cells
 
+    def _note_change(self, before: tuple[Cell | None, int], vms: int) -> None:
+        """Log a change of this VM's cell: what it knows of engines' work begins anew with it."""
+        cell, cells = self._cells.of(self._me.host), len(self._cells.all)
+        if (cell, cells) != before:
+            neighbours = len(self._cells.hosts(cell)) - 1
+            self._log.note(
+                "cell.changed",
+                cell=f"{cell.domain}/{cell.index}",
+                cells=cells,
+                vms=vms,
+                neighbours=neighbours,
+            )
+
     @property
     def mine(self) -> Cell:
         """Return the name of this VM's cell."""
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -275,6 +275,8 @@
             engines=request.engines,
             considered=request.considered,
             idle=request.idle,
+            offers=request.offers,
+            widened=request.widened,
             events=request.events,
             longest_pause=round(request.longest_pause_ms),
             tried=[list(item) for item in request.tried],
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -127,6 +127,8 @@
     engines: int = 0
     considered: int = 0
     idle: int = 0
+    offers: int | None = None
+    widened: bool = False
     events: int = 0
     longest_pause_ms: float = 0.0
     status: int = 0
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -82,6 +82,7 @@
             directory,
             lambda: self._feeds.peers,
             lambda: self._feeds.peer_changes,
+            log,
         )
         questions = Questions(
             settings.host,
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -80,7 +80,7 @@
     records = _near(gateway, cell_candidates(gateway, request.service, excluded), near_only)
     found = choose(gateway, costs, job, records)
     if not near_only and gateway.cells.others and is_short(found, request.route.target_ms):
-        offered = await ask_others(gateway, request.service, job, excluded, found)
+        offered = await ask_others(gateway, request, job, excluded, found)
         found = offered or found or _blind(gateway, request.service, job, costs, excluded)
     if found is None:
         return None
--- a/siskinspoke/gateway/widening.py
+++ b/siskinspoke/gateway/widening.py
@@ -12,7 +12,7 @@
 from siskinspoke.coordination.cells import Cell
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.placement import Place
-from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.servers import REMOTE_MS
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
 
@@ -32,12 +32,13 @@
 
 
 async def ask_others(
-    gateway: Gateway, service: str, job: Job, excluded: Iterable[str], found: Place | None
+    gateway: Gateway, request: Request, job: Job, excluded: Iterable[str], found: Place | None
 ) -> Place | None:
     """Return the best place in some other cells if it is better than what was found, or None."""
     asked = _to_ask(gateway)
-    question = PlaceQuestion("", 0, service, *job, sorted(excluded))
+    question = PlaceQuestion("", 0, request.service, *job, sorted(excluded))
     offers = await gateway.questions.ask(question, asked)
+    request.offers = len(offers)
     places = [place for offer in offers if (place := _place_of(gateway, offer)) is not None]
     if not places:
         return None
@@ -45,6 +46,7 @@
     if found is not None and best.first_token_ms > BETTER_BY * found.first_token_ms:
         return None
     gateway.counters.count("cells.widened")
+    request.widened = True
     return best
 
 
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -20,6 +20,7 @@
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion, WorkNews
+from tests.feeds.test_follower import Quiet
 
 PORT = 17_342
 JOB = Job(5_000, 900, 300, 250)
@@ -50,7 +51,7 @@
         ]
         mine = next(vm for vm in self.vms if vm.host == me)
         others = [vm for vm in self.vms if vm.host != me]
-        self.cells = CellView(mine, self.directory, lambda: others, lambda: 1)
+        self.cells = CellView(mine, self.directory, lambda: others, lambda: 1, Quiet())
 
 
 class Port:
@@ -161,7 +162,8 @@
 
 def widened(gateway, found: Place | None, excluded=()) -> Place | None:
     clock = trio.testing.MockClock()
-    return trio.run(ask_others, gateway, "m", JOB, excluded, found, clock=clock)
+    request = SimpleNamespace(service="m", offers=None, widened=False)
+    return trio.run(ask_others, gateway, request, JOB, excluded, found, clock=clock)
 
 
 class TestWidening:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -14,6 +14,7 @@
 from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.protocol.peers import WorkBegan, WorkNews
 from siskinspoke.transport.datagrams import open_datagram_port
+from tests.feeds.test_follower import Quiet
 from tests.platform.site import until
 
 PORT = 17_341
@@ -27,7 +28,7 @@
         said = Announcement(name, 1, 1, "a", host, 1, "", "m", False, False, 0, 0, 0, [], 0, 0)
         directory.hear(said, 0)
     known = [EntryPeer(other, PORT, "a") for other in others]
-    return CellView(EntryPeer(host, PORT, "a"), directory, lambda: known, lambda: 0)
+    return CellView(EntryPeer(host, PORT, "a"), directory, lambda: known, lambda: 0, Quiet())
 
 
 def peers(host: str, books: Books, domains: Domains | None = None) -> Peers:
