--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -131,6 +131,18 @@
             await stream.send_all(request_bytes(path, request_id, body, **headers))
             return await read_answer(stream)
 
+    @asynccontextmanager
+    async def asking(self, path: str, **headers):
+        """Keep a request open in the background; yield the list that its answer is added to."""
+        answers: list[Answer] = []
+
+        async def ask():
+            answers.append(await self.ask(path, **headers))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            yield answers
+
 
 def request_bytes(path: str, request_id: str = "r1", body: bytes = b"", **headers) -> bytes:
     """Return the bytes of one request; a header's underscores stand for dashes."""
--- a/tests/platform/test_lost_servers.py
+++ b/tests/platform/test_lost_servers.py
@@ -36,20 +36,15 @@
 
 async def ask_while(site, path, happen, **headers):
     """Send a request, let something happen, and return the answer and how long it took."""
-    answers = []
-
-    async def ask():
-        began = trio.current_time()
-        answer = await site.ask(path, **headers)
-        answers.append((answer, trio.current_time() - began))
-
+    began = trio.current_time()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(reaching.look_forever, site.gateway)
-        nursery.start_soon(ask)
-        await happen()
-        await until(lambda: answers)
+        async with site.asking(path, **headers) as answers:
+            await happen()
+            await until(lambda: answers)
+        took = trio.current_time() - began
         nursery.cancel_scope.cancel()
-    return answers[0]
+    return answers[0], took
 
 
 class TestOverdueAnswers:
--- a/tests/platform/test_restarted_servers.py
+++ b/tests/platform/test_restarted_servers.py
@@ -31,13 +31,7 @@
                 servers(site, "engines", dark, [Events(last=4)]) as (one, two),
             ):
                 site.gateway.directory.retire(*site.gateway.directory.latest(two.name).start)
-                answers = []
-
-                async def ask():
-                    answers.append(await site.ask("/stream/x", **PROMPT))
-
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(ask)
+                async with site.asking("/stream/x", **PROMPT) as answers:
                     await until(lambda: one.seen)
                     await trio.sleep(0.05)
                     site.announce(two, "engines", started=5)
@@ -61,13 +55,7 @@
                 gateway_site(tmp_path) as site,
                 servers(site, "plain", [Silent(), Whole()]) as (one,),
             ):
-                answers = []
-
-                async def ask():
-                    answers.append(await site.ask("/once/x"))
-
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(ask)
+                async with site.asking("/once/x") as answers:
                     await until(lambda: one.seen)
                     with trio.fail_after(SOON_SECONDS):
                         site.announce(one, "plain", started=9)
@@ -84,13 +72,7 @@
                 servers(site, "engines", [Events(last=6, pause=0.05)]) as (one,),
             ):
                 site.announce(one, "engines", started=9)
-                answers = []
-
-                async def ask():
-                    answers.append(await site.ask("/stream/x", **PROMPT))
-
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(ask)
+                async with site.asking("/stream/x", **PROMPT) as answers:
                     await until(lambda: one.seen)
                     site.announce(one, "engines", seq=99, started=8)
                 assert answers[0].whole
