--- a/siskinspoke/gateway/widening.py
+++ b/siskinspoke/gateway/widening.py
@@ -23,6 +23,7 @@
 ) -> Place | None:
     """Return the best place in some other cells if it is better than what was found, or None."""
     asked = _to_ask(gateway)
+    # ``Questions`` puts in who asks, and the number by which it knows the offers.
     question = PlaceQuestion("", 0, request.service, *job, sorted(excluded))
     offers = await gateway.questions.ask(question, asked)
     request.offers = len(offers)
