Drop a property that nothing calls any more, and say once which servers may get work

WorkNews.says_anything lost its caller when news came to be kept by cell; the test of a live server that is not suspected stood three times in the directory.

--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -179,13 +179,12 @@
         foreign = said.incarnation == UNDATED and said.service in self._dated_services
         return not said.leaving and not foreign
 
+    def _may_get_work(self, record: ServerRecord, now: float) -> bool:
+        return self._is_live(record, now) and record.suspected_until <= now
+
     def live(self, now: float) -> list[ServerRecord]:
         """Return the servers that may get new work."""
-        return [
-            record
-            for record in self._records.values()
-            if self._is_live(record, now) and record.suspected_until <= now
-        ]
+        return [record for record in self._records.values() if self._may_get_work(record, now)]
 
     def all_known(self) -> list[ServerRecord]:
         """Return every record, also of servers that have left."""
@@ -209,9 +208,7 @@
     def is_served(self, service: str, now: float) -> bool:
         """Tell whether any server of a service may get new work."""
         return any(
-            item.announcement.service == service
-            and self._is_live(item, now)
-            and item.suspected_until <= now
+            item.announcement.service == service and self._may_get_work(item, now)
             for item in self._records.values()
         )
 
@@ -224,7 +221,7 @@
     def believed_among(self, names: Iterable[str], now: float) -> list[ServerRecord]:
         """Return those of some servers that may get work, as ``believed`` does of a service."""
         known = [record for name in names if (record := self._records.get(name)) is not None]
-        live = [item for item in known if self._is_live(item, now) and item.suspected_until <= now]
+        live = [item for item in known if self._may_get_work(item, now)]
         return live or [item for item in known if self._may_serve(item.announcement)]
 
     def latest(self, server: str) -> ServerRecord | None:
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -74,9 +74,3 @@
     domain: str
     cuts: list[str]
     lost: list[str]
-
-    @property
-    def says_anything(self) -> bool:
-        """Tell whether there is any news but the counts of calls, which can wait."""
-        lists = (self.began, self.wrote, self.ended, self.paces, self.calls, self.cuts, self.lost)
-        return any(lists)
