Say why a stream that had begun was cut: why no other server was tried, silence, time left, version

Cause of the change: of the cut streams nothing told whether sendings, room or budget were wanting, nor whether the engine was leaving or the configuration another one.

--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -3,6 +3,7 @@
 import math
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from enum import Enum
 
 from siskinspoke.coordination.books import Work
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
@@ -100,12 +101,15 @@
     arrivals = ran = unreached = lost = 0
     near_only = False
     last: Whole | Failure | None = None
+    why = NoMore.TRIES
     while len(request.tried) - unreached < MOST_TRIES and unreached < MOST_UNREACHED:
         placed = await place(gateway, request, relay.last_event_at, excluded, near_only)
         if placed is None:
+            why = NoMore.PLACE
             break
         if arrivals and not gateway.budget.take(request.service, now_ms()):
             gateway.counters.count("retry.budget_spent")
+            why = NoMore.BUDGET
             break
         placed.is_last = ran + 1 >= request.route.max_attempts
         fresh_ms = FRESH_AFTER_LOSS_MS if lost else FRESH_MS
@@ -139,17 +143,51 @@
                 arrivals += 1
                 if not request.route.repeatable:
                     last = Failure(ResultCode.FATE_UNKNOWN, reason)
+                    why = NoMore.ONCE
                     break
                 last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
         excluded.add(placed.name)
         if ran >= request.route.max_attempts:
+            why = NoMore.ATTEMPTS
             break
     if relay.head_sent:
+        _note_cut(gateway, request, relay, why)
         raise StreamCutError(TRUNCATED)
     message = "no engine can take the prompt now"
     return last or Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
 
 
+class NoMore(Enum):
+    """Why no other server is tried."""
+
+    ATTEMPTS = "attempts_used"
+    ONCE = "may_not_be_repeated"
+    BUDGET = "budget_spent"
+    PLACE = "no_place"
+    TRIES = "tries_used"
+
+
+def _note_cut(gateway: Gateway, request: Request, relay: Relay, why: NoMore) -> None:
+    """Write down what was known when a stream that had begun was cut."""
+    now = now_ms()
+    server = request.tried[-1].server
+    record = gateway.directory.latest(server)
+    gateway.counters.count(f"stream.cut.{why.value}")
+    gateway.log.note(
+        "stream.cut",
+        request=request.call.id,
+        why=why.value,
+        server=server,
+        outcome=request.tried[-1].outcome,
+        silent=None if relay.last_event_at is None else round(now - relay.last_event_at),
+        left=round(request.left_ms(now)),
+        leaving=record is None or record.announcement.leaving,
+        unreachable=gateway.standing.is_unreachable(server),
+        version=request.version,
+        version_now=gateway.table.version,
+    )
+
+
 class StreamCutError(Exception):
     """A stream that has begun cannot go on; the client must see that it is cut."""
 
