--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -106,14 +106,20 @@
         return self.daemon.gateway
 
     def announce(
-        self, server: StandinServer, service: str, seq: int = 1, started: int | None = None
+        self,
+        server: StandinServer,
+        service: str,
+        seq: int = 1,
+        started: int | None = None,
+        leaving: bool = False,
     ) -> None:
-        """Make a server known, and when it started if it says so."""
+        """Make a server known, when it started if it says so, and whether it is about to leave."""
         said = {
             "service": service,
             "address": f"{server.host}:{server.port}",
             "zone": "a",
             "seq": seq,
+            "state": "draining" if leaving else "ready",
         }
         if started is not None:
             said["born"] = started
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -20,6 +20,7 @@
     request_id: bytes | None = None
     after: bytes = b""
     headers: tuple[bytes, ...] = ()
+    begin_after: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -27,6 +28,8 @@
     """Stream events from ``first`` to ``last``; then end, be cut, or fall silent.
 
     The answer begins ``begin_after`` seconds after the request, as with a first token that is late.
+    Behind event ``silent_after`` nothing comes for ``silent_for`` seconds, as with an engine that
+    reads a long prompt beside the stream.
     """
 
     first: int = 1
@@ -35,6 +38,8 @@
     torn: bytes = b""
     pause: float = 0.0
     begin_after: float = 0.0
+    silent_after: int = 0
+    silent_for: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -133,6 +138,7 @@
         request_id = headers.get("Request-Id", "").encode()
         match behaviour:
             case Whole() as whole:
+                await trio.sleep(whole.begin_after)
                 await stream.send_all(_whole(whole, request_id) + whole.after)
                 return True
             case Refuse(status=status, headers=more):
@@ -188,7 +194,7 @@
     first = int(headers.get("Last-Event-Id", events.first - 1)) + 1
     for number in range(first, events.last + 1):
         await stream.send_all(_chunk(event(number)))
-        await trio.sleep(events.pause)
+        await trio.sleep(events.silent_for if number == events.silent_after else events.pause)
     if events.torn:
         await stream.send_all(_chunk(events.torn))
     match events.then:
