Look for the mark of an engine out of reach while the stream waits, not behind its end

The end of the stream takes the mark away, as it should, so right code could not meet the check. It still fails on the code as it is, and now also counts the sendings.

--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -144,9 +144,11 @@
                         site.gateway.directory.latest(one.name),
                         await network._connect(one.host, one.port, None, now_ms()),
                     )
-                    answer = await site.ask("/stream/x", **PROMPT)
-                    assert site.gateway.standing.is_unreachable(one.name)
-                    assert data_of(answer.body) == whole_stream(4)
+                    async with site.asking("/stream/x", **PROMPT) as answers:
+                        await until(lambda: site.gateway.standing.is_unreachable(one.name))
+                        assert not answers
+                    assert data_of(answers[0].body) == whole_stream(4)
+                    assert len(one.seen) == 1
                 nursery.cancel_scope.cancel()
 
         trio.run(run)
