Give an attempt up for silence only where the request can go on elsewhere, and let a begun stream wait for room

Cause: the time after which an attempt is given up was chosen for going on elsewhere, and ran out also where nobody else could take the request: attempts used up, no engine with room, the budget spent. A stream that had begun was then reset, seconds before its deadline, beside a sound engine. Its class: a timeout of one step ends the whole although no next step exists. The same stood in first tokens (1 s), second thoughts, servers found out of reach, and plain calls (45% of their time); all ask one place now. An engine that has said that it leaves and closes the connection counts no longer as an attempt, and a stream that breaks off while no engine has room waits for some.

--- a/siskinspoke/coordination/retries.py
+++ b/siskinspoke/coordination/retries.py
@@ -111,6 +111,13 @@
 
     def take(self, service: str, now: float) -> bool:
         """Spend one repeat at a service if there is some of the budget left."""
+        if not self.has_left(service, now):
+            return False
+        self._count(service, 0, 1, now)
+        return True
+
+    def has_left(self, service: str, now: float) -> bool:
+        """Tell whether a repeat at a service could be spent now."""
         whole, own = self._all[service], self._own[service]
         whole.forget(now)
         own.forget(now)
@@ -118,10 +125,7 @@
         budget = COMMON_SHARE * (self._share * whole.requests + self._burst * reach)
         part = COMMON_SHARE * self._burst / self._vms
         most_own = COMMON_SHARE * self._share * own.requests + max(LEAST_OWN, OWN_PARTS * part)
-        if whole.repeats + 1 > budget or own.repeats + 1 > most_own:
-            return False
-        self._count(service, 0, 1, now)
-        return True
+        return whole.repeats + 1 <= budget and own.repeats + 1 <= most_own
 
     def _count(self, service: str, requests: int, repeats: int, now: float) -> None:
         self._all[service].add(requests, repeats, now)
--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -14,6 +14,9 @@
 STARTED_AGAIN = "the server has started anew"
 UNREACHABLE = "the server cannot be reached any more"
 SLOW = "no answer in time"
+# A silent attempt that may not go on elsewhere is thought of again after this time: a slot of an
+# engine is free every fifth of a second where all are taken.
+ASK_AGAIN_SECONDS = 0.2
 
 
 class Attempt:
@@ -21,11 +24,12 @@
 
     ``gone`` means that one of the servers is.  In milliseconds: ``doubt_at`` is when
     ``reconsider`` is to be asked whether to go on; it may put the moment off and return False.
+    ``may_move`` tells whether the request can go on elsewhere now.
     """
 
-    def __init__(self, servers: Iterable[ServerRecord], may_move: bool):
+    def __init__(self, servers: Iterable[ServerRecord], may_move: Callable[[], bool]):
         self._servers = {item.announcement.server: item for item in servers}
-        self._may_move = may_move
+        self.may_move = may_move
         self._waiting: trio.CancelScope | None = None
         self._waits_from = 0.0
         self._due_ms = math.inf
@@ -47,6 +51,16 @@
         self._waiting = trio.move_on_after(0.0 if self.lost else seconds)
         return self._waiting
 
+    async def impatience(self, seconds: float) -> None:
+        """Return after a time of silence, once the request can go on elsewhere.
+
+        An answer that is late is worth more than none: to give up where nobody else can take the
+        request would fail it, and throw the server's work away, for nothing.
+        """
+        await trio.sleep(seconds)
+        while not self.may_move():
+            await trio.sleep(ASK_AGAIN_SECONDS)
+
     def expect_within(self, due_ms: float, now: float) -> None:
         """Note within which time something should come from the servers."""
         self._waits_from = now
@@ -76,12 +90,12 @@
             self._end(STARTED_AGAIN, gone=True)
 
     def end_if_lost(self, server: str, incarnation: int) -> None:
-        """End the attempt if it relies on a server that cannot be reached, and may go elsewhere.
+        """End the attempt if it relies on a server that cannot be reached, and can go elsewhere.
 
-        The answer of one that may not could still come, after a cut.
+        The answer of one that cannot could still come, after a cut.
         """
         known = self._servers.get(server)
-        if self._may_move and known is not None and known.start == (server, incarnation):
+        if known is not None and known.start == (server, incarnation) and self.may_move():
             self._end(UNREACHABLE, gone=True)
 
     def doubt(self, now: float) -> None:
@@ -105,7 +119,7 @@
         self._some = trio.Event()
 
     @contextmanager
-    def attempt(self, *servers: ServerRecord, may_move: bool) -> Iterator[Attempt]:
+    def attempt(self, *servers: ServerRecord, may_move: Callable[[], bool]) -> Iterator[Attempt]:
         """Keep an attempt while the context is open; its waits end if a server is gone."""
         found = Attempt(servers, may_move)
         self._attempts.add(found)
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -34,7 +34,6 @@
     idle: int = 0
     job: Job | None = None
     costs: EngineCosts | None = None
-    is_last: bool = False
     held: tuple[int, ...] = ()
 
     @property
@@ -88,6 +87,24 @@
     return _placed(gateway, found, job, costs)
 
 
+def has_place(
+    gateway: Gateway,
+    request: Request,
+    last_event_at: float | None,
+    excluded: set[str],
+    near_only: bool,
+) -> bool:
+    """Tell whether ``place`` would find anything now, as far as this VM knows by itself."""
+    service = gateway.table.services.get(request.service)
+    costs = service.engine if service is not None else None
+    job = _job(request, last_event_at)
+    if costs is None or job is None or gateway.cells.others:
+        # Cells ask each other, and a full engine of another cell says so at once.
+        return bool(candidates(gateway, request.service, excluded))
+    records = _near(gateway, cell_candidates(gateway, request.service, excluded), near_only)
+    return choose(gateway, costs, job, records) is not None
+
+
 def _near(gateway: Gateway, records: list[ServerRecord], near_only: bool) -> list[ServerRecord]:
     """Return the servers of this failure domain, or all where there are none or it is not asked."""
     here = gateway.settings.failure_domain
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -1,15 +1,25 @@
 """Serve a request whose answer is one piece: a plain service, or any failure of a stream."""
 
+from functools import partial
 from typing import NamedTuple
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.liveness import whole_due_ms
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
-from siskinspoke.gateway.attempts import STARTED_AGAIN
+from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.onward import Onward, Progress, has_ended
 from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded
-from siskinspoke.gateway.upstream import Begun, Broke, NotRun, keep_or_cut, send
+from siskinspoke.gateway.upstream import (
+    Begun,
+    Broke,
+    GivenUpError,
+    NotRun,
+    keep_or_cut,
+    read_on,
+    send,
+)
 from siskinspoke.gateway.wire import Answer, Dispatch
 from siskinspoke.transport.http1 import PeerError
 
@@ -18,8 +28,9 @@
 # that met such a drop has run, nobody can tell.
 FRESH_MS = 60_000.0
 FRESH_ONCE_MS = 0.0
-# A first attempt of a request that may be repeated is given up after this share of its time.
+# An attempt is given up after this share of the time left, if another server may be tried then.
 FIRST_SHARE = 0.45
+GIVEN_UP = "the answer did not end in time"
 # Servers tried that could not be reached, so that nothing was sent to them.
 MOST_UNREACHABLE = 4
 # When to come back after a refusal because all servers are busy or gone.  Milliseconds.
@@ -43,43 +54,38 @@
     """Return a server's whole answer, or the failure that the caller gets instead."""
     request.service = choose_service(gateway, request)
     gateway.budget.first_attempt(request.service, now_ms())
-    excluded: set[str] = set()
-    ran = arrivals = lost = 0
+    progress = Progress()
     last: Whole | Failure | None = None
     while True:
-        records = candidates(gateway, request.service, excluded)
+        records = candidates(gateway, request.service, progress.excluded)
         if not records:
             return last or _nobody(gateway)
-        if arrivals and not gateway.budget.take(request.service, now_ms()):
+        if progress.arrivals and not gateway.budget.take(request.service, now_ms()):
             gateway.counters.count("retry.budget_spent")
             return last or _nobody(gateway)
         server = least_loaded(gateway, records)
-        name = server.announcement.server
-        excluded.add(name)
-        fresh_ms = FRESH_MS if request.route.repeatable and not lost else FRESH_ONCE_MS
-        is_last = ran + 1 >= request.route.max_attempts
-        outcome = await _attempt(gateway, request, server, is_last, fresh_ms)
+        progress.excluded.add(server.announcement.server)
+        outcome = await _attempt(gateway, request, server, progress)
         match outcome:
             case Whole(answer=answer):
                 if answer.status < 500 or not request.route.repeatable:
                     return outcome
-                ran += 1
-                arrivals += 1
+                progress.ran += 1
+                progress.arrivals += 1
                 last = outcome
             case NotRun(arrived=arrived):
-                arrivals += arrived
+                progress.arrivals += arrived
                 if len(request.tried) >= MOST_UNREACHABLE:
                     return last or _nobody(gateway)
                 continue
-            case Broke(reason=reason, gone=gone):
+            case Broke(trouble=trouble, reason=reason, gone=gone):
                 if not request.route.repeatable:
                     return Failure(ResultCode.FATE_UNKNOWN, reason)
-                # One that cannot be reached may work on; only a former start surely does not.
-                ran += reason != STARTED_AGAIN
-                lost += gone
-                arrivals += 1
+                progress.ran += not has_ended(gateway, server, trouble, reason)
+                progress.lost += gone
+                progress.arrivals += 1
                 last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
-        if ran >= request.route.max_attempts:
+        if progress.ran >= request.route.max_attempts:
             return last
 
 
@@ -89,16 +95,20 @@
 
 
 async def _attempt(
-    gateway: Gateway, request: Request, server: ServerRecord, is_last: bool, fresh_ms: float
+    gateway: Gateway, request: Request, server: ServerRecord, progress: Progress
 ) -> Whole | NotRun | Broke:
     """Send the request to one server and read its whole answer."""
     name = server.announcement.server
     began = now_ms()
     left = request.left_ms(began)
-    repeatable = request.route.repeatable
-    seconds = left / 1000
-    if repeatable and not is_last:
-        seconds *= FIRST_SHARE
+
+    def has_other() -> bool:
+        return bool(candidates(gateway, request.service, progress.excluded))
+
+    onward = Onward(gateway, request, name, progress, has_other)
+    fresh = request.route.repeatable and not progress.lost
+    fresh_ms = FRESH_MS if fresh else FRESH_ONCE_MS
+    give_up_at = began + FIRST_SHARE * left
     dispatch = Dispatch(
         call=request.call,
         server=name,
@@ -108,18 +118,16 @@
         resume_after=request.call.resume_after,
     )
     gateway.standing.began(name)
-    outcome: Whole | NotRun | Broke = Broke(Trouble.SILENT, "the answer did not end in time")
+    outcome: Whole | NotRun | Broke | Begun = Broke(Trouble.SILENT, GIVEN_UP)
     try:
-        with (
-            gateway.attempts.attempt(server, may_move=repeatable and not is_last) as attempt,
-            attempt.within(seconds),
-        ):
+        with gateway.attempts.attempt(server, may_move=onward.may_move) as attempt:
             usual_ms = gateway.standing.usual_ms([name], began)
             attempt.expect_within(whole_due_ms(usual_ms), began)
-            sent = await send(gateway, dispatch, server, seconds, fresh_ms)
-            if isinstance(sent, Begun):
-                sent = await _read_whole(gateway, server, sent)
-            outcome = sent
+            with attempt.within(left / 1000):
+                impatience = partial(attempt.impatience, (give_up_at - began) / 1000)
+                outcome = await send(gateway, dispatch, server, impatience, fresh_ms)
+            if isinstance(outcome, Begun):
+                outcome = await _read_whole(gateway, server, outcome, attempt, give_up_at)
         if attempt.lost and isinstance(outcome, Broke):
             outcome = Broke(Trouble.BROKEN, attempt.lost, gone=True)
     finally:
@@ -138,15 +146,23 @@
     return outcome
 
 
-async def _read_whole(gateway: Gateway, server: ServerRecord, begun: Begun) -> Whole | Broke:
+async def _read_whole(
+    gateway: Gateway, server: ServerRecord, begun: Begun, attempt: Attempt, give_up_at: float
+) -> Whole | Broke:
     parts = []
     complete = False
     try:
-        while (data := await begun.connection.read_data()) is not None:
+        while True:
+            seconds = max(0.0, give_up_at - now_ms()) / 1000
+            data = await read_on(begun.connection, attempt, seconds)
+            if data is None:
+                break
             parts.append(data)
         complete = True
     except PeerError as error:
         return Broke(Trouble.BROKEN, str(error))
+    except GivenUpError:
+        return Broke(Trouble.SILENT, GIVEN_UP)
     finally:
         if not complete:
             begun.connection.cut()
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -3,27 +3,38 @@
 import math
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
-from enum import Enum
+from functools import partial
+
+import trio
 
 from siskinspoke.coordination.books import Work
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
 from siskinspoke.coordination.second_tries import doubt_after_ms, move
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
-from siskinspoke.gateway.attempts import STARTED_AGAIN, Attempt
+from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.onward import NoMore, Onward, Progress, has_ended
 from siskinspoke.gateway.placing import (
     LEAST_TARGET_MS,
-    LONGEST_PAUSE_MS,
     Placed,
     choose,
+    has_place,
     pass_ms_at,
     place,
 )
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
 from siskinspoke.gateway.reservations import Member, Refused, reserved
 from siskinspoke.gateway.servers import cell_candidates, choose_service, learn
-from siskinspoke.gateway.upstream import Begun, Broke, NotRun, keep_or_cut, send
+from siskinspoke.gateway.upstream import (
+    Begun,
+    Broke,
+    GivenUpError,
+    NotRun,
+    keep_or_cut,
+    read_on,
+    send,
+)
 from siskinspoke.gateway.wire import Dispatch, Helper
 from siskinspoke.protocol.events import EventSplitter, id_of
 from siskinspoke.transport.http1 import ClientConnection, PeerError
@@ -44,9 +55,6 @@
 # After a server was lost the next one gets a connection of its own: it may stand behind the same
 # cut, where a kept connection would take the request in and say nothing.
 FRESH_AFTER_LOSS_MS = 0.0
-# Callers leave a stream that has not begun after 2 s, four times its target or eight times its
-# longest pause, whichever is longest.
-CALLER_MS = 2_000.0
 TRUNCATED = "the stream broke off"
 # Chunked framing of the bytes that go to the client.
 CHUNKED = (b"Transfer-Encoding", b"chunked")
@@ -97,23 +105,15 @@
     request.service = choose_service(gateway, request)
     gateway.budget.first_attempt(request.service, now_ms())
     relay = Relay(client, closes, last_id=request.call.resume_after)
-    excluded: set[str] = set()
-    arrivals = ran = unreached = lost = 0
-    near_only = False
+    progress = Progress()
     last: Whole | Failure | None = None
     why = NoMore.TRIES
-    while len(request.tried) - unreached < MOST_TRIES and unreached < MOST_UNREACHED:
-        placed = await place(gateway, request, relay.last_event_at, excluded, near_only)
-        if placed is None:
-            why = NoMore.PLACE
-            break
-        if arrivals and not gateway.budget.take(request.service, now_ms()):
-            gateway.counters.count("retry.budget_spent")
-            why = NoMore.BUDGET
+    while _may_try(request, progress):
+        placed = await _next_place(gateway, request, relay, progress)
+        if isinstance(placed, NoMore):
+            why = placed
             break
-        placed.is_last = ran + 1 >= request.route.max_attempts
-        fresh_ms = FRESH_AFTER_LOSS_MS if lost else FRESH_MS
-        outcome = await _attempt(gateway, request, placed, relay, fresh_ms)
+        outcome = await _attempt(gateway, request, placed, relay, progress)
         match outcome:
             case Ended():
                 await client.end_answer()
@@ -122,32 +122,32 @@
                 if answer.status < 500 or not request.route.repeatable:
                     return outcome
                 last = outcome
-                ran += 1
-                arrivals += 1
+                progress.ran += 1
+                progress.arrivals += 1
             case NotRun(member=str(member)):
                 # The others of the group may be well, the writing one among them.
-                excluded.add(member)
-                unreached += 1
+                progress.excluded.add(member)
+                progress.unreached += 1
                 continue
             case NotRun(arrived=arrived, at_fault=at_fault):
-                arrivals += arrived
-                unreached += not arrived
+                progress.arrivals += arrived
+                progress.unreached += not arrived
                 if at_fault is not None:
                     # The engines may be cut off from each other where this VM reaches both.
-                    near_only = True
+                    progress.near_only = True
                     continue
-            case Broke(reason=reason, gone=gone) | Stopped(reason=reason, gone=gone):
-                # One that cannot be reached may work on; only a former start surely does not.
-                ran += reason != STARTED_AGAIN
-                lost += gone
-                arrivals += 1
+            case Broke(trouble=trouble, reason=reason, gone=gone) | Stopped(
+                trouble=trouble, reason=reason, gone=gone
+            ):
+                progress.ran += not has_ended(gateway, placed.server, trouble, reason)
+                progress.lost += gone
+                progress.arrivals += 1
+                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
                 if not request.route.repeatable:
-                    last = Failure(ResultCode.FATE_UNKNOWN, reason)
                     why = NoMore.ONCE
                     break
-                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
-        excluded.add(placed.name)
-        if ran >= request.route.max_attempts:
+        progress.excluded.add(placed.name)
+        if progress.ran >= request.route.max_attempts:
             why = NoMore.ATTEMPTS
             break
     if relay.head_sent:
@@ -157,14 +157,36 @@
     return last or Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
 
 
-class NoMore(Enum):
-    """Why no other server is tried."""
+def _may_try(request: Request, progress: Progress) -> bool:
+    reached = len(request.tried) - progress.unreached
+    return reached < MOST_TRIES and progress.unreached < MOST_UNREACHED
 
-    ATTEMPTS = "attempts_used"
-    ONCE = "may_not_be_repeated"
-    BUDGET = "budget_spent"
-    PLACE = "no_place"
-    TRIES = "tries_used"
+
+async def _next_place(
+    gateway: Gateway, request: Request, relay: Relay, progress: Progress
+) -> Placed | NoMore:
+    """Return where the request goes next, or why nowhere.
+
+    A stream that has begun waits for its place until its time is over: its caller holds a part of
+    the answer, and room comes as soon as another stream ends.  Anything else is refused at once.
+    """
+    said: NoMore | None = None
+    while True:
+        placed = await place(
+            gateway, request, relay.last_event_at, progress.excluded, progress.near_only
+        )
+        why = NoMore.PLACE
+        if placed is not None:
+            if not progress.arrivals or gateway.budget.take(request.service, now_ms()):
+                return placed
+            why = NoMore.BUDGET
+        if why is not said:
+            said = why
+            gateway.counters.count("retry.budget_spent" if why is NoMore.BUDGET else "place.none")
+            gateway.log.note("place.wanting", request=request.call.id, why=why.value)
+        if not relay.head_sent:
+            return why
+        await trio.sleep(ASK_AGAIN_SECONDS * gateway.rng.uniform(0.5, 1.5))
 
 
 def _note_cut(gateway: Gateway, request: Request, relay: Relay, why: NoMore) -> None:
@@ -193,7 +215,7 @@
 
 
 async def _attempt(
-    gateway: Gateway, request: Request, placed: Placed, relay: Relay, fresh_ms: float
+    gateway: Gateway, request: Request, placed: Placed, relay: Relay, progress: Progress
 ) -> Ended | Stopped | Whole | NotRun | Broke:
     """Send the request to one place and pass on what comes."""
     began = now_ms()
@@ -203,12 +225,13 @@
     work = None
     if placed.job is not None:
         work = gateway.peers.began(Work(placed.job, placed.names, began, placed.held))
+    onward = _onward(gateway, request, placed, relay, progress)
     gateway.standing.began(placed.name)
     outcome: Ended | Stopped | Whole | NotRun | Broke = Broke(Trouble.SILENT, "given up")
     try:
         async with AsyncExitStack() as stack:
             attempt = stack.enter_context(
-                gateway.attempts.attempt(*placed.servers, may_move=_may_move(request, placed))
+                gateway.attempts.attempt(*placed.servers, may_move=onward.may_move)
             )
             reservation = await stack.enter_async_context(_memory_for(gateway, placed, work))
             if isinstance(reservation, Refused):
@@ -220,9 +243,11 @@
             seconds = _first_seconds(request, placed, began)
             sent = None
             if placed.job is not None:
-                _set_watch(gateway, request, placed, attempt)
+                _set_watch(gateway, request, placed, attempt, onward)
+            fresh_ms = FRESH_AFTER_LOSS_MS if progress.lost else FRESH_MS
             with attempt.within(math.inf):
-                sent = await send(gateway, dispatch, placed.server, seconds, fresh_ms)
+                impatience = partial(attempt.impatience, seconds)
+                sent = await send(gateway, dispatch, placed.server, impatience, fresh_ms)
             outcome = sent or _given_up(attempt)
             if isinstance(outcome, Begun):
                 due = event_due_ms(pass_ms_at(gateway, request, placed))
@@ -236,9 +261,16 @@
         _judge(gateway, request, placed, outcome)
 
 
-def _may_move(request: Request, placed: Placed) -> bool:
-    """Tell whether another server may be tried after this one."""
-    return request.route.repeatable and not placed.is_last
+def _onward(
+    gateway: Gateway, request: Request, placed: Placed, relay: Relay, progress: Progress
+) -> Onward:
+    """Return what tells whether the request may leave the place where it is now."""
+
+    def has_other() -> bool:
+        excluded = progress.excluded | {placed.name}
+        return has_place(gateway, request, relay.last_event_at, excluded, progress.near_only)
+
+    return Onward(gateway, request, placed.name, progress, has_other)
 
 
 def _given_up(attempt: Attempt) -> Broke:
@@ -247,11 +279,13 @@
     return Broke(trouble, attempt.lost, attempt.gone)
 
 
-def _set_watch(gateway: Gateway, request: Request, placed: Placed, attempt: Attempt) -> None:
+def _set_watch(
+    gateway: Gateway, request: Request, placed: Placed, attempt: Attempt, onward: Onward
+) -> None:
     """Have the servers looked at, and the place doubted, when the first token is late."""
     now = now_ms()
     attempt.expect_within(first_due_ms(placed.expected_ms), now)
-    if not (placed.job.short and _may_move(request, placed)):
+    if not placed.job.short or onward.obstacle in (NoMore.ONCE, NoMore.ATTEMPTS):
         return
 
     def reconsider(attempt: Attempt, now: float) -> bool:
@@ -260,9 +294,12 @@
         hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
         best = choose(gateway, placed.costs, hurried, others) if others else None
         chosen = move(left, None if best is None else best.first_token_ms)
-        if chosen is not None and not chosen.now:
-            attempt.doubt_at = now + chosen.again_ms
-        return chosen is not None and chosen.now
+        if chosen is None:
+            return False
+        if chosen.now and onward.may_move_to_better():
+            return True
+        attempt.doubt_at = now + (ASK_AGAIN_SECONDS * 1000 if chosen.now else chosen.again_ms)
+        return False
 
     attempt.reconsider = reconsider
     attempt.doubt_at = now + doubt_after_ms(placed.expected_ms)
@@ -330,12 +367,7 @@
     left = request.left_ms(now)
     if not request.route.repeatable or placed.job is None:
         return max(0.0, left) / 1000
-    expected, target = placed.expected_ms, request.route.target_ms
-    if placed.is_last:
-        # Nobody else may be tried: to give up before the caller does would fail it for nothing.
-        pause_ms = request.route.pause_ms or LONGEST_PAUSE_MS
-        return max(0.0, min(left, max(CALLER_MS, 4 * target, 8 * pause_ms))) / 1000
-    patience = max(LATE_MS, LATE_FACTOR * expected, 1.5 * target)
+    patience = max(LATE_MS, LATE_FACTOR * placed.expected_ms, 1.5 * request.route.target_ms)
     return max(0.0, min(left, patience)) / 1000
 
 
@@ -384,13 +416,13 @@
             seconds = max(0.05, _first_seconds(request, placed, now) - gone)
         else:
             seconds = max(SILENT_MS, PAUSES * request.route.pause_ms) / 1000
-        with flow.attempt.within(seconds) as limit:
-            data = await flow.begun.connection.read_data()
-        if limit.cancelled_caught and flow.attempt.lost:
+        try:
+            data = await read_on(flow.begun.connection, flow.attempt, seconds)
+        except GivenUpError:
+            if not flow.attempt.lost:
+                return Stopped(Trouble.SILENT, "the stream fell silent")
             broke = _given_up(flow.attempt)
             return Stopped(broke.trouble, broke.reason, broke.gone)
-        if limit.cancelled_caught:
-            return Stopped(Trouble.SILENT, "the stream fell silent")
         if data is None:
             if splitter.rest:
                 return Stopped(Trouble.BROKEN, "the stream ended in the middle of an event")
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -1,11 +1,13 @@
 """One sending of a request to one backend server, and what its first words prove."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.standing import Trouble
+from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.reaching import connect_to
 from siskinspoke.gateway.wire import Answer, Dispatch
@@ -50,14 +52,18 @@
 Outcome = NotRun | Broke | Begun
 
 
+class GivenUpError(Exception):
+    """An attempt was given up while its server was silent."""
+
+
 async def send(
     gateway: Gateway,
     dispatch: Dispatch,
     server: ServerRecord,
-    head_seconds: float,
+    impatience: Callable[[], Awaitable[None]],
     fresh_ms: float,
 ) -> Outcome:
-    """Send a request and read the head of its answer.
+    """Send a request and read the head of its answer, or give up when ``impatience`` returns.
 
     A kept connection is taken only if it was used within ``fresh_ms``.  If the server closed it
     as the request was written, nothing shows whether the server has read the request, so one
@@ -71,7 +77,7 @@
     finished = False
     try:
         head = gateway.wire.encode_dispatch(dispatch)
-        outcome = await _exchange(gateway, dispatch, connection, head, head_seconds)
+        outcome = await _exchange(gateway, dispatch, connection, head, impatience)
         finished = isinstance(outcome, Begun)
         return outcome
     finally:
@@ -85,7 +91,7 @@
     dispatch: Dispatch,
     connection: ServerConnection,
     head: RequestHead,
-    head_seconds: float,
+    impatience: Callable[[], Awaitable[None]],
 ) -> Outcome:
     """Write the request and read the head at once: a server may answer before it has read all."""
     found: list[Outcome] = []
@@ -100,10 +106,14 @@
             found.append(_judge(dispatch, answer, connection))
         nursery.cancel_scope.cancel()
 
-    with trio.move_on_after(head_seconds):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(connection.send_request, head, dispatch.call.body)
-            nursery.start_soon(read)
+    async def give_up() -> None:
+        await impatience()
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.send_request, head, dispatch.call.body)
+        nursery.start_soon(read)
+        nursery.start_soon(give_up)
     return found[0] if found else Broke(Trouble.SILENT, "no answer in time")
 
 
@@ -123,6 +133,20 @@
     return Begun(answer, connection)
 
 
+async def read_on(connection: ServerConnection, attempt: Attempt, seconds: float) -> bytes | None:
+    """Read a part of an answer's body; None at its end.
+
+    Raise GivenUpError if the attempt was ended, or if nothing came within a time and the request
+    can go on elsewhere.
+    """
+    while True:
+        with attempt.within(seconds):
+            return await connection.read_data()
+        if attempt.lost or attempt.may_move():
+            raise GivenUpError
+        seconds = ASK_AGAIN_SECONDS
+
+
 def keep_or_cut(gateway: Gateway, server: ServerRecord, begun: Begun) -> None:
     """Keep a connection whose answer is complete, unless it must not be used again."""
     connection = begun.connection
