--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -1,8 +1,7 @@
-"""Serve a stream: place it on engines, pass whole events on, and resume it after a break."""
+"""Serve a stream: place it on engines, and resume it after a break."""
 
 import math
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 from functools import partial
 
 import trio
@@ -24,30 +23,18 @@
     place,
 )
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
+from siskinspoke.gateway.relaying import Ended, Flow, Relay, Stopped, given_up, pass_on
 from siskinspoke.gateway.reservations import Member, Refused, reserved
 from siskinspoke.gateway.servers import cell_candidates, choose_service, learn
-from siskinspoke.gateway.upstream import (
-    Begun,
-    Broke,
-    GivenUpError,
-    NotRun,
-    keep_or_cut,
-    read_on,
-    send,
-)
+from siskinspoke.gateway.upstream import Begun, Broke, NotRun, send
 from siskinspoke.gateway.wire import Dispatch, Helper
-from siskinspoke.protocol.events import EventSplitter, id_of
-from siskinspoke.transport.http1 import ClientConnection, PeerError
+from siskinspoke.transport.http1 import ClientConnection
 
-# A first token that is later than this many times what was expected, and at least this late,
-# will not come: a request that waits for a dark helper is cut off by its server after 1.5 s.
+# A first token that is later than this many times what was expected, and at least this late, is
+# awaited elsewhere if another engine can take the prompt: one that waits for a dark helper is cut
+# off by its server after 1.5 s.
 LATE_FACTOR = 4.0
 LATE_MS = 1_000.0
-# A pause this many times the longest one that is of use, and at least this long, means that the
-# server is gone: callers give a stream up after eight times, or two seconds, and a long prompt
-# that is read beside a stream may stop it for a second.
-PAUSES = 4.0
-SILENT_MS = 1_400.0
 # Sendings that reached a server, and tries that reached none.  The latter cost some milliseconds
 # each where a server is gone, and after a loss of many they are what finds those that are left.
 MOST_TRIES = 6
@@ -56,46 +43,6 @@
 # cut, where a kept connection would take the request in and say nothing.
 FRESH_AFTER_LOSS_MS = 0.0
 TRUNCATED = "the stream broke off"
-# Chunked framing of the bytes that go to the client.
-CHUNKED = (b"Transfer-Encoding", b"chunked")
-
-
-@dataclass
-class Relay:
-    """What the client has been given of a stream so far."""
-
-    client: ClientConnection
-    closes: bool
-    head_sent: bool = False
-    last_id: str | None = None
-    events: int = 0
-    last_event_at: float | None = None
-
-
-@dataclass(frozen=True)
-class Ended:
-    """The server ended the stream as complete."""
-
-
-@dataclass(frozen=True)
-class Stopped:
-    """The stream broke off or fell silent; ``gone`` as in ``Broke``."""
-
-    trouble: Trouble
-    reason: str
-    gone: bool = False
-
-
-@dataclass(frozen=True)
-class Flow:
-    """What one attempt brings: the answer that has begun, and where it comes from."""
-
-    placed: Placed
-    begun: Begun
-    attempt: Attempt
-    work: int | None
-    began_at: float
-    event_due_ms: float
 
 
 async def serve_stream(
@@ -248,11 +195,12 @@
             with attempt.within(math.inf):
                 impatience = partial(attempt.impatience, seconds)
                 sent = await send(gateway, dispatch, placed.server, impatience, fresh_ms)
-            outcome = sent or _given_up(attempt)
+            outcome = sent or given_up(attempt)
             if isinstance(outcome, Begun):
                 due = event_due_ms(pass_ms_at(gateway, request, placed))
-                flow = Flow(placed, outcome, attempt, work, began, due)
-                outcome = await _pass_on(gateway, request, relay, flow)
+                give_up_at = began + seconds * 1000
+                flow = Flow(placed, outcome, attempt, work, give_up_at, due)
+                outcome = await pass_on(gateway, request, relay, flow)
             return outcome
     finally:
         gateway.standing.ended(placed.name)
@@ -273,12 +221,6 @@
     return Onward(gateway, request, placed.name, progress, has_other)
 
 
-def _given_up(attempt: Attempt) -> Broke:
-    """Return what an attempt shows that was ended by a look or a second thought."""
-    trouble = Trouble.BROKEN if attempt.gone else Trouble.SILENT
-    return Broke(trouble, attempt.lost, attempt.gone)
-
-
 def _set_watch(
     gateway: Gateway, request: Request, placed: Placed, attempt: Attempt, onward: Onward
 ) -> None:
@@ -369,100 +311,3 @@
         return max(0.0, left) / 1000
     patience = max(LATE_MS, LATE_FACTOR * placed.expected_ms, 1.5 * request.route.target_ms)
     return max(0.0, min(left, patience)) / 1000
-
-
-async def _pass_on(
-    gateway: Gateway, request: Request, relay: Relay, flow: Flow
-) -> Ended | Stopped | Whole:
-    """Pass the events of one server on, or return its answer if it is not a stream."""
-    complete = False
-    begun = flow.begun
-    try:
-        if begun.answer.status >= 300:
-            parts = []
-            while (data := await begun.connection.read_data()) is not None:
-                parts.append(data)
-            complete = True
-            return Whole(begun.answer, b"".join(parts))
-        if not relay.head_sent:
-            relay.head_sent = True
-            request.status = begun.answer.status
-            headers = [*begun.answer.headers, CHUNKED]
-            if relay.closes:
-                headers.append((b"Connection", b"close"))
-            await relay.client.send_head(begun.answer.status, headers)
-        outcome = await _pass_events(gateway, request, relay, flow)
-        complete = isinstance(outcome, Ended)
-        return outcome
-    except PeerError as error:
-        return Stopped(Trouble.BROKEN, str(error))
-    finally:
-        if complete:
-            keep_or_cut(gateway, flow.placed.server, begun)
-        else:
-            begun.connection.cut()
-
-
-async def _pass_events(
-    gateway: Gateway, request: Request, relay: Relay, flow: Flow
-) -> Ended | Stopped:
-    splitter = EventSplitter()
-    placed = flow.placed
-    first = True
-    while True:
-        now = now_ms()
-        if first:
-            gone = (now - flow.began_at) / 1000
-            seconds = max(0.05, _first_seconds(request, placed, now) - gone)
-        else:
-            seconds = max(SILENT_MS, PAUSES * request.route.pause_ms) / 1000
-        try:
-            data = await read_on(flow.begun.connection, flow.attempt, seconds)
-        except GivenUpError:
-            if not flow.attempt.lost:
-                return Stopped(Trouble.SILENT, "the stream fell silent")
-            broke = _given_up(flow.attempt)
-            return Stopped(broke.trouble, broke.reason, broke.gone)
-        if data is None:
-            if splitter.rest:
-                return Stopped(Trouble.BROKEN, "the stream ended in the middle of an event")
-            return Ended()
-        events = splitter.feed(data)
-        if not events:
-            continue
-        now = now_ms()
-        if relay.last_event_at is not None:
-            pause = now - relay.last_event_at
-            request.longest_pause_ms = max(request.longest_pause_ms, pause)
-        relay.last_event_at = now
-        flow.attempt.doubt_at = math.inf
-        flow.attempt.expect_within(flow.event_due_ms, now)
-        if first:
-            first = False
-            flow.attempt.rely_on(placed.keepers)
-            if flow.work is not None:
-                gateway.peers.wrote(flow.work)
-            _note_first(gateway, request, placed, now)
-        fresh = [event for event in events if _is_new(relay, event)]
-        if fresh:
-            relay.events += len(fresh)
-            relay.last_id = splitter.last_id or relay.last_id
-            await relay.client.send_data(b"".join(fresh))
-            request.events = relay.events
-
-
-def _is_new(relay: Relay, event: bytes) -> bool:
-    """Tell whether the client has not had an event: a resumed stream may begin too early."""
-    event_id = id_of(event)
-    if event_id is None or relay.last_id is None:
-        return True
-    if event_id.isdigit() and relay.last_id.isdigit():
-        return int(event_id) > int(relay.last_id)
-    return True
-
-
-def _note_first(gateway: Gateway, request: Request, placed: Placed, now: float) -> None:
-    if request.first_ms is None:
-        request.first_ms = now - request.arrived_ms
-        gateway.latencies.record("first_token", request.first_ms)
-    gateway.directory.prove(*placed.server.start, now)
