--- /dev/null
+++ b/tests/entry/test_going_on.py
@@ -0,0 +1,135 @@
+"""An answer that has begun, and for whose rest no engine has room at first."""
+
+import random
+from types import SimpleNamespace
+
+import trio
+from expression import Error, Ok
+
+from siskinspoke.bench.slopes import announcement
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.retries import RetryBudget
+from siskinspoke.coordination.routing import Choice
+from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.counters import Counters
+from siskinspoke.entry.backend import Completed, Lost
+from siskinspoke.entry.completions import CompletionJob
+from siskinspoke.entry.requests import Caller, Completion
+from siskinspoke.protocol.assembly import Piece
+
+FULL = Failure(ResultCode.OVERLOADED, "every engine is full", 400)
+
+
+class FakeBackend:
+    """Stand before engines: the first breaks off behind two tokens, the next ones end well."""
+
+    def __init__(self) -> None:
+        self.servers: list[str] = []
+
+    async def stream(self, target, path, body, assembler, deliver, *_more):
+        self.servers.append(target.server)
+        if len(self.servers) == 1:
+            await deliver([Piece(0, 2, "a b ")])
+            return Lost(2, "the connection broke")
+        await deliver([Piece(2, 1, "c ")])
+        return Completed(3)
+
+
+class FakeRouter:
+    """Give the engines of a script, one a question; None in it is a full fleet."""
+
+    def __init__(self, *servers: int | None) -> None:
+        self._servers = list(servers)
+        self.prefixes = SimpleNamespace(stored=lambda *_: None)
+
+    def choose(self, work, now, rng):
+        server = self._servers.pop(0) if len(self._servers) > 1 else self._servers[0]
+        return Error(FULL) if server is None else Ok(choice(server))
+
+    def dispatched(self, *_):
+        return None
+
+    def ended(self, ticket):
+        return None
+
+
+def choice(number: int) -> Choice:
+    """Return the choice of one engine."""
+    return Choice((ServerRecord(announcement(number, 1, "sala-a"), 0.0),), 50.0, 0)
+
+
+def make_job(router: FakeRouter, retries: RetryBudget, seconds: float) -> CompletionJob:
+    """Return a job of a caller who waits so long."""
+    limits = SimpleNamespace(reader_timeout_ms=1_000, short_tokens=4_000, long_tokens=64_000)
+    configuration = SimpleNamespace(limits=limits)
+    context = SimpleNamespace(
+        holder=SimpleNamespace(current=SimpleNamespace(configuration=configuration)),
+        backend=FakeBackend(),
+        router=router,
+        retries=retries,
+        counters=Counters(),
+        directory=SimpleNamespace(suspect=lambda *_: None),
+        janitor=SimpleNamespace(add=lambda _: None),
+        is_alive=lambda target: False,
+        request_opened=lambda: None,
+        request_closed=lambda: None,
+        rng=random.Random(1),
+    )
+    completion = Completion(
+        "m", "x" * 40, 4, stream=True, timeout_ms=seconds * 1000, idempotent=True, key=None
+    )
+    deadline = trio.current_time() + seconds
+    return CompletionJob(context, Caller("acme", 1.0, 5), completion, "r", deadline)
+
+
+class TestBegunAnswer:
+    """An answer that broke off goes on as soon as there is an engine for it."""
+
+    def test_waits_for_room(self):
+        """An engine dies in mid-answer while all others are full; a slot is free soon after.
+
+        The caller's answer ended with ENGINE_LOST at once, with seconds of its time left.
+        """
+
+        async def run() -> CompletionJob:
+            job = make_job(FakeRouter(None, None, 2), RetryBudget(0.1), 5)
+            await job.run(choice(1))
+            return job
+
+        job = trio.run(run)
+        assert job.failure is None
+        assert job.tokens == 3
+
+    def test_waits_for_budget(self):
+        """Many engines die together, and the retries of all answers spend the budget."""
+
+        async def run() -> CompletionJob:
+            retries = RetryBudget(1.0)
+            while retries.take():
+                pass
+            job = make_job(FakeRouter(2), retries, 5)
+            job._context.retries = SimpleNamespace(take=retries.take, first_attempt=lambda: None)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(job.run, choice(1))
+                await trio.sleep(0.3)
+                assert job.tokens == 2
+                assert job.failure is None
+                retries.first_attempt()
+            return job
+
+        job = trio.run(run)
+        assert job.failure is None
+        assert job.tokens == 3
+
+    def test_ends_with_its_time(self):
+        """No engine ever has room: the caller hears so when the time is over, not later."""
+
+        async def run() -> CompletionJob:
+            job = make_job(FakeRouter(None), RetryBudget(0.1), 0.6)
+            with trio.fail_after(0.8):
+                await job.run(choice(1))
+            return job
+
+        job = trio.run(run)
+        assert job.failure.code is ResultCode.DEADLINE_PASSED
+        assert job.tokens == 2
