Let an answer that has begun wait for room and budget in the product's own interface

The last of the attempts also asked for a next engine that nobody would have used. Tests: the 3 that failed pass; streams, groups and claims with real processes passed.

--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -37,6 +37,8 @@
 MAX_ATTEMPTS = 4
 RESUME_TRIES = 2
 RETRY_LATER_MS = 2_000
+# An engine with all slots taken ends a stream several times a second.
+ROOM_AGAIN_SECONDS = 0.2
 
 
 @dataclass(frozen=True)
@@ -210,7 +212,7 @@
         """Attempt until the answer is whole; each retry goes elsewhere and costs budget."""
         context, progress = self._context, self._progress
         context.retries.first_attempt()
-        for _ in range(MAX_ATTEMPTS):
+        while True:
             progress.attempt += 1
             target = target_of(choice.servers[0])
             end = await self._attempt(choice, self._generate_body())
@@ -232,18 +234,38 @@
                     self._clean_up()
             progress.running = None
             progress.excluded.add(target.server)
-            if not context.retries.take():
-                context.counters.count("retry.budget_spent")
-                return self._given_up(f"{reason}; the retry budget is spent")
+            if progress.attempt == MAX_ATTEMPTS:
+                break
+            chosen = await self._next_choice(reason)
+            if isinstance(chosen, Failure):
+                return chosen
             context.counters.count(f"retried.{type(end).__name__.lower()}")
-            chosen = context.router.choose(self._work(), now_ms(), context.rng)
-            if chosen.is_error():
-                return self._given_up(chosen.error.message)
-            choice = chosen.ok
+            choice = chosen
             if len(choice.servers) > 1:
                 return await self._serve_by_group()
         return self._given_up("no attempt succeeded")
 
+    async def _next_choice(self, reason: str) -> Choice | Failure:
+        """Return where the request goes next, or the failure that it ends with.
+
+        An answer that has begun waits for room and budget until its time is over: its caller holds
+        a part of it, and ended at once it would be lost beside an engine that has room a moment
+        later.
+        """
+        context = self._context
+        while True:
+            chosen = context.router.choose(self._work(), now_ms(), context.rng)
+            if chosen.is_error():
+                message = chosen.error.message
+            elif context.retries.take():
+                return chosen.ok
+            else:
+                context.counters.count("retry.budget_spent")
+                message = f"{reason}; the retry budget is spent"
+            if not self._progress.offset:
+                return self._given_up(message)
+            await trio.sleep(ROOM_AGAIN_SECONDS)
+
     def _given_up(self, message: str) -> Failure:
         if self._progress.offset:
             return Failure(ResultCode.ENGINE_LOST, message, RETRY_LATER_MS)
