--- /dev/null
+++ b/tests/platform/test_next_step.py
@@ -0,0 +1,275 @@
+"""The next step of a request: taken before the present one is given up, or not at all."""
+
+from collections import deque
+from functools import partial
+
+import pytest
+import trio
+
+from siskinspoke.coordination.books import Job, Work
+from siskinspoke.coordination.standing import Trouble
+from siskinspoke.gateway import reaching
+from siskinspoke.gateway.context import now_ms
+from tests.platform.site import gateway_site, request_bytes, servers, until
+from tests.platform.standin_server import Close, Events, Refuse, Whole
+from tests.platform.test_silence import (
+    LONG,
+    LONG_CALL,
+    PAUSED,
+    late_server,
+    spend_budget,
+    whole_stream,
+)
+from tests.platform.test_streams import PROMPT, data_of
+
+
+def leave_one_repeat(site) -> None:
+    """Leave exactly one repeat in the budget."""
+    spend_budget(site)
+    while not site.gateway.budget.has_left("engines", now_ms()):
+        site.gateway.budget.first_attempt("engines", now_ms())
+
+
+def fill(site, name: str, streams: int = 12) -> None:
+    """Enter so many streams at an engine into the books; 12 are all that it takes."""
+    for _ in range(streams):
+        site.gateway.peers.began(Work(Job(1_000, 200, 300, 250), (name,), now_ms(), ()))
+
+
+class TestNoNextStep:
+    """Moments at which nobody can go on, though the attempt is given up."""
+
+    def test_tries_used_up(self, tmp_path):
+        """Five engines say that they are busy, the sixth begins and falls silent."""
+
+        async def run():
+            scripts = [[Events()]] * 7
+            async with gateway_site(tmp_path) as site, servers(site, "engines", *scripts) as seven:
+                script = deque([*[Refuse()] * 5, PAUSED, Events(last=4)])
+                for server in seven:
+                    server.script = script
+                answer = await site.ask("/stream/x", **PROMPT)
+                assert sum(len(server.seen) for server in seven) == 6
+                assert data_of(answer.body) == whole_stream(4)
+
+        trio.run(run)
+
+    def test_second_thoughts_leave_out_who_was_tried(self, tmp_path):
+        """The only other engine has refused this very request; there is nobody to move to."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Events()], [Events()]) as both,
+                trio.open_nursery() as nursery,
+            ):
+                script = deque([Refuse(), Events(last=3, begin_after=0.9)])
+                for server in both:
+                    server.script = script
+                nursery.start_soon(reaching.look_forever, site.gateway)
+                answer = await site.ask("/stream/x", **PROMPT)
+                assert answer.status == 200
+                assert data_of(answer.body) == whole_stream(3)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("vms", [1, 30])
+    def test_all_others_full(self, tmp_path, vms):
+        """By the books the other engine is full; with more than 24 VMs there are cells."""
+
+        async def run():
+            script = [PAUSED]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as (one,):
+                for number in range(vms - 1):
+                    site.daemon._feeds.heard_peer(f"127.0.1.{number + 1}", "a")
+                assert bool(site.gateway.cells.others) == (vms > 24)
+                async with site.asking("/stream/x", **PROMPT) as answers:
+                    await until(lambda: one.seen)
+                    other = await late_server(site, Events(last=4))
+                    fill(site, other.name)
+                assert data_of(answers[0].body) == whole_stream(4)
+                assert not other.seen
+
+        trio.run(run)
+
+    def test_other_is_unreachable(self, tmp_path):
+        """The only other engine is known to be out of reach."""
+
+        async def run():
+            script = [PAUSED]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as (one,):
+                async with site.asking("/stream/x", **PROMPT) as answers:
+                    await until(lambda: one.seen)
+                    other = await late_server(site, Refuse())
+                    site.gateway.standing.failed(other.name, Trouble.UNREACHABLE, now_ms())
+                assert data_of(answers[0].body) == whole_stream(4)
+                assert not other.seen
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("wanting", ["budget", "room"])
+    def test_one_next_step_for_many(self, tmp_path, wanting):
+        """A look finds an engine out of reach; three wait there, and one of them can go on."""
+
+        async def run():
+            script = [Events(last=3, begin_after=LONG)]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as (one,):
+                answers = []
+
+                async def ask(number):
+                    answers.append(await site.ask("/stream/x", request_id=f"r{number}", **PROMPT))
+
+                async with trio.open_nursery() as nursery:
+                    for number in range(3):
+                        nursery.start_soon(ask, number)
+                    await until(lambda: len(one.seen) == 3)
+                    other = await late_server(site, Events(last=3))
+                    if wanting == "budget":
+                        leave_one_repeat(site)
+                    else:
+                        fill(site, other.name, 11)
+                    reaching.lost(site.gateway, site.gateway.directory.latest(one.name))
+                assert [answer.status for answer in answers] == [200] * 3
+                assert len(other.seen) == 1
+
+        trio.run(run)
+
+
+class TestNextStepRefuses:
+    """Whoever seemed to have room says that it has none, behind the given-up attempt."""
+
+    def test_stream(self, tmp_path):
+        """A stream leaves its silent engine for one that refuses; the first would go on."""
+
+        async def run():
+            script = [PAUSED]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as (one,):
+                async with site.asking("/stream/x", Deadline_Ms="5000", **PROMPT) as answers:
+                    await until(lambda: one.seen)
+                    await late_server(site, Refuse())
+                assert data_of(answers[0].body) == whole_stream(4)
+
+        trio.run(run)
+
+    def test_call(self, tmp_path):
+        """A call leaves its server after 45% of the time for one that is busy."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", [Whole()], [Whole()]) as both,
+            ):
+                script = deque([Whole(begin_after=LONG_CALL), Refuse()])
+                for server in both:
+                    server.script = script
+                answer = await site.ask("/again/x")
+                assert answer.status == 200
+
+        trio.run(run)
+
+    def test_busy_once_is_not_busy_for_good(self, tmp_path):
+        """A stream that waits for room finds the engine that was full a moment ago."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Events()], [Events()]) as both,
+            ):
+                script = deque([Events(last=2, then="cut"), Refuse(), Events(last=4)])
+                for server in both:
+                    server.script = script
+                answer = await site.ask("/stream/x", **PROMPT)
+                assert data_of(answer.body) == whole_stream(4)
+
+        trio.run(run)
+
+
+class TestLeavingServers:
+    """What a leaving server's break shows of the work there."""
+
+    def test_answer_of_another_request(self, tmp_path):
+        """A leaving server has run a call and mixes the answers up; it has not ended.
+
+        With two attempts allowed, three servers must not run the call.
+        """
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", [Whole()], [Whole()], [Whole()]) as three,
+            ):
+                mixed = Whole(request_id=b"other", begin_after=0.3)
+                script = deque([mixed, Whole(status=500), Whole()])
+                for server in three:
+                    server.script = script
+                async with site.asking("/again/x"):
+                    await until(lambda: any(server.seen for server in three))
+                    (first,) = [server for server in three if server.seen]
+                    site.announce(first, "plain", seq=2, leaving=True)
+                assert sum(len(server.seen) for server in three) <= 2
+
+        trio.run(run)
+
+
+class TestGuards:
+    """What waiting for a next step must not break."""
+
+    def test_nobody_runs_for_a_caller_who_left(self, tmp_path):
+        """A stream waits for room, its caller leaves, and then there is room."""
+
+        async def run():
+            script = [Events(last=2, then="cut")]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as (one,):
+                async with await site.connect() as stream:
+                    await stream.send_all(request_bytes("/stream/x", **PROMPT))
+                    await until(lambda: one.closed)
+                    await trio.sleep(0.3)
+                    assert site.gateway.open_requests == 1
+                await until(lambda: not site.gateway.open_requests, seconds=0.5)
+                other = await late_server(site, Events(last=4))
+                await trio.sleep(0.5)
+                assert not other.seen
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("behaviour", [Close(), Events(last=0, then="cut")])
+    def test_what_may_have_run_is_no_503(self, tmp_path, behaviour):
+        """A stream that may not be repeated breaks before its first event, at a leaving engine."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [behaviour], [Events()]) as both,
+            ):
+                for server in both:
+                    server.script = deque([behaviour, Events()])
+                answer = await site.ask("/solo/x", **PROMPT)
+                assert answer.status not in (503, 429, 408, 421)
+                assert sum(len(server.seen) for server in both) == 1
+
+        trio.run(run)
+
+    def test_waiting_streams_keep_to_the_budget(self, tmp_path):
+        """Six streams break together and one repeat is left: only one goes on at once."""
+
+        async def run():
+            script = [Events(last=2, pause=0.1, then="cut")]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", script) as (one,),
+                trio.open_nursery() as nursery,
+            ):
+                for number in range(6):
+                    nursery.start_soon(
+                        partial(site.ask, "/stream/x", request_id=f"r{number}", **PROMPT)
+                    )
+                await until(lambda: len(one.seen) == 6)
+                other = await late_server(site, Events(last=4))
+                leave_one_repeat(site)
+                await until(lambda: other.seen)
+                await trio.sleep(0.8)
+                assert len(other.seen) == 1
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
