Take the next step of a request before its server is given up, instead of asking whether there is one

Cause: whether the request can go on elsewhere was asked, and nothing taken. Three that waited at one engine all left it for the one repeat or place that was left; engines out of reach, tried before or in full cells counted as places; tries that were used up did not count. Who refused once stayed left out for good. A mixed-up answer of a leaving server counted as the end of its work, so one call could reach three servers where two are allowed; now only a closed connection does. The rest of a stream that is answered by a failure was noted as served.

--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -24,12 +24,12 @@
 
     ``gone`` means that one of the servers is.  In milliseconds: ``doubt_at`` is when
     ``reconsider`` is to be asked whether to go on; it may put the moment off and return False.
-    ``may_move`` tells whether the request can go on elsewhere now.
+    ``move_on`` takes the request's next step, and tells whether there is one.
     """
 
-    def __init__(self, servers: Iterable[ServerRecord], may_move: Callable[[], bool]):
+    def __init__(self, servers: Iterable[ServerRecord], move_on: Callable[[], bool]):
         self._servers = {item.announcement.server: item for item in servers}
-        self.may_move = may_move
+        self.move_on = move_on
         self._waiting: trio.CancelScope | None = None
         self._waits_from = 0.0
         self._due_ms = math.inf
@@ -58,7 +58,7 @@
         request would fail it, and throw the server's work away, for nothing.
         """
         await trio.sleep(seconds)
-        while not self.may_move():
+        while not self.move_on():
             await trio.sleep(ASK_AGAIN_SECONDS)
 
     def expect_within(self, due_ms: float, now: float) -> None:
@@ -95,7 +95,7 @@
         The answer of one that cannot could still come, after a cut.
         """
         known = self._servers.get(server)
-        if known is not None and known.start == (server, incarnation) and self.may_move():
+        if known is not None and known.start == (server, incarnation) and self.move_on():
             self._end(UNREACHABLE, gone=True)
 
     def doubt(self, now: float) -> None:
@@ -119,9 +119,9 @@
         self._some = trio.Event()
 
     @contextmanager
-    def attempt(self, *servers: ServerRecord, may_move: Callable[[], bool]) -> Iterator[Attempt]:
+    def attempt(self, *servers: ServerRecord, move_on: Callable[[], bool]) -> Iterator[Attempt]:
         """Keep an attempt while the context is open; its waits end if a server is gone."""
-        found = Attempt(servers, may_move)
+        found = Attempt(servers, move_on)
         self._attempts.add(found)
         self._some.set()
         try:
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -11,6 +11,7 @@
 from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
+from siskinspoke.coordination.fullness import Fullness
 from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.retries import CommonBudget
@@ -59,6 +60,7 @@
     latencies: Latencies
     log: DecisionLog
     rng: random.Random
+    fullness: Fullness = field(default_factory=Fullness)
     chores: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since: float | None = None
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -8,7 +8,13 @@
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.widening import is_short
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.servers import REMOTE_MS, candidates, cell_candidates, least_loaded
+from siskinspoke.gateway.servers import (
+    REMOTE_MS,
+    candidates,
+    cell_candidates,
+    least_loaded,
+    reachable,
+)
 from siskinspoke.gateway.widening import ask_others
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
 
@@ -87,22 +93,36 @@
     return _placed(gateway, found, job, costs)
 
 
-def has_place(
+def other_place(
     gateway: Gateway,
     request: Request,
     last_event_at: float | None,
     excluded: set[str],
     near_only: bool,
-) -> bool:
-    """Tell whether ``place`` would find anything now, as far as this VM knows by itself."""
+    blind: bool,
+) -> Placed | None:
+    """Return where the request could go on now, at servers that this VM can reach, or None.
+
+    ``blind`` allows engines of other cells, of whose work this VM knows nothing.
+    """
     service = gateway.table.services.get(request.service)
     costs = service.engine if service is not None else None
     job = _job(request, last_event_at)
-    if costs is None or job is None or gateway.cells.others:
-        # Cells ask each other, and a full engine of another cell says so at once.
-        return bool(candidates(gateway, request.service, excluded))
-    records = _near(gateway, cell_candidates(gateway, request.service, excluded), near_only)
-    return choose(gateway, costs, job, records) is not None
+    if costs is None or job is None:
+        records = reachable(gateway, candidates(gateway, request.service, excluded))
+        records = _near(gateway, records, near_only)
+        return Placed(least_loaded(gateway, records)) if records else None
+    tokens, now = job.tokens + job.max_tokens, now_ms()
+    if gateway.fullness.is_full(request.service, tokens, now):
+        return None
+    records = reachable(gateway, cell_candidates(gateway, request.service, excluded))
+    found = choose(gateway, costs, job, _near(gateway, records, near_only))
+    if found is None and blind and gateway.cells.others:
+        found = _blind(gateway, request.service, job, costs, excluded)
+    if found is None:
+        gateway.fullness.note(request.service, tokens, now)
+        return None
+    return _placed(gateway, found, job, costs)
 
 
 def _near(gateway: Gateway, records: list[ServerRecord], near_only: bool) -> list[ServerRecord]:
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -10,12 +10,13 @@
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.onward import Onward, Progress, has_ended
-from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded
+from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded, reachable
 from siskinspoke.gateway.upstream import (
     Begun,
     Broke,
     GivenUpError,
     NotRun,
+    broken,
     keep_or_cut,
     read_on,
     send,
@@ -60,11 +61,11 @@
         records = candidates(gateway, request.service, progress.excluded)
         if not records:
             return last or _nobody(gateway)
-        if progress.arrivals and not gateway.budget.take(request.service, now_ms()):
+        if not progress.pay(gateway, request):
             gateway.counters.count("retry.budget_spent")
             return last or _nobody(gateway)
         server = least_loaded(gateway, records)
-        progress.excluded.add(server.announcement.server)
+        progress.failed.add(server.announcement.server)
         outcome = await _attempt(gateway, request, server, progress)
         match outcome:
             case Whole(answer=answer):
@@ -78,13 +79,13 @@
                 if len(request.tried) >= MOST_UNREACHABLE:
                     return last or _nobody(gateway)
                 continue
-            case Broke(trouble=trouble, reason=reason, gone=gone):
+            case Broke() as broke:
                 if not request.route.repeatable:
-                    return Failure(ResultCode.FATE_UNKNOWN, reason)
-                progress.ran += not has_ended(gateway, server, trouble, reason)
-                progress.lost += gone
+                    return Failure(ResultCode.FATE_UNKNOWN, broke.reason)
+                progress.ran += not has_ended(gateway, server, broke)
+                progress.lost += broke.gone
                 progress.arrivals += 1
-                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
+                last = last or Failure(ResultCode.FATE_UNKNOWN, broke.reason)
         if progress.ran >= request.route.max_attempts:
             return last
 
@@ -103,7 +104,8 @@
     left = request.left_ms(began)
 
     def has_other() -> bool:
-        return bool(candidates(gateway, request.service, progress.excluded))
+        others = candidates(gateway, request.service, progress.excluded)
+        return bool(reachable(gateway, others))
 
     onward = Onward(gateway, request, name, progress, has_other)
     fresh = request.route.repeatable and not progress.lost
@@ -120,7 +122,7 @@
     gateway.standing.began(name)
     outcome: Whole | NotRun | Broke | Begun = Broke(Trouble.SILENT, GIVEN_UP)
     try:
-        with gateway.attempts.attempt(server, may_move=onward.may_move) as attempt:
+        with gateway.attempts.attempt(server, move_on=onward.move_on) as attempt:
             usual_ms = gateway.standing.usual_ms([name], began)
             attempt.expect_within(whole_due_ms(usual_ms), began)
             with attempt.within(left / 1000):
@@ -160,7 +162,7 @@
             parts.append(data)
         complete = True
     except PeerError as error:
-        return Broke(Trouble.BROKEN, str(error))
+        return broken(error)
     except GivenUpError:
         return Broke(Trouble.SILENT, GIVEN_UP)
     finally:
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -8,7 +8,7 @@
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.placing import Placed
 from siskinspoke.gateway.plain import Whole
-from siskinspoke.gateway.upstream import Begun, Broke, GivenUpError, keep_or_cut, read_on
+from siskinspoke.gateway.upstream import Begun, Broke, GivenUpError, broken, keep_or_cut, read_on
 from siskinspoke.protocol.events import EventSplitter, id_of
 from siskinspoke.transport.http1 import ClientConnection, PeerError
 
@@ -40,15 +40,6 @@
     """The server ended the stream as complete."""
 
 
-@dataclass(frozen=True)
-class Stopped:
-    """The stream broke off or fell silent; ``gone`` as in ``Broke``."""
-
-    trouble: Trouble
-    reason: str
-    gone: bool = False
-
-
 @dataclass(frozen=True)
 class Flow:
     """What one attempt brings: the answer that has begun, and where it comes from.
@@ -72,7 +63,7 @@
 
 async def pass_on(
     gateway: Gateway, request: Request, relay: Relay, flow: Flow
-) -> Ended | Stopped | Whole:
+) -> Ended | Whole | Broke:
     """Pass the events of one server on, or return its answer if it is not a stream."""
     complete = False
     begun = flow.begun
@@ -94,7 +85,7 @@
         complete = isinstance(outcome, Ended)
         return outcome
     except PeerError as error:
-        return Stopped(Trouble.BROKEN, str(error))
+        return broken(error)
     finally:
         if complete:
             keep_or_cut(gateway, flow.placed.server, begun)
@@ -104,7 +95,7 @@
 
 async def _pass_events(
     gateway: Gateway, request: Request, relay: Relay, flow: Flow
-) -> Ended | Stopped:
+) -> Ended | Broke:
     splitter = EventSplitter()
     placed = flow.placed
     silent_ms = max(SILENT_MS, PAUSES * request.route.pause_ms)
@@ -117,12 +108,11 @@
             data = await read_on(flow.begun.connection, flow.attempt, patience_ms / 1000)
         except GivenUpError:
             if not flow.attempt.lost:
-                return Stopped(Trouble.SILENT, "the stream fell silent")
-            broke = given_up(flow.attempt)
-            return Stopped(broke.trouble, broke.reason, broke.gone)
+                return Broke(Trouble.SILENT, "the stream fell silent")
+            return given_up(flow.attempt)
         if data is None:
             if splitter.rest:
-                return Stopped(Trouble.BROKEN, "the stream ended in the middle of an event")
+                return Broke(Trouble.BROKEN, "the stream ended in the middle of an event")
             return Ended()
         events = splitter.feed(data)
         if not events:
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -29,6 +29,21 @@
     return _usable(gateway, gateway.directory.believed_among(mine, now_ms()), excluded)
 
 
+def reachable(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
+    """Return those that this VM can reach, as far as it knows.
+
+    Where too many cannot be reached some of them may get requests all the same, but none that
+    would have to leave a server for it.
+    """
+    now = now_ms()
+    return [
+        record
+        for record in records
+        if not gateway.standing.is_unreachable(record.announcement.server)
+        and not gateway.domains.is_cut(record.announcement.failure_domain, now)
+    ]
+
+
 def _usable(
     gateway: Gateway, records: list[ServerRecord], excluded: set[str]
 ) -> list[ServerRecord]:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -13,17 +13,17 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.onward import NoMore, Onward, Progress, has_ended
+from siskinspoke.gateway.onward import NoMore, Onward, Progress, Step, has_ended
 from siskinspoke.gateway.placing import (
     LEAST_TARGET_MS,
     Placed,
     choose,
-    has_place,
+    other_place,
     pass_ms_at,
     place,
 )
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
-from siskinspoke.gateway.relaying import Ended, Flow, Relay, Stopped, given_up, pass_on
+from siskinspoke.gateway.relaying import Ended, Flow, Relay, given_up, pass_on
 from siskinspoke.gateway.reservations import Member, Refused, reserved
 from siskinspoke.gateway.servers import cell_candidates, choose_service, learn
 from siskinspoke.gateway.upstream import Begun, Broke, NotRun, send
@@ -35,10 +35,6 @@
 # off by its server after 1.5 s.
 LATE_FACTOR = 4.0
 LATE_MS = 1_000.0
-# Sendings that reached a server, and tries that reached none.  The latter cost some milliseconds
-# each where a server is gone, and after a loss of many they are what finds those that are left.
-MOST_TRIES = 6
-MOST_UNREACHED = 24
 # After a server was lost the next one gets a connection of its own: it may stand behind the same
 # cut, where a kept connection would take the request in and say nothing.
 FRESH_AFTER_LOSS_MS = 0.0
@@ -53,47 +49,61 @@
     gateway.budget.first_attempt(request.service, now_ms())
     relay = Relay(client, closes, last_id=request.call.resume_after)
     progress = Progress()
+    try:
+        return await _try_engines(gateway, request, relay, progress)
+    finally:
+        if progress.next is not None and progress.next.work is not None:
+            gateway.peers.ended(progress.next.work)
+
+
+async def _try_engines(
+    gateway: Gateway, request: Request, relay: Relay, progress: Progress
+) -> Whole | Failure | None:
+    """Try one place after the other until the stream is whole, or nothing more may be tried."""
     last: Whole | Failure | None = None
     why = NoMore.TRIES
-    while _may_try(request, progress):
-        placed = await _next_place(gateway, request, relay, progress)
-        if isinstance(placed, NoMore):
-            why = placed
+    while progress.has_tries(len(request.tried)):
+        step = await _next_step(gateway, request, relay, progress)
+        if isinstance(step, NoMore):
+            why = step
             break
-        outcome = await _attempt(gateway, request, placed, relay, progress)
+        placed = step.placed
+        outcome = await _attempt(gateway, request, step, relay, progress)
         match outcome:
             case Ended():
-                await client.end_answer()
+                await relay.client.end_answer()
                 return None
             case Whole(answer=answer):
-                if answer.status < 500 or not request.route.repeatable:
+                final = answer.status < 500 or not request.route.repeatable
+                if final and not relay.head_sent:
                     return outcome
                 last = outcome
+                progress.failed.add(placed.name)
                 progress.ran += 1
                 progress.arrivals += 1
             case NotRun(member=str(member)):
                 # The others of the group may be well, the writing one among them.
-                progress.excluded.add(member)
+                progress.put_off.add(member)
                 progress.unreached += 1
-                continue
-            case NotRun(arrived=arrived, at_fault=at_fault):
+            case NotRun(arrived=arrived, at_fault=None):
+                progress.put_off.add(placed.name)
+                progress.arrivals += arrived
+                progress.unreached += not arrived
+            case NotRun(arrived=arrived):
+                # The engines may be cut off from each other where this VM reaches both.
+                progress.near_only = True
                 progress.arrivals += arrived
                 progress.unreached += not arrived
-                if at_fault is not None:
-                    # The engines may be cut off from each other where this VM reaches both.
-                    progress.near_only = True
-                    continue
-            case Broke(trouble=trouble, reason=reason, gone=gone) | Stopped(
-                trouble=trouble, reason=reason, gone=gone
-            ):
-                progress.ran += not has_ended(gateway, placed.server, trouble, reason)
-                progress.lost += gone
+            case Broke() as broke:
+                silent = broke.trouble is Trouble.SILENT
+                (progress.put_off if silent else progress.failed).add(placed.name)
+                progress.ran += not has_ended(gateway, placed.server, broke)
+                progress.lost += broke.gone
                 progress.arrivals += 1
-                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
+                last = last or Failure(ResultCode.FATE_UNKNOWN, broke.reason)
                 if not request.route.repeatable:
                     why = NoMore.ONCE
                     break
-        progress.excluded.add(placed.name)
         if progress.ran >= request.route.max_attempts:
             why = NoMore.ATTEMPTS
             break
@@ -104,36 +114,45 @@
     return last or Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
 
 
-def _may_try(request: Request, progress: Progress) -> bool:
-    reached = len(request.tried) - progress.unreached
-    return reached < MOST_TRIES and progress.unreached < MOST_UNREACHED
-
-
-async def _next_place(
+async def _next_step(
     gateway: Gateway, request: Request, relay: Relay, progress: Progress
-) -> Placed | NoMore:
+) -> Step | NoMore:
     """Return where the request goes next, or why nowhere.
 
     A stream that has begun waits for its place until its time is over: its caller holds a part of
     the answer, and room comes as soon as another stream ends.  Anything else is refused at once.
     """
     said: NoMore | None = None
-    while True:
+    while progress.next is None:
         placed = await place(
             gateway, request, relay.last_event_at, progress.excluded, progress.near_only
         )
-        why = NoMore.PLACE
-        if placed is not None:
-            if not progress.arrivals or gateway.budget.take(request.service, now_ms()):
-                return placed
-            why = NoMore.BUDGET
+        if placed is not None and progress.pay(gateway, request):
+            return _begin(gateway, placed)
+        why = NoMore.PLACE if placed is None else NoMore.BUDGET
         if why is not said:
             said = why
-            gateway.counters.count("retry.budget_spent" if why is NoMore.BUDGET else "place.none")
+            gateway.counters.count("place.none" if placed is None else "retry.budget_spent")
             gateway.log.note("place.wanting", request=request.call.id, why=why.value)
         if not relay.head_sent:
             return why
         await trio.sleep(ASK_AGAIN_SECONDS * gateway.rng.uniform(0.5, 1.5))
+        # Whoever refused or was silent before may be the only one with room by now.
+        progress.put_off.clear()
+    step, progress.next = progress.next, None
+    progress.pay(gateway, request)
+    return step
+
+
+def _begin(gateway: Gateway, placed: Placed) -> Step:
+    """Enter work into the books before anything is sent, so that no other request takes its place.
+
+    What is entered must be ended.
+    """
+    if placed.job is None:
+        return Step(placed, None)
+    work = Work(placed.job, placed.names, now_ms(), placed.held)
+    return Step(placed, gateway.peers.began(work))
 
 
 def _note_cut(gateway: Gateway, request: Request, relay: Relay, why: NoMore) -> None:
@@ -162,23 +181,21 @@
 
 
 async def _attempt(
-    gateway: Gateway, request: Request, placed: Placed, relay: Relay, progress: Progress
-) -> Ended | Stopped | Whole | NotRun | Broke:
+    gateway: Gateway, request: Request, step: Step, relay: Relay, progress: Progress
+) -> Ended | Whole | NotRun | Broke:
     """Send the request to one place and pass on what comes."""
+    placed, work = step
     began = now_ms()
     request.engines = 1 + len(placed.helpers)
     request.expected_ms = placed.expected_ms
     request.considered, request.idle = placed.considered, placed.idle
-    work = None
-    if placed.job is not None:
-        work = gateway.peers.began(Work(placed.job, placed.names, began, placed.held))
     onward = _onward(gateway, request, placed, relay, progress)
     gateway.standing.began(placed.name)
-    outcome: Ended | Stopped | Whole | NotRun | Broke = Broke(Trouble.SILENT, "given up")
+    outcome: Ended | Whole | NotRun | Broke = Broke(Trouble.SILENT, "given up")
     try:
         async with AsyncExitStack() as stack:
             attempt = stack.enter_context(
-                gateway.attempts.attempt(*placed.servers, may_move=onward.may_move)
+                gateway.attempts.attempt(*placed.servers, move_on=onward.move_on)
             )
             reservation = await stack.enter_async_context(_memory_for(gateway, placed, work))
             if isinstance(reservation, Refused):
@@ -190,7 +207,7 @@
             seconds = _first_seconds(request, placed, began)
             sent = None
             if placed.job is not None:
-                _set_watch(gateway, request, placed, attempt, onward)
+                _set_watch(gateway, request, placed, progress, attempt, onward)
             fresh_ms = FRESH_AFTER_LOSS_MS if progress.lost else FRESH_MS
             with attempt.within(math.inf):
                 impatience = partial(attempt.impatience, seconds)
@@ -212,17 +229,31 @@
 def _onward(
     gateway: Gateway, request: Request, placed: Placed, relay: Relay, progress: Progress
 ) -> Onward:
-    """Return what tells whether the request may leave the place where it is now."""
-
-    def has_other() -> bool:
-        excluded = progress.excluded | {placed.name}
-        return has_place(gateway, request, relay.last_event_at, excluded, progress.near_only)
+    """Return what takes the next step for a request that is at a place now."""
+
+    def take_place() -> bool:
+        found = other_place(
+            gateway,
+            request,
+            relay.last_event_at,
+            progress.excluded | {placed.name},
+            progress.near_only,
+            blind=gateway.standing.is_unreachable(placed.name),
+        )
+        if found is not None:
+            progress.next = _begin(gateway, found)
+        return found is not None
 
-    return Onward(gateway, request, placed.name, progress, has_other)
+    return Onward(gateway, request, placed.name, progress, take_place)
 
 
 def _set_watch(
-    gateway: Gateway, request: Request, placed: Placed, attempt: Attempt, onward: Onward
+    gateway: Gateway,
+    request: Request,
+    placed: Placed,
+    progress: Progress,
+    attempt: Attempt,
+    onward: Onward,
 ) -> None:
     """Have the servers looked at, and the place doubted, when the first token is late."""
     now = now_ms()
@@ -232,13 +263,13 @@
 
     def reconsider(attempt: Attempt, now: float) -> bool:
         left = request.route.target_ms - (now - request.arrived_ms)
-        others = cell_candidates(gateway, request.service, {placed.name})
+        others = cell_candidates(gateway, request.service, progress.excluded | {placed.name})
         hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
         best = choose(gateway, placed.costs, hurried, others) if others else None
         chosen = move(left, None if best is None else best.first_token_ms)
         if chosen is None:
             return False
-        if chosen.now and onward.may_move_to_better():
+        if chosen.now and onward.move_on():
             return True
         attempt.doubt_at = now + (ASK_AGAIN_SECONDS * 1000 if chosen.now else chosen.again_ms)
         return False
@@ -283,7 +314,7 @@
     gateway: Gateway,
     request: Request,
     placed: Placed,
-    outcome: Ended | Stopped | Whole | NotRun | Broke,
+    outcome: Ended | Whole | NotRun | Broke,
 ) -> None:
     """Learn from how an attempt ended."""
     now = now_ms()
@@ -297,8 +328,6 @@
             gateway.directory.prove(*placed.server.start, now)
             if answer.status >= 500:
                 gateway.standing.failed(placed.name, Trouble.ERROR, now)
-        case Stopped(trouble=trouble, reason=reason):
-            learn(gateway, request, placed.server, Broke(trouble, reason))
         case NotRun() | Broke():
             if outcome.reason != "given up":
                 learn(gateway, request, placed.server, outcome)
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -33,12 +33,19 @@
 class Broke:
     """Nobody knows whether the server has run the request or will.
 
-    ``gone`` means that the server itself is gone, or out of this VM's reach.
+    ``gone`` means that the server itself is gone, or out of this VM's reach; ``closed`` that it
+    ended the connection.
     """
 
     trouble: Trouble
     reason: str
     gone: bool = False
+    closed: bool = False
+
+
+def broken(error: PeerError) -> Broke:
+    """Return what a failed connection shows."""
+    return Broke(Trouble.BROKEN, str(error), closed=error.closed)
 
 
 @dataclass(frozen=True)
@@ -100,7 +107,7 @@
         try:
             answer_head = await connection.read_head()
         except PeerError as error:
-            found.append(Broke(Trouble.BROKEN, str(error)))
+            found.append(broken(error))
         else:
             answer = gateway.wire.decode_answer(answer_head)
             found.append(_judge(dispatch, answer, connection))
@@ -142,7 +149,7 @@
     while True:
         with attempt.within(seconds):
             return await connection.read_data()
-        if attempt.lost or attempt.may_move():
+        if attempt.lost or attempt.move_on():
             raise GivenUpError
         seconds = ASK_AGAIN_SECONDS
 
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -35,11 +35,15 @@
 
 
 class PeerError(Exception):
-    """A backend server's connection failed; ``began`` tells whether any answer came."""
+    """A backend server's connection failed.
 
-    def __init__(self, message: str, began: bool = False):
+    ``began`` tells whether any answer came, ``closed`` whether the server ended the connection.
+    """
+
+    def __init__(self, message: str, began: bool = False, closed: bool = False):
         super().__init__(message)
         self.began = began
+        self.closed = closed
 
 
 class RequestHead(NamedTuple):
@@ -244,14 +248,15 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise PeerError(f"not HTTP: {error}", began=True) from error
+                _, closed = self._h11.trailing_data
+                raise PeerError(f"not HTTP: {error}", began=True, closed=closed) from error
             if event is not h11.NEED_DATA:
                 return event
             try:
                 data = await self._stream.receive_some(READ_BYTES)
             except trio.BrokenResourceError as error:
                 # An answer without a length ends with its connection; a reset is not its end.
-                raise PeerError("the server reset the connection") from error
+                raise PeerError("the server reset the connection", closed=True) from error
             self._h11.receive_data(data)
 
     async def read_head(self) -> AnswerHead:
@@ -261,7 +266,7 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
-                raise PeerError("the server closed without an answer")
+                raise PeerError("the server closed without an answer", closed=True)
             headers = list(event.headers.raw_items())
             names = {name.lower() for name, _ in headers}
             framed = bool(names & {b"content-length", b"transfer-encoding"})
@@ -274,7 +279,7 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise PeerError("the server closed in the middle of its answer", began=True)
+        raise PeerError("the server closed in the middle of its answer", began=True, closed=True)
 
     def finish(self, now: float) -> bool:
         """Make ready for another request; False where the connection must not be used again.
--- /dev/null
+++ b/tests/coordination/test_fullness.py
@@ -0,0 +1,29 @@
+"""What is remembered of a full fleet, and for how long."""
+
+from siskinspoke.coordination.fullness import FULL_MS, Fullness
+
+
+class TestFullness:
+    """Prompts that are no shorter need not be tried for a moment."""
+
+    def test_prompts_as_long_and_longer(self):
+        fullness = Fullness()
+        fullness.note("m", 1_000, 0.0)
+        assert fullness.is_full("m", 1_000, FULL_MS - 1)
+        assert fullness.is_full("m", 2_000, FULL_MS - 1)
+
+    def test_shorter_prompts_are_tried(self):
+        """A short prompt may fit where a long one did not."""
+        fullness = Fullness()
+        fullness.note("m", 1_000, 0.0)
+        assert not fullness.is_full("m", 999, 1.0)
+
+    def test_ends_by_itself(self):
+        fullness = Fullness()
+        fullness.note("m", 1_000, 0.0)
+        assert not fullness.is_full("m", 1_000, FULL_MS)
+
+    def test_other_services(self):
+        fullness = Fullness()
+        fullness.note("m", 1_000, 0.0)
+        assert not fullness.is_full("other", 1_000, 1.0)
