Say which engines read a prompt together, when the attempt begins

Cause of the change: engines fell silent for 1.4 s and more, several at once, and no line told which prompt they all read, nor whether one of them was leaving. One line for each attempt at several engines; none for the others. Its test fails without the line.

--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -8,6 +8,7 @@
 
 from siskinspoke.coordination.books import Work
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
+from siskinspoke.coordination.passes import read_ms
 from siskinspoke.coordination.second_tries import doubt_after_ms, move
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
@@ -189,6 +190,7 @@
     request.engines = 1 + len(placed.helpers)
     request.expected_ms = placed.expected_ms
     request.considered, request.idle = placed.considered, placed.idle
+    _note_group(gateway, request, placed)
     onward = _onward(gateway, request, placed, relay, progress)
     gateway.standing.began(placed.name)
     outcome: Ended | Whole | NotRun | Broke = Broke(Trouble.SILENT, "given up")
@@ -226,6 +228,25 @@
         _judge(gateway, request, placed, outcome)
 
 
+def _note_group(gateway: Gateway, request: Request, placed: Placed) -> None:
+    """Write down which engines are about to read a prompt, where they are several.
+
+    Each of them writes nothing to its streams while it reads its part.
+    """
+    if not placed.helpers:
+        return
+    gateway.log.note(
+        "attempt.group",
+        request=request.call.id,
+        servers=placed.names,
+        leaving=[item.announcement.server for item in placed.servers if item.announcement.leaving],
+        tokens=placed.job.tokens,
+        held=placed.held,
+        expected=round(placed.expected_ms),
+        read=round(read_ms(placed.costs, placed.job.tokens, len(placed.servers))),
+    )
+
+
 def _onward(
     gateway: Gateway, request: Request, placed: Placed, relay: Relay, progress: Progress
 ) -> Onward:
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -1,5 +1,7 @@
 """Streams through the adapter: whole events, resumed once, never joined."""
 
+import json
+
 import trio
 
 from siskinspoke.coordination.books import Job, Work
@@ -181,6 +183,28 @@
 
         trio.run(run)
 
+    def test_a_line_names_the_engines_that_read_together(self, tmp_path):
+        """Several engines fell silent at once, and no line told which prompt they all read."""
+
+        async def run():
+            scripts = [[Events(last=2)]] * 6
+            async with gateway_site(tmp_path) as site, servers(site, "engines", *scripts) as six:
+                await site.ask("/stream/x", "long", Token_Counts="154000,800")
+                await site.ask("/stream/x", "short", **PROMPT)
+                seen = [(server.name, item) for server in six for item in server.seen]
+                return next(name for name, item in seen if "Helpers" in item.headers)
+
+        writer = trio.run(run)
+        lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+        (line,) = [line for line in lines if line["event"] == "attempt.group"]
+        assert line["request"] == "long"
+        assert line["servers"][0] == writer
+        assert len(set(line["servers"])) == 6
+        assert line["leaving"] == []
+        assert line["tokens"] == 154_000
+        # 870 ms of tokens and 2,182 ms of pairs, in six parts.
+        assert line["read"] == 509
+
     def test_prompt_over_one_engines_memory_is_reserved_and_released(self, tmp_path):
         """A prompt of more than twice one engine's memory: all parts are held, or none."""
 
