Let one variable move every network of a run, so that two runs on one machine do not collide

Moved for good: the proxy's addresses, 100 second octets above a site so far, which left no room for a second run (20 to 179 of 254), to 100 third octets above; sites of registries and gateways from 127.0 to the second network of the run; the benches from 127.90, 91 to the third and fourth. Ruled out: moving the old layout as it was (no two shifts within 254 are disjoint); fewer networks a worker (an ended site's would come back sooner); a lock on a range (a run that is killed leaves it).

Not run: the whole suite, test_claims.py, test_orders.py, test_streams.py, the benches.

--- a/siskinspoke/bench/feed_slopes.py
+++ b/siskinspoke/bench/feed_slopes.py
@@ -15,8 +15,8 @@
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
 from siskinspoke.testing.group_site import INTERNAL_PORTS, OPERATORS_PORT, GroupSite
+from siskinspoke.testing.networks import FEED_SLOPES
 
-NET = 88
 SERVERS = 50
 SETTLE_SECONDS, MEASURE_SECONDS = 3.0, 6.0
 POINTS = ((0, 0), (50, 0), (100, 0), (0, 40), (100, 40))
@@ -38,7 +38,7 @@
         version=lambda: 0,
     )
     host = site.host_of("c1")
-    me = Me(f"g{number}", f"127.0.{NET}.{100 + number}", 1)
+    me = Me(f"g{number}", site.host_of(f"g{number}"), 1)
     await FeedSet(me, (host,), INTERNAL_PORTS[0] + 1, b"test", listener, Counters(), log).run()
 
 
@@ -74,7 +74,7 @@
 
 async def main() -> None:
     """Print every point."""
-    site = GroupSite(Path(tempfile.mkdtemp(prefix="feed-slopes-")), NET)
+    site = GroupSite(Path(tempfile.mkdtemp(prefix="feed-slopes-")), FEED_SLOPES)
     site.seeds = [site.host_of("c1")]
     with open(os.devnull, "w") as nowhere:
         log = DecisionLog("bench", nowhere)
--- a/siskinspoke/bench/slopes.py
+++ b/siskinspoke/bench/slopes.py
@@ -25,6 +25,7 @@
 from siskinspoke.protocol.announcements import Announcement, Spread, load_of
 from siskinspoke.protocol.claims import ClaimRequest, SettleRequest, Target
 from siskinspoke.testing.fleet import Fleet, wait_until
+from siskinspoke.testing.networks import networks
 from siskinspoke.testing.running_site import start_running_site
 from siskinspoke.testing.site import DOMAINS, customer, customer_key, write_site
 from siskinspoke.transport.datagrams import open_datagram_port
@@ -33,7 +34,6 @@
 TARGET_ENTRIES = 420
 TARGET_CUSTOMERS = 2_600
 WINDOW_SECONDS = 6.0
-NET = 90
 CUSTOMER = "municipio-1"
 
 
@@ -80,11 +80,12 @@
 
 def large_site(folder: Path) -> Fleet:
     """Return a fleet whose settings are as large as the target; few of its VMs run."""
+    net = networks().bench[0]
     many = [
         {
             "name": f"entry-{index:03}",
             "failure_domain": DOMAINS[index % 3],
-            "host": f"127.{NET}.{10 + index % 3}.{1 + index // 3}",
+            "host": f"127.{net}.{10 + index % 3}.{1 + index // 3}",
             "port": 8400,
             "internal_port": 8401,
         }
@@ -92,7 +93,7 @@
     ]
     customers = {f"c-{number}": customer(f"c-{number}") for number in range(TARGET_CUSTOMERS)}
     customers[CUSTOMER] = customer(CUSTOMER)
-    files = write_site(NET, folder, entries=many, customers=customers)
+    files = write_site(net, folder, entries=many, customers=customers)
     return Fleet(folder, files.base, files.overlay)
 
 
@@ -379,7 +380,7 @@
 def at_small_site(stack: ExitStack, folder: Path) -> dict:
     """Measure the data path, changes and leader deaths at a running small site."""
     site = start_running_site(
-        stack, folder, NET + 1, entries_per_domain=2,
+        stack, folder, networks().bench[1], entries_per_domain=2,
         engine_flags=("--memory_tokens=4000000",),
     )  # fmt: skip
     one, many = measure_requests(site, 1), measure_requests(site, 101)
--- a/siskinspoke/testing/demo.py
+++ b/siskinspoke/testing/demo.py
@@ -8,7 +8,8 @@
 
 from siskinspoke.loadgen.client import Caller, Outcome, idempotency_key, prompt_text
 from siskinspoke.testing.fleet import EngineSpec, Fleet, write_keys
-from siskinspoke.testing.site import SERVER_PORT, customer_key
+from siskinspoke.testing.networks import networks
+from siskinspoke.testing.site import SERVER_PORT, address, customer_key
 
 LENGTHS = (1_000, 4_000, 16_000, 64_000, 250_000, 1_000_000)
 SHORTS_PER_LONG = 4
@@ -17,21 +18,48 @@
 TIMEOUT_MS = 40_000
 CALLS = 5
 CUSTOMER = "municipio-1"
+EXAMPLE_NET, EXAMPLE_FOLDER = 10, "run/litoral"
+
+
+def folder_in(net: int) -> str:
+    """Return the folder of the demonstration in a network, so that no two share their journals."""
+    return EXAMPLE_FOLDER if net == EXAMPLE_NET else f"{EXAMPLE_FOLDER}-{net}"
+
+
+def moved(example: str, net: int) -> str:
+    """Return the example's settings with its VMs in another network, and their folders too."""
+    in_network = example.replace(f'"127.{EXAMPLE_NET}.', f'"127.{net}.')
+    return in_network.replace(f'"{EXAMPLE_FOLDER}/', f'"{folder_in(net)}/')
+
+
+def write_moved(root: Path, net: int) -> Path:
+    """Write the settings of the demonstration in a network, and return their file."""
+    overlay = root / folder_in(net) / "overlay.json"
+    overlay.parent.mkdir(parents=True, exist_ok=True)
+    overlay.write_text(moved((root / "examples/litoral.json").read_text(), net))
+    return overlay
 
 
 def engine_specs(fleet: Fleet) -> list[EngineSpec]:
     """Return the stand-ins of the demonstration: engines in each domain, one plain service."""
+    net = networks().demonstration[0]
     specs = []
     for index, domain in enumerate(fleet.settings.failure_domains):
         for number in range(1, ENGINES_PER_DOMAIN + 1):
-            host = f"127.10.{index + 1}.{100 + number}"
+            host = address(net, index, 100 + number)
             flags = ("--prefill_ms_per_token=0.004", "--chunk_tokens=4096")
             name = f"engine-{domain}-{number}"
             specs.append(EngineSpec(name, domain, host, SERVER_PORT, "redactor", flags))
     domain = fleet.settings.failure_domains[0]
     specs.append(
         EngineSpec(
-            "despacho-1", domain, "127.10.1.150", SERVER_PORT, "despacho", (), "standin-service"
+            "despacho-1",
+            domain,
+            address(net, 0, 150),
+            SERVER_PORT,
+            "despacho",
+            (),
+            "standin-service",
         )
     )
     return specs
@@ -96,12 +124,8 @@
     root = Path.cwd()
     write_keys(root / "run" / "keys")
     program = tuple(sys.argv[1:])
-    with Fleet(
-        root / "run" / "litoral",
-        root / "examples/base.json",
-        root / "examples/litoral.json",
-        program,
-    ) as fleet:
+    overlay = write_moved(root, networks().demonstration[0])
+    with Fleet(overlay.parent, root / "examples/base.json", overlay, program) as fleet:
         start(fleet)
         print(f"{len(fleet.settings.entries)} entry VMs in 3 failure domains are up")
         completions, calls = trio.run(send, fleet)
--- a/siskinspoke/testing/group_site.py
+++ b/siskinspoke/testing/group_site.py
@@ -11,17 +11,21 @@
 import httpx
 
 from siskinspoke.testing.fleet import STOP_SECONDS, wait_until
+from siskinspoke.testing.networks import networks
 
 OPERATORS_PORT, PUBLIC_PORT, READY_PORT = 8_229, 8_227, 8_220
 INTERNAL_PORTS = [7_340, 7_355]
 
 
 class GroupSite:
-    """Own the processes of one site, each known by the name of its VM."""
+    """Own the processes of one site, each known by the name of its VM.
+
+    All such sites of a run lie in one network; ``net`` is the third octet of this one.
+    """
 
     def __init__(self, folder: Path, net: int):
         self.folder = folder
-        self._net = net
+        self._net = f"127.{networks().groups[0]}.{net}"
         self._processes: dict[str, subprocess.Popen] = {}
         self.seeds = [self.host_of(f"c{number}") for number in (1, 2, 3)]
         folder.mkdir(parents=True, exist_ok=True)
@@ -29,7 +33,7 @@
     def host_of(self, name: str) -> str:
         """Return the address of a VM: registries are c1, c2 and so on, gateways g1 and so on."""
         offset = 0 if name.startswith("c") else 100
-        return f"127.0.{self._net}.{offset + int(name[1:])}"
+        return f"{self._net}.{offset + int(name[1:])}"
 
     def start(self, name: str, found: bool = False) -> None:
         """Start a registry or a gateway."""
--- a/siskinspoke/testing/proxy.py
+++ b/siskinspoke/testing/proxy.py
@@ -1,8 +1,9 @@
 """A small fault-injecting proxy for TCP and UDP between the VMs of a test site.
 
-Each VM has an address of its own; the others see it at a second address, where the proxy
-listens.  The proxy knows a sender by its address and can, for each pair of failure domains and
-each direction, cut silently, delay, drop, double and reorder.  It runs in a thread.
+Each VM has an address of its own; the others see it at a second address in the same network,
+where the proxy listens.  The proxy knows a sender by its address and can, for each pair of
+failure domains and each direction, cut silently, delay, drop, double and reorder.  It runs in a
+thread.
 """
 
 import random
@@ -39,7 +40,7 @@
 def front(host: str) -> str:
     """Return the address at which other VMs see a host."""
     parts = host.split(".")
-    parts[1] = str(int(parts[1]) + FRONT_OFFSET)
+    parts[2] = str(int(parts[2]) + FRONT_OFFSET)
     return ".".join(parts)
 
 
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -1,21 +1,13 @@
 """Fixtures that run whole sites as real processes on loopback addresses."""
 
-import itertools
-import os
 from contextlib import ExitStack
 
 import pytest
 
+from siskinspoke.testing.networks import in_turn, site_nets
 from siskinspoke.testing.running_site import start_running_site
 
-NETS_PER_WORKER = 20
-FIRST_NET = 20
-
-# Each site has a network number of its own, so that a port of an ended one cannot linger.
-_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-_nets = itertools.cycle(
-    range(FIRST_NET + _worker * NETS_PER_WORKER, FIRST_NET + (_worker + 1) * NETS_PER_WORKER)
-)
+_next_net = in_turn(site_nets)
 
 
 @pytest.fixture
@@ -24,6 +16,6 @@
     with ExitStack() as stack:
 
         def make(**changes):
-            return start_running_site(stack, tmp_path / "site", next(_nets), **changes)
+            return start_running_site(stack, tmp_path / "site", _next_net(), **changes)
 
         yield make
--- a/tests/integration/test_group.py
+++ b/tests/integration/test_group.py
@@ -1,8 +1,6 @@
 """Registries and gateways as processes: configuration, members and leaves under faults."""
 
-import itertools
 import json
-import os
 import signal
 import time
 
@@ -12,16 +10,16 @@
 from siskinspoke.state.server_file import SERVERS_FILE
 from siskinspoke.testing.fleet import wait_until
 from siskinspoke.testing.group_site import GroupSite
+from siskinspoke.testing.networks import group_nets, in_turn
 
 HOST = "shop.example"
-_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-_nets = itertools.cycle(range(150 + _worker * 10, 160 + _worker * 10))
+_next_net = in_turn(group_nets)
 
 
 @pytest.fixture
 def site(tmp_path):
     """Return a site of three registries that found their group, and one gateway."""
-    running = GroupSite(tmp_path / "site", next(_nets))
+    running = GroupSite(tmp_path / "site", _next_net())
     for name in ("c1", "c2", "c3"):
         running.start(name, found=True)
     running.start("g1", found=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 import trio
 
 from siskinspoke.testing.group_site import PUBLIC_PORT, GroupSite
+from siskinspoke.testing.networks import SOAK_BY_HAND
 from tests.platform.site import KEY, document, read_answer, request_bytes
 from tests.platform.standin_server import (
     Close,
@@ -415,7 +416,7 @@
     failed = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = run_soak(seed, folder, 90 + first % 50, seconds)
+        soak = run_soak(seed, folder, SOAK_BY_HAND[first % len(SOAK_BY_HAND)], seconds)
         served = sum(n for (_, status), n in soak.served.items() if status == 200)
         total = sum(soak.served.values())
         print(f"seed {seed}: {served} of {total} served, {len(soak.faults)} faults", flush=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,10 +1,8 @@
 """A short seeded soak in every test run, and each seed that ever failed."""
 
-import itertools
-import os
-
 import pytest
 
+from siskinspoke.testing.networks import in_turn, soak_nets
 from tests.soak.soak import run_soak
 
 SECONDS = 6.0
@@ -14,8 +12,7 @@
     31: "a gateway took over 10 s to stop while its own sleep of 3 s took 6.3 s; not traced",
     40: "as with seed 3",
 }
-_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-_nets = itertools.cycle(range(60 + _worker * 3, 63 + _worker * 3))
+_next_net = in_turn(soak_nets)
 
 
 class TestSoak:
@@ -23,6 +20,6 @@
 
     @pytest.mark.parametrize("seed", [1, 2, *REGRESSIONS])
     def test_promises_hold(self, seed, tmp_path):
-        soak = run_soak(seed, tmp_path / "site", next(_nets), SECONDS)
+        soak = run_soak(seed, tmp_path / "site", _next_net(), SECONDS)
         assert not soak.broken, soak.broken
         assert sum(soak.served.values()) > 20
