Give back a step that is not needed, leave servers out by start and for a while, and count only what was sent

Cause: what a request takes or leaves out was kept by name and for good. What one stream found full, its own engine being the only one with room, held others at silent engines; a server that refused once, or has started anew, was passed over until the end; a step taken in the moment in which the answer came was used seconds later; a connection that did not come about cost other requests an attempt and a repeat.

--- a/siskinspoke/coordination/retries.py
+++ b/siskinspoke/coordination/retries.py
@@ -116,6 +116,13 @@
         self._count(service, 0, 1, now)
         return True
 
+    def give_back(self, service: str, now: float) -> None:
+        """Take back a repeat that was not sent; VMs that were told of it count it all the same."""
+        self._all[service].add(0, -1, now)
+        self._own[service].add(0, -1, now)
+        news = self._news[service]
+        news[1] = max(0, news[1] - 1)
+
     def has_left(self, service: str, now: float) -> bool:
         """Tell whether a repeat at a service could be spent now."""
         whole, own = self._all[service], self._own[service]
--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -24,7 +24,8 @@
 
     ``gone`` means that one of the servers is.  In milliseconds: ``doubt_at`` is when
     ``reconsider`` is to be asked whether to go on; it may put the moment off and return False.
-    ``move_on`` takes the request's next step, and tells whether there is one.
+    ``move_on`` takes the request's next step, and tells whether there is one.  ``sent`` is False
+    until there is a connection.
     """
 
     def __init__(self, servers: Iterable[ServerRecord], move_on: Callable[[], bool]):
@@ -34,6 +35,7 @@
         self._waits_from = 0.0
         self._due_ms = math.inf
         self.doubt_at = math.inf
+        self.sent = False
         self.reconsider: Callable[[Attempt, float], bool] | None = None
         self.lost = ""
         self.gone = False
@@ -92,9 +94,12 @@
     def end_if_lost(self, server: str, incarnation: int) -> None:
         """End the attempt if it relies on a server that cannot be reached, and can go elsewhere.
 
-        The answer of one that cannot could still come, after a cut.
+        The answer of one that cannot could still come, after a cut.  One that is not sent yet finds
+        out by its own connection: ended here it would count as an attempt, and cost a repeat.
         """
         known = self._servers.get(server)
+        if not self.sent:
+            return
         if known is not None and known.start == (server, incarnation) and self.move_on():
             self._end(UNREACHABLE, gone=True)
 
--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.left_out import LeftOut
 from siskinspoke.gateway.attempts import STARTED_AGAIN
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.placing import Placed
@@ -48,12 +49,11 @@
     """What the attempts of one request have used up, and what is taken for the next one.
 
     ``ran`` servers may have worked on it, ``arrivals`` sendings have reached one, ``unreached``
-    have not, and ``lost`` servers were found to be gone.  ``failed`` servers get the request no
-    more; those that were full or silent, ``put_off``, may once it has waited for room.
+    have not, and ``lost`` servers were found to be gone.  ``paid`` says that the repeat of the next
+    sending is taken from the budget, ``next`` where a stream then goes.
     """
 
-    failed: set[str] = field(default_factory=set)
-    put_off: set[str] = field(default_factory=set)
+    left_out: LeftOut = field(default_factory=LeftOut)
     ran: int = 0
     arrivals: int = 0
     unreached: int = 0
@@ -62,25 +62,37 @@
     paid: bool = False
     next: Step | None = None
 
-    @property
-    def excluded(self) -> set[str]:
-        """Return the servers that are passed over."""
-        return self.failed | self.put_off
-
     def has_tries(self, tried: int) -> bool:
         """Tell whether so many tries, those that reached nobody among them, allow one more."""
         return tried - self.unreached < MOST_TRIES and self.unreached < MOST_UNREACHED
 
     def pay(self, gateway: Gateway, request: Request) -> bool:
-        """Spend a repeat from the budget, unless it is the first sending or one is taken."""
-        paid, self.paid = self.paid, False
-        return paid or not self.arrivals or gateway.budget.take(request.service, now_ms())
+        """Pay for the next sending with a repeat of the budget, unless it is the first, or paid."""
+        if not self.paid and self.arrivals:
+            return gateway.budget.take(request.service, now_ms())
+        self.paid = False
+        return True
+
+    def take_step(self) -> Step | None:
+        """Return the step that was taken for the next attempt, if there is one."""
+        step, self.next = self.next, None
+        return step
+
+    def give_back(self, gateway: Gateway, request: Request) -> None:
+        """Give back what was taken for an attempt that is not needed."""
+        step = self.take_step()
+        if step is not None and step.work is not None:
+            gateway.peers.ended(step.work)
+        if self.paid:
+            gateway.budget.give_back(request.service, now_ms())
+        self.paid = False
 
 
 class Onward:
     """Take the next step of a request for one attempt; say why there is none, once each.
 
-    ``take_place`` takes a place at another server, and tells whether there was one.
+    ``take_place`` finds another server, takes a place there where places are kept in the books,
+    and tells whether it found one.
     """
 
     def __init__(
@@ -100,7 +112,10 @@
         self._ask_at = 0.0
 
     def move_on(self) -> bool:
-        """Take the next step and return True, or return False: the server is still waited for."""
+        """Take the next step and return True, or return False: the server is still waited for.
+
+        Who is told True gives the server up at once, or gives the step back.
+        """
         if self._progress.paid:
             return True
         now = now_ms()
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -4,6 +4,7 @@
 
 from siskinspoke.coordination.books import Job
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.fullness import Look
 from siskinspoke.coordination.placement import DRAWN_ENGINES, Candidate, Place
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.widening import is_short
@@ -112,17 +113,17 @@
         records = reachable(gateway, candidates(gateway, request.service, excluded))
         records = _near(gateway, records, near_only)
         return Placed(least_loaded(gateway, records)) if records else None
+    found = None
+    look = Look(request.service, frozenset(excluded), near_only)
     tokens, now = job.tokens + job.max_tokens, now_ms()
-    if gateway.fullness.is_full(request.service, tokens, now):
-        return None
-    records = reachable(gateway, cell_candidates(gateway, request.service, excluded))
-    found = choose(gateway, costs, job, _near(gateway, records, near_only))
+    if not gateway.fullness.is_full(look, tokens, now):
+        records = reachable(gateway, cell_candidates(gateway, request.service, excluded))
+        found = choose(gateway, costs, job, _near(gateway, records, near_only))
+        if found is None:
+            gateway.fullness.note(look, tokens, now)
     if found is None and blind and gateway.cells.others:
         found = _blind(gateway, request.service, job, costs, excluded)
-    if found is None:
-        gateway.fullness.note(request.service, tokens, now)
-        return None
-    return _placed(gateway, found, job, costs)
+    return None if found is None else _placed(gateway, found, job, costs)
 
 
 def _near(gateway: Gateway, records: list[ServerRecord], near_only: bool) -> list[ServerRecord]:
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -1,6 +1,5 @@
 """Serve a request whose answer is one piece: a plain service, or any failure of a stream."""
 
-from functools import partial
 from typing import NamedTuple
 
 from siskinspoke.coordination.directory import ServerRecord
@@ -31,6 +30,8 @@
 FRESH_ONCE_MS = 0.0
 # An attempt is given up after this share of the time left, if another server may be tried then.
 FIRST_SHARE = 0.45
+# A body that is on its way is not given up between two of its parts.
+LEAST_PATIENCE_MS = 100.0
 GIVEN_UP = "the answer did not end in time"
 # Servers tried that could not be reached, so that nothing was sent to them.
 MOST_UNREACHABLE = 4
@@ -58,14 +59,14 @@
     progress = Progress()
     last: Whole | Failure | None = None
     while True:
-        records = candidates(gateway, request.service, progress.excluded)
+        records = _others(gateway, request, progress)
         if not records:
             return last or _nobody(gateway)
         if not progress.pay(gateway, request):
             gateway.counters.count("retry.budget_spent")
             return last or _nobody(gateway)
-        server = least_loaded(gateway, records)
-        progress.failed.add(server.announcement.server)
+        server = least_loaded(gateway, reachable(gateway, records) or records)
+        progress.left_out.fail(server.start)
         outcome = await _attempt(gateway, request, server, progress)
         match outcome:
             case Whole(answer=answer):
@@ -90,6 +91,12 @@
             return last
 
 
+def _others(gateway: Gateway, request: Request, progress: Progress) -> list[ServerRecord]:
+    """Return the servers that the request may still go to."""
+    left_out = progress.left_out.names(gateway.directory, now_ms())
+    return candidates(gateway, request.service, left_out)
+
+
 def _nobody(gateway: Gateway) -> Failure:
     message = "no backend server can take the request now"
     return Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
@@ -104,13 +111,12 @@
     left = request.left_ms(began)
 
     def has_other() -> bool:
-        others = candidates(gateway, request.service, progress.excluded)
-        return bool(reachable(gateway, others))
+        return bool(reachable(gateway, _others(gateway, request, progress)))
 
     onward = Onward(gateway, request, name, progress, has_other)
     fresh = request.route.repeatable and not progress.lost
     fresh_ms = FRESH_MS if fresh else FRESH_ONCE_MS
-    give_up_at = began + FIRST_SHARE * left
+    patience_ms = FIRST_SHARE * left
     dispatch = Dispatch(
         call=request.call,
         server=name,
@@ -126,9 +132,12 @@
             usual_ms = gateway.standing.usual_ms([name], began)
             attempt.expect_within(whole_due_ms(usual_ms), began)
             with attempt.within(left / 1000):
-                impatience = partial(attempt.impatience, (give_up_at - began) / 1000)
-                outcome = await send(gateway, dispatch, server, impatience, fresh_ms)
+                outcome = await send(
+                    gateway, dispatch, server, attempt, patience_ms / 1000, fresh_ms
+                )
             if isinstance(outcome, Begun):
+                progress.give_back(gateway, request)
+                give_up_at = began + patience_ms
                 outcome = await _read_whole(gateway, server, outcome, attempt, give_up_at)
         if attempt.lost and isinstance(outcome, Broke):
             outcome = Broke(Trouble.BROKEN, attempt.lost, gone=True)
@@ -155,7 +164,7 @@
     complete = False
     try:
         while True:
-            seconds = max(0.0, give_up_at - now_ms()) / 1000
+            seconds = max(LEAST_PATIENCE_MS, give_up_at - now_ms()) / 1000
             data = await read_on(begun.connection, attempt, seconds)
             if data is None:
                 break
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -56,11 +56,18 @@
 
 
 def given_up(attempt: Attempt) -> Broke:
-    """Return what an attempt shows that was ended by a look or a second thought."""
+    """Return what an attempt shows that was given up: silence, unless something else ended it."""
+    if not attempt.lost:
+        return Broke(Trouble.SILENT, "the stream fell silent")
     trouble = Trouble.BROKEN if attempt.gone else Trouble.SILENT
     return Broke(trouble, attempt.lost, attempt.gone)
 
 
+def silent_ms(request: Request) -> float:
+    """Return after which silence a stream goes on at another engine, if one can take it."""
+    return max(SILENT_MS, PAUSES * request.route.pause_ms)
+
+
 async def pass_on(
     gateway: Gateway, request: Request, relay: Relay, flow: Flow
 ) -> Ended | Whole | Broke:
@@ -70,7 +77,8 @@
     try:
         if begun.answer.status >= 300:
             parts = []
-            while (data := await begun.connection.read_data()) is not None:
+            seconds = silent_ms(request) / 1000
+            while (data := await read_on(begun.connection, flow.attempt, seconds)) is not None:
                 parts.append(data)
             complete = True
             return Whole(begun.answer, b"".join(parts))
@@ -86,6 +94,8 @@
         return outcome
     except PeerError as error:
         return broken(error)
+    except GivenUpError:
+        return given_up(flow.attempt)
     finally:
         if complete:
             keep_or_cut(gateway, flow.placed.server, begun)
@@ -98,18 +108,12 @@
 ) -> Ended | Broke:
     splitter = EventSplitter()
     placed = flow.placed
-    silent_ms = max(SILENT_MS, PAUSES * request.route.pause_ms)
     first = True
     while True:
-        patience_ms = silent_ms
+        patience_ms = silent_ms(request)
         if first:
             patience_ms = max(LEAST_PATIENCE_MS, flow.give_up_at - now_ms())
-        try:
-            data = await read_on(flow.begun.connection, flow.attempt, patience_ms / 1000)
-        except GivenUpError:
-            if not flow.attempt.lost:
-                return Broke(Trouble.SILENT, "the stream fell silent")
-            return given_up(flow.attempt)
+        data = await read_on(flow.begun.connection, flow.attempt, patience_ms / 1000)
         if data is None:
             if splitter.rest:
                 return Broke(Trouble.BROKEN, "the stream ended in the middle of an event")
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -2,7 +2,6 @@
 
 import math
 from contextlib import AsyncExitStack, asynccontextmanager
-from functools import partial
 
 import trio
 
@@ -53,8 +52,7 @@
     try:
         return await _try_engines(gateway, request, relay, progress)
     finally:
-        if progress.next is not None and progress.next.work is not None:
-            gateway.peers.ended(progress.next.work)
+        progress.give_back(gateway, request)
 
 
 async def _try_engines(
@@ -79,15 +77,15 @@
                 if final and not relay.head_sent:
                     return outcome
                 last = outcome
-                progress.failed.add(placed.name)
+                progress.left_out.fail(placed.server.start)
                 progress.ran += 1
                 progress.arrivals += 1
             case NotRun(member=str(member)):
                 # The others of the group may be well, the writing one among them.
-                progress.put_off.add(member)
+                progress.left_out.put_off(member, now_ms())
                 progress.unreached += 1
             case NotRun(arrived=arrived, at_fault=None):
-                progress.put_off.add(placed.name)
+                progress.left_out.put_off(placed.name, now_ms())
                 progress.arrivals += arrived
                 progress.unreached += not arrived
             case NotRun(arrived=arrived):
@@ -96,8 +94,10 @@
                 progress.arrivals += arrived
                 progress.unreached += not arrived
             case Broke() as broke:
-                silent = broke.trouble is Trouble.SILENT
-                (progress.put_off if silent else progress.failed).add(placed.name)
+                if broke.trouble is Trouble.SILENT:
+                    progress.left_out.put_off(placed.name, now_ms())
+                else:
+                    progress.left_out.fail(placed.server.start)
                 progress.ran += not has_ended(gateway, placed.server, broke)
                 progress.lost += broke.gone
                 progress.arrivals += 1
@@ -124,10 +124,9 @@
     the answer, and room comes as soon as another stream ends.  Anything else is refused at once.
     """
     said: NoMore | None = None
-    while progress.next is None:
-        placed = await place(
-            gateway, request, relay.last_event_at, progress.excluded, progress.near_only
-        )
+    while (step := progress.take_step()) is None:
+        left_out = progress.left_out.names(gateway.directory, now_ms())
+        placed = await place(gateway, request, relay.last_event_at, left_out, progress.near_only)
         if placed is not None and progress.pay(gateway, request):
             return _begin(gateway, placed)
         why = NoMore.PLACE if placed is None else NoMore.BUDGET
@@ -138,10 +137,7 @@
         if not relay.head_sent:
             return why
         await trio.sleep(ASK_AGAIN_SECONDS * gateway.rng.uniform(0.5, 1.5))
-        # Whoever refused or was silent before may be the only one with room by now.
-        progress.put_off.clear()
-    step, progress.next = progress.next, None
-    progress.pay(gateway, request)
+    progress.paid = False
     return step
 
 
@@ -212,10 +208,11 @@
                 _set_watch(gateway, request, placed, progress, attempt, onward)
             fresh_ms = FRESH_AFTER_LOSS_MS if progress.lost else FRESH_MS
             with attempt.within(math.inf):
-                impatience = partial(attempt.impatience, seconds)
-                sent = await send(gateway, dispatch, placed.server, impatience, fresh_ms)
+                sent = await send(gateway, dispatch, placed.server, attempt, seconds, fresh_ms)
             outcome = sent or given_up(attempt)
             if isinstance(outcome, Begun):
+                # The answer may come in the moment in which the next step is taken.
+                progress.give_back(gateway, request)
                 due = event_due_ms(pass_ms_at(gateway, request, placed))
                 give_up_at = began + seconds * 1000
                 flow = Flow(placed, outcome, attempt, work, give_up_at, due)
@@ -257,7 +254,7 @@
             gateway,
             request,
             relay.last_event_at,
-            progress.excluded | {placed.name},
+            progress.left_out.names(gateway.directory, now_ms()) | {placed.name},
             progress.near_only,
             blind=gateway.standing.is_unreachable(placed.name),
         )
@@ -284,7 +281,8 @@
 
     def reconsider(attempt: Attempt, now: float) -> bool:
         left = request.route.target_ms - (now - request.arrived_ms)
-        others = cell_candidates(gateway, request.service, progress.excluded | {placed.name})
+        left_out = progress.left_out.names(gateway.directory, now) | {placed.name}
+        others = cell_candidates(gateway, request.service, left_out)
         hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
         best = choose(gateway, placed.costs, hurried, others) if others else None
         chosen = move(left, None if best is None else best.first_token_ms)
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -1,6 +1,5 @@
 """One sending of a request to one backend server, and what its first words prove."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
@@ -67,10 +66,13 @@
     gateway: Gateway,
     dispatch: Dispatch,
     server: ServerRecord,
-    impatience: Callable[[], Awaitable[None]],
+    attempt: Attempt,
+    patience_seconds: float,
     fresh_ms: float,
 ) -> Outcome:
-    """Send a request and read the head of its answer, or give up when ``impatience`` returns.
+    """Send a request and read the head of its answer.
+
+    After a time of silence the server is given up, if the request can go on elsewhere.
 
     A kept connection is taken only if it was used within ``fresh_ms``.  If the server closed it
     as the request was written, nothing shows whether the server has read the request, so one
@@ -81,10 +83,11 @@
         connection = await connect_to(gateway, server)
     if connection is None:
         return NotRun(Trouble.UNREACHABLE, "no connection", arrived=False)
+    attempt.sent = True
     finished = False
     try:
         head = gateway.wire.encode_dispatch(dispatch)
-        outcome = await _exchange(gateway, dispatch, connection, head, impatience)
+        outcome = await _exchange(gateway, dispatch, connection, head, attempt, patience_seconds)
         finished = isinstance(outcome, Begun)
         return outcome
     finally:
@@ -98,7 +101,8 @@
     dispatch: Dispatch,
     connection: ServerConnection,
     head: RequestHead,
-    impatience: Callable[[], Awaitable[None]],
+    attempt: Attempt,
+    patience_seconds: float,
 ) -> Outcome:
     """Write the request and read the head at once: a server may answer before it has read all."""
     found: list[Outcome] = []
@@ -114,7 +118,7 @@
         nursery.cancel_scope.cancel()
 
     async def give_up() -> None:
-        await impatience()
+        await attempt.impatience(patience_seconds)
         nursery.cancel_scope.cancel()
 
     async with trio.open_nursery() as nursery:
--- a/tests/platform/test_taken_steps.py
+++ b/tests/platform/test_taken_steps.py
@@ -1,12 +1,11 @@
 """Steps that are taken too early, too late or twice, and servers that are left out for too long."""
 
-import time
 from collections import deque
 
 import pytest
 import trio
 
-from siskinspoke.gateway import reaching
+from siskinspoke.gateway import reaching, upstream
 from tests.platform.site import gateway_site, servers, until
 from tests.platform.standin_server import Close, Events, Refuse, Silent, Whole
 from tests.platform.test_lost_servers import Network
@@ -15,6 +14,18 @@
 from tests.platform.test_streams import PROMPT, data_of
 
 
+def take_step_with_the_answer(monkeypatch) -> None:
+    """Have a server's patience end in the very moment in which the head of its answer comes."""
+    exchange = upstream._exchange
+
+    async def both(gateway, dispatch, connection, head, attempt, seconds):
+        outcome = await exchange(gateway, dispatch, connection, head, attempt, seconds)
+        assert attempt.move_on()
+        return outcome
+
+    monkeypatch.setattr(upstream, "_exchange", both)
+
+
 def repeats(site, service: str = "engines") -> int:
     """Return how many repeats the VM has paid."""
     return site.gateway.budget._own[service].repeats
@@ -91,15 +102,16 @@
                 script = deque([part, Events(first=3, last=3, then="silent"), Events(last=4)])
                 for server in both:
                     server.script = script
+                    site.announce(server, "engines", seq=2, started=1)
                 async with site.asking("/stream/x", Deadline_Ms="4000", **PROMPT) as answers:
                     await until(lambda: any(server.seen for server in both))
                     await trio.sleep(0.2)
                     (first,) = [server for server in both if server.seen]
                     (second,) = [server for server in both if not server.seen]
-                    site.announce(first, "engines", seq=2, started=5)
+                    site.announce(first, "engines", seq=3, started=5)
                     await until(lambda: second.seen)
                     await trio.sleep(0.2)
-                    site.announce(second, "engines", seq=2, started=5)
+                    site.announce(second, "engines", seq=3, started=5)
                 assert data_of(answers[0].body) == whole_stream(4)
 
         trio.run(run)
@@ -241,13 +253,12 @@
                 gateway_site(tmp_path, timeout_ms=5_500) as site,
                 servers(site, "engines", script) as (one,),
             ):
+                take_step_with_the_answer(monkeypatch)
                 async with site.asking("/stream/x", Deadline_Ms="5500", **PROMPT) as answers:
                     await until(lambda: one.seen)
                     other = await late_server(site, Events(last=30))
-                    monkeypatch.setattr(trio._core._run, "_r", InOrder())
-                    stand_still_at_head(monkeypatch)
-                    await trio.sleep(1.8)
-                    monkeypatch.undo()
+                    await trio.sleep(1.3)
+                    assert not answers
                     assert not other.seen
                     assert site.gateway.books.open_works == 1
                     assert repeats(site) == 0
@@ -264,39 +275,12 @@
                 gateway_site(tmp_path, timeout_ms=5_500) as site,
                 servers(site, "engines", script) as (one,),
             ):
+                take_step_with_the_answer(monkeypatch)
                 async with site.asking("/stream/x", Deadline_Ms="5500", **PROMPT):
                     await until(lambda: one.seen)
                     other = await late_server(site, Events(last=30))
-                    monkeypatch.setattr(trio._core._run, "_r", InOrder())
-                    stand_still_at_head(monkeypatch)
                     await trio.sleep(1.6)
-                    monkeypatch.undo()
                     site.announce(other, "engines", seq=2, leaving=True)
                 assert not other.seen
 
         trio.run(run)
-
-
-class InOrder:
-    """Have trio run the tasks of each tick in one order; it draws that by lot otherwise."""
-
-    def random(self) -> float:
-        """Return what leaves them as they are."""
-        return 1.0
-
-
-def stand_still_at_head(monkeypatch) -> None:
-    """Once a server has written a stream's head, stop this process for half a second."""
-    send_all = trio.SocketStream.send_all
-    done = []
-
-    async def stalling(stream, data):
-        if data.startswith(b"HTTP/1.1 200") and not done:
-            done.append(data)
-            # Without a checkpoint before the pause, or it would be read sooner.
-            stream.socket._sock.send(data)
-            time.sleep(0.5)
-        else:
-            await send_all(stream, data)
-
-    monkeypatch.setattr(trio.SocketStream, "send_all", stalling)
