--- a/tests/entry/test_going_on.py
+++ b/tests/entry/test_going_on.py
@@ -53,6 +53,15 @@
         return None
 
 
+class OnlyEngine(FakeRouter):
+    """Give one engine, unless the request passes it over."""
+
+    def choose(self, work, now, rng):
+        chosen = super().choose(work, now, rng)
+        server = chosen.ok.servers[0].announcement.server
+        return Error(FULL) if server in work.excluded else chosen
+
+
 def choice(number: int) -> Choice:
     """Return the choice of one engine."""
     return Choice((ServerRecord(announcement(number, 1, "sala-a"), 0.0),), 50.0, 0)
@@ -121,6 +130,18 @@
         assert job.failure is None
         assert job.tokens == 3
 
+    def test_goes_back_to_an_engine_that_is_well_again(self):
+        """A cut parts a VM from its only engine for a moment; the rest could come from there."""
+
+        async def run() -> CompletionJob:
+            job = make_job(OnlyEngine(1), RetryBudget(0.1), 5)
+            await job.run(choice(1))
+            return job
+
+        job = trio.run(run)
+        assert job.failure is None
+        assert job.tokens == 3
+
     def test_ends_with_its_time(self):
         """No engine ever has room: the caller hears so when the time is over, not later."""
 
