--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -8,6 +8,7 @@
 
 from siskinspoke.coordination import fairness
 from siskinspoke.coordination.deadlines import margin_seconds
+from siskinspoke.coordination.left_out import LeftOut
 from siskinspoke.coordination.routing import Choice, Ticket, Work, length_class
 from siskinspoke.core.codes import Failure, ResultCode, Run
 from siskinspoke.entry import groups
@@ -62,7 +63,7 @@
     running: Target | None = None
     dispatched: bool = False
     first_token_at: float | None = None
-    excluded: set[str] = field(default_factory=set)
+    left_out: LeftOut = field(default_factory=LeftOut)
     abandoned: bool = False
 
 
@@ -111,7 +112,7 @@
             self.caller.priority,
             self._blocks,
             (self._deadline - trio.current_time()) * 1000,
-            frozenset(self._progress.excluded),
+            frozenset(self._progress.left_out.names(self._context.directory, now_ms())),
         )
 
     def admit(self) -> Result[Choice, Failure]:
@@ -233,7 +234,7 @@
                     reason = "unknown to the server"
                     self._clean_up()
             progress.running = None
-            progress.excluded.add(target.server)
+            progress.left_out.put_off(target.server, now_ms())
             if progress.attempt == MAX_ATTEMPTS:
                 break
             chosen = await self._next_choice(reason)
@@ -507,7 +508,7 @@
             return Settled(None)
         if isinstance(end, NotBegun) and not end.reached:
             context.directory.suspect(target.server, target.incarnation, now_ms())
-            progress.excluded.add(target.server)
+            progress.left_out.put_off(target.server, now_ms())
         proven = isinstance(end, NotBegun) or await find_out(
             context, target, self.request_id, progress.attempt
         )
