--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -72,39 +72,16 @@
             case Ended():
                 await relay.client.end_answer()
                 return None
-            case Whole(answer=answer):
-                final = answer.status < 500 or not request.route.repeatable
-                if final and not relay.head_sent:
-                    return outcome
+            case Whole() if _is_final(request, relay, outcome):
+                return outcome
+            case Whole():
                 last = outcome
-                progress.left_out.fail(placed.server.start)
-                progress.ran += 1
-                progress.arrivals += 1
-            case NotRun(member=str(member)):
-                # The others of the group may be well, the writing one among them.
-                progress.left_out.put_off(member, now_ms())
-                progress.unreached += 1
-            case NotRun(arrived=arrived, at_fault=None):
-                progress.left_out.put_off(placed.name, now_ms())
-                progress.arrivals += arrived
-                progress.unreached += not arrived
-            case NotRun(arrived=arrived):
-                # The engines may be cut off from each other where this VM reaches both.
-                progress.near_only = True
-                progress.arrivals += arrived
-                progress.unreached += not arrived
-            case Broke() as broke:
-                if broke.trouble is Trouble.SILENT:
-                    progress.left_out.put_off(placed.name, now_ms())
-                else:
-                    progress.left_out.fail(placed.server.start)
-                progress.ran += not has_ended(gateway, placed.server, broke)
-                progress.lost += broke.gone
-                progress.arrivals += 1
-                last = last or Failure(ResultCode.FATE_UNKNOWN, broke.reason)
-                if not request.route.repeatable:
-                    why = NoMore.ONCE
-                    break
+            case Broke(reason=reason):
+                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
+        _account(gateway, progress, placed, outcome)
+        if isinstance(outcome, Broke) and not request.route.repeatable:
+            why = NoMore.ONCE
+            break
         if progress.ran >= request.route.max_attempts:
             why = NoMore.ATTEMPTS
             break
@@ -115,6 +92,44 @@
     return last or Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
 
 
+def _is_final(request: Request, relay: Relay, whole: Whole) -> bool:
+    """Tell whether the client gets an answer that is no stream, in place of another attempt."""
+    is_failure = whole.answer.status >= 500 and request.route.repeatable
+    return not is_failure and not relay.head_sent
+
+
+def _account(
+    gateway: Gateway, progress: Progress, placed: Placed, outcome: Whole | NotRun | Broke
+) -> None:
+    """Count what an attempt has used up, and leave out who should not get the request again."""
+    match outcome:
+        case Whole():
+            progress.left_out.fail(placed.server.start)
+            progress.ran += 1
+            progress.arrivals += 1
+        case NotRun(member=str(member)):
+            # The others of the group may be well, the writing one among them.
+            progress.left_out.put_off(member, now_ms())
+            progress.unreached += 1
+        case NotRun(arrived=arrived, at_fault=at_fault):
+            progress.arrivals += arrived
+            progress.unreached += not arrived
+            if at_fault is None:
+                progress.left_out.put_off(placed.name, now_ms())
+            else:
+                # The engines may be cut off from each other where this VM reaches both.
+                progress.near_only = True
+        case Broke(trouble=Trouble.SILENT):
+            progress.left_out.put_off(placed.name, now_ms())
+            progress.ran += 1
+            progress.arrivals += 1
+        case Broke():
+            progress.left_out.fail(placed.server.start)
+            progress.ran += not has_ended(gateway, placed.server, outcome)
+            progress.lost += outcome.gone
+            progress.arrivals += 1
+
+
 async def _next_step(
     gateway: Gateway, request: Request, relay: Relay, progress: Progress
 ) -> Step | NoMore:
@@ -131,11 +146,12 @@
             return _begin(gateway, placed)
         why = NoMore.PLACE if placed is None else NoMore.BUDGET
         if why is not said:
-            said = why
             gateway.counters.count("place.none" if placed is None else "retry.budget_spent")
-            gateway.log.note("place.wanting", request=request.call.id, why=why.value)
         if not relay.head_sent:
             return why
+        if why is not said:
+            gateway.log.note("place.wanting", request=request.call.id, why=why.value)
+        said = why
         await trio.sleep(ASK_AGAIN_SECONDS * gateway.rng.uniform(0.5, 1.5))
     progress.paid = False
     return step
