--- a/siskinspoke/testing/fleet.py
+++ b/siskinspoke/testing/fleet.py
@@ -175,7 +175,10 @@
             ]
         addresses = ",".join(f"{host}:{port}" for host, port in announce)
         key = self.folder / "announce.key"
-        key.write_bytes(self.settings.internal_key)
+        if not key.exists() or key.read_bytes() != self.settings.internal_key:
+            # Not written anew: a server that starts at this moment would find the file empty, seal
+            # its announcements with an empty key, and be heard by nobody.
+            key.write_bytes(self.settings.internal_key)
         self.start(
             spec.name,
             spec.command,
