--- a/tests/integration/test_standing_still.py
+++ b/tests/integration/test_standing_still.py
@@ -51,7 +51,7 @@
                 site.fleet.thaw(name)
 
         trio.run(scenario)
-            assert outcomes[0].status
+        assert outcomes[0].status
         assert outcomes[0].total <= TIMEOUT_MS / 1000 + SLACK_SECONDS, outcomes
 
 
@@ -121,5 +121,5 @@
                 site.proxy.set_rule(source, target, rule, entries[0].internal_port)
         time.sleep(DEAF_SECONDS)
         outcomes = [trio.run(complete, site, entry.name, 8, 20_000) for entry in entries]
-            assert pids == {name: site.fleet.pid(name) for name in site.specs}
+        assert pids == {name: site.fleet.pid(name) for name in site.specs}
         assert [item for item in outcomes if not item.whole] == []
