Route to the engines that are remembered where none has spoken lately, in the product's own interface too

Cause: a VM that hears no announcement for 3 s refused its callers though engines and connections to them were well; the gateway has gone on with what it knew since a cut of control taught it. Calls of plain services still refuse.

--- a/siskinspoke/coordination/routing.py
+++ b/siskinspoke/coordination/routing.py
@@ -190,7 +190,7 @@
 
     def choose(self, work: Work, now: float, rng: random.Random) -> Result[Choice, Failure]:
         """Return where to send a request, or the final refusal."""
-        serving = self.directory.serving(work.service, now)
+        serving = self.directory.believed(work.service, now)
         if not serving:
             return Error(self._nobody(work, rng))
         fitting = [r for r in serving if r.announcement.total_tokens >= work.memory_tokens]
