--- a/tests/platform/test_taken_steps.py
+++ b/tests/platform/test_taken_steps.py
@@ -6,6 +6,7 @@
 import trio
 
 from siskinspoke.gateway import reaching, upstream
+from siskinspoke.transport.http1 import ClientConnection
 from tests.platform.site import gateway_site, servers, until
 from tests.platform.standin_server import Close, Events, Refuse, Silent, Whole
 from tests.platform.test_lost_servers import Network
@@ -266,6 +267,44 @@
 
         trio.run(run)
 
+    def test_slow_reader_holds_a_step(self, tmp_path):
+        """A look finds a stream's engine out of reach while its caller reads nothing for a second.
+
+        The next place was taken at once and used when the caller read again; its engine had been
+        drained meanwhile.
+        """
+
+        async def run():
+            script = [Events(last=10, then="silent")]
+            async with (
+                gateway_site(tmp_path, timeout_ms=5_500) as site,
+                servers(site, "engines", script) as (one,),
+            ):
+                blocked = trio.Event()
+                send_data = ClientConnection.send_data
+
+                async def slowly(connection, data):
+                    await blocked.wait()
+                    await send_data(connection, data)
+
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(ClientConnection, "send_data", slowly)
+                    async with site.asking("/stream/x", Deadline_Ms="4000", **PROMPT) as answers:
+                        await until(lambda: one.seen)
+                        await trio.sleep(0.1)
+                        other = await late_server(site, Events(last=12))
+                        reaching.lost(site.gateway, site.gateway.directory.latest(one.name))
+                        await trio.sleep(1.0)
+                        site.announce(other, "engines", seq=2, leaving=True)
+                        third = await late_server(site, Events(last=12), "i-third")
+                        blocked.set()
+                assert not other.seen
+                assert len(third.seen) == 1
+                assert data_of(answers[0].body) == whole_stream(12)
+                assert site.gateway.books.open_works == 0
+
+        trio.run(run)
+
     def test_step_grows_stale(self, tmp_path, monkeypatch):
         """As above; the next place's engine is drained long before the stream falls silent."""
 
