Use a taken step only while it is fresh

Cause: the step for a stream whose caller read nothing just then was held until it read again, and used though its engine had been drained.

--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -27,6 +27,11 @@
 LEAST_PAUSE_MS = 150.0
 
 
+# A step is used within a tick, unless a slow caller holds its stream up just then; a server that
+# leaves must get nothing new after some seconds.  Milliseconds.
+STALE_MS = 300.0
+
+
 class NoMore(Enum):
     """Why no other server is tried."""
 
@@ -38,10 +43,15 @@
 
 
 class Step(NamedTuple):
-    """Where a stream goes, and the number of its work in the books."""
+    """Where a stream goes, the number of its work in the books, and when that was decided."""
 
     placed: Placed
     work: int | None
+    at: float
+
+    def is_stale(self, now: float) -> bool:
+        """Tell whether the place was taken too long ago: its server may be drained by now."""
+        return now - self.at > STALE_MS
 
 
 @dataclass
@@ -73,16 +83,27 @@
         self.paid = False
         return True
 
-    def take_step(self) -> Step | None:
-        """Return the step that was taken for the next attempt, if there is one."""
-        step, self.next = self.next, None
+    def use_step(self, gateway: Gateway) -> Step | None:
+        """Return the step that was taken for the next attempt, if there is one and it is fresh.
+
+        The repeat that is paid for it pays for any other place as well.
+        """
+        step = self.next
+        if step is None or step.is_stale(now_ms()):
+            self._give_back_place(gateway)
+            return None
+        self.next = None
+        self.paid = False
         return step
 
-    def give_back(self, gateway: Gateway, request: Request) -> None:
-        """Give back what was taken for an attempt that is not needed."""
-        step = self.take_step()
+    def _give_back_place(self, gateway: Gateway) -> None:
+        step, self.next = self.next, None
         if step is not None and step.work is not None:
             gateway.peers.ended(step.work)
+
+    def give_back(self, gateway: Gateway, request: Request) -> None:
+        """Give back what was taken for an attempt that is not needed."""
+        self._give_back_place(gateway)
         if self.paid:
             gateway.budget.give_back(request.service, now_ms())
         self.paid = False
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -139,7 +139,7 @@
     the answer, and room comes as soon as another stream ends.  Anything else is refused at once.
     """
     said: NoMore | None = None
-    while (step := progress.take_step()) is None:
+    while (step := progress.use_step(gateway)) is None:
         left_out = progress.left_out.names(gateway.directory, now_ms())
         placed = await place(gateway, request, relay.last_event_at, left_out, progress.near_only)
         if placed is not None and progress.pay(gateway, request):
@@ -153,7 +153,6 @@
             gateway.log.note("place.wanting", request=request.call.id, why=why.value)
         said = why
         await trio.sleep(ASK_AGAIN_SECONDS * gateway.rng.uniform(0.5, 1.5))
-    progress.paid = False
     return step
 
 
@@ -162,10 +161,11 @@
 
     What is entered must be ended.
     """
+    now = now_ms()
     if placed.job is None:
-        return Step(placed, None)
-    work = Work(placed.job, placed.names, now_ms(), placed.held)
-    return Step(placed, gateway.peers.began(work))
+        return Step(placed, None, now)
+    work = Work(placed.job, placed.names, now, placed.held)
+    return Step(placed, gateway.peers.began(work), now)
 
 
 def _note_cut(gateway: Gateway, request: Request, relay: Relay, why: NoMore) -> None:
@@ -197,7 +197,7 @@
     gateway: Gateway, request: Request, step: Step, relay: Relay, progress: Progress
 ) -> Ended | Whole | NotRun | Broke:
     """Send the request to one place and pass on what comes."""
-    placed, work = step
+    placed, work = step.placed, step.work
     began = now_ms()
     request.engines = 1 + len(placed.helpers)
     request.expected_ms = placed.expected_ms
