Count attempts, look up engine costs and tell who has left in one place each; behaviour stays as it is

Plain calls and streams counted runs, arrivals and losses each for themselves (now `Progress.count`); a service's engine costs were looked up in four places (`_costs`); who has left was worked out in three (`Directory.has_left`); two tests had a late server of their own (`tests/platform/site.py`). No assertion changed.

--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -228,6 +228,11 @@
         """Return the record of a server's latest incarnation, live or not."""
         return self._records.get(server)
 
+    def has_left(self, server: str) -> bool:
+        """Tell whether a server has said that it leaves, or is not known any more."""
+        record = self._records.get(server)
+        return record is None or record.announcement.leaving
+
     def believed(self, service: str, now: float) -> list[ServerRecord]:
         """Return the servers of a service that may get work.
 
--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -16,7 +16,7 @@
 from siskinspoke.gateway.attempts import STARTED_AGAIN
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.placing import Placed
-from siskinspoke.gateway.upstream import Broke
+from siskinspoke.gateway.upstream import Broke, NotRun
 
 # Sendings that reached a server, and tries that reached none.  The latter cost some milliseconds
 # each where a server is gone, and after a loss of many they are what finds those that are left.
@@ -25,8 +25,6 @@
 # An attempt that has found no next step asks no sooner again than after this time: whoever looks at
 # a failure domain that is cut off asks all attempts there, some ten times a second.  Milliseconds.
 LEAST_PAUSE_MS = 150.0
-
-
 # A step is used within a tick, unless a slow caller holds its stream up just then; a server that
 # leaves must get nothing new after some seconds.  Milliseconds.
 STALE_MS = 300.0
@@ -76,6 +74,19 @@
         """Tell whether so many tries, those that reached nobody among them, allow one more."""
         return tried - self.unreached < MOST_TRIES and self.unreached < MOST_UNREACHED
 
+    def count(self, gateway: Gateway, server: ServerRecord, outcome: object) -> None:
+        """Count what became of a sending: any outcome but ``NotRun`` and ``Broke`` is an answer."""
+        match outcome:
+            case NotRun(arrived=arrived):
+                self.arrivals += arrived
+            case Broke(gone=gone):
+                self.arrivals += 1
+                self.ran += not has_ended(gateway, server, outcome)
+                self.lost += gone
+            case _:
+                self.arrivals += 1
+                self.ran += 1
+
     def pay(self, gateway: Gateway, request: Request) -> bool:
         """Pay for the next sending with a repeat of the budget, unless it is the first, or paid."""
         if not self.paid and self.arrivals:
@@ -172,7 +183,6 @@
             return
         self._said.add(why)
         gateway, request, now = self._gateway, self._request, now_ms()
-        record = gateway.directory.latest(self._server)
         gateway.counters.count(f"attempt.waits.{why.value}")
         gateway.log.note(
             "attempt.waits",
@@ -181,7 +191,7 @@
             why=why.value,
             events=request.events,
             left=round(request.left_ms(now)),
-            leaving=record is None or record.announcement.leaving,
+            leaving=gateway.directory.has_left(self._server),
             unreachable=gateway.standing.is_unreachable(self._server),
         )
 
@@ -195,5 +205,4 @@
     """
     if broke.reason == STARTED_AGAIN:
         return True
-    latest = gateway.directory.latest(server.announcement.server)
-    return broke.closed and (latest is None or latest.announcement.leaving)
+    return broke.closed and gateway.directory.has_left(server.announcement.server)
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -78,8 +78,7 @@
     ``last_event_at`` is when the client had the stream's last event, None before the first.
     ``near_only`` keeps to this failure domain.
     """
-    service = gateway.table.services.get(request.service)
-    costs = service.engine if service is not None else None
+    costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
     if costs is None or job is None:
         records = _near(gateway, candidates(gateway, request.service, excluded), near_only)
@@ -106,8 +105,7 @@
 
     ``blind`` allows engines of other cells, of whose work this VM knows nothing.
     """
-    service = gateway.table.services.get(request.service)
-    costs = service.engine if service is not None else None
+    costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
     if costs is None or job is None:
         records = reachable(gateway, candidates(gateway, request.service, excluded))
@@ -126,6 +124,12 @@
     return None if found is None else _placed(gateway, found, job, costs)
 
 
+def _costs(gateway: Gateway, service: str) -> EngineCosts | None:
+    """Return what the engines of a service cost, None where it has none or is not known."""
+    found = gateway.table.services.get(service) if gateway.table else None
+    return found.engine if found is not None else None
+
+
 def _near(gateway: Gateway, records: list[ServerRecord], near_only: bool) -> list[ServerRecord]:
     """Return the servers of this failure domain, or all where there are none or it is not asked."""
     here = gateway.settings.failure_domain
@@ -196,12 +200,12 @@
 
 def offer(gateway: Gateway, question: PlaceQuestion) -> PlaceOffer:
     """Return where this VM would place a prompt that came to a VM of another cell."""
-    service = gateway.table.services.get(question.service) if gateway.table else None
+    costs = _costs(gateway, question.service)
     found = None
-    if service is not None and service.engine is not None:
+    if costs is not None:
         job = Job(question.tokens, question.max_tokens, question.target_ms, question.pause_ms)
         records = cell_candidates(gateway, question.service, set(question.excluded))
-        found = choose(gateway, service.engine, job, records)
+        found = choose(gateway, costs, job, records)
     if found is None:
         return PlaceOffer(question.number, [], 0.0, [])
     return PlaceOffer(question.number, list(found.servers), found.first_token_ms, list(found.held))
@@ -209,7 +213,7 @@
 
 def pass_ms_at(gateway: Gateway, request: Request, placed: Placed) -> float:
     """Return how long a pass of the writing engine takes, as the books stand."""
-    service = gateway.table.services.get(request.service)
-    if service is None or service.engine is None:
+    costs = _costs(gateway, request.service)
+    if costs is None:
         return request.route.pause_ms or LONGEST_PAUSE_MS
-    return gateway.placement.pass_ms(service.engine, placed.name)
+    return gateway.placement.pass_ms(costs, placed.name)
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -8,7 +8,7 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.onward import Onward, Progress, has_ended
+from siskinspoke.gateway.onward import Onward, Progress
 from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded, reachable
 from siskinspoke.gateway.upstream import (
     Begun,
@@ -68,25 +68,20 @@
         server = least_loaded(gateway, reachable(gateway, records) or records)
         progress.left_out.fail(server.start)
         outcome = await _attempt(gateway, request, server, progress)
+        progress.count(gateway, server, outcome)
         match outcome:
             case Whole(answer=answer):
                 if answer.status < 500 or not request.route.repeatable:
                     return outcome
-                progress.ran += 1
-                progress.arrivals += 1
                 last = outcome
-            case NotRun(arrived=arrived):
-                progress.arrivals += arrived
+            case NotRun():
                 if len(request.tried) >= MOST_UNREACHABLE:
                     return last or _nobody(gateway)
                 continue
-            case Broke() as broke:
+            case Broke(reason=reason):
                 if not request.route.repeatable:
-                    return Failure(ResultCode.FATE_UNKNOWN, broke.reason)
-                progress.ran += not has_ended(gateway, server, broke)
-                progress.lost += broke.gone
-                progress.arrivals += 1
-                last = last or Failure(ResultCode.FATE_UNKNOWN, broke.reason)
+                    return Failure(ResultCode.FATE_UNKNOWN, reason)
+                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
         if progress.ran >= request.route.max_attempts:
             return last
 
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -13,7 +13,7 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.onward import NoMore, Onward, Progress, Step, has_ended
+from siskinspoke.gateway.onward import NoMore, Onward, Progress, Step
 from siskinspoke.gateway.placing import (
     LEAST_TARGET_MS,
     Placed,
@@ -102,17 +102,13 @@
     gateway: Gateway, progress: Progress, placed: Placed, outcome: Whole | NotRun | Broke
 ) -> None:
     """Count what an attempt has used up, and leave out who should not get the request again."""
+    progress.count(gateway, placed.server, outcome)
     match outcome:
-        case Whole():
-            progress.left_out.fail(placed.server.start)
-            progress.ran += 1
-            progress.arrivals += 1
         case NotRun(member=str(member)):
             # The others of the group may be well, the writing one among them.
             progress.left_out.put_off(member, now_ms())
             progress.unreached += 1
         case NotRun(arrived=arrived, at_fault=at_fault):
-            progress.arrivals += arrived
             progress.unreached += not arrived
             if at_fault is None:
                 progress.left_out.put_off(placed.name, now_ms())
@@ -121,13 +117,8 @@
                 progress.near_only = True
         case Broke(trouble=Trouble.SILENT):
             progress.left_out.put_off(placed.name, now_ms())
-            progress.ran += 1
-            progress.arrivals += 1
-        case Broke():
+        case _:
             progress.left_out.fail(placed.server.start)
-            progress.ran += not has_ended(gateway, placed.server, outcome)
-            progress.lost += outcome.gone
-            progress.arrivals += 1
 
 
 async def _next_step(
@@ -172,7 +163,6 @@
     """Write down what was known when a stream that had begun was cut."""
     now = now_ms()
     server = request.tried[-1].server
-    record = gateway.directory.latest(server)
     gateway.counters.count(f"stream.cut.{why.value}")
     gateway.log.note(
         "stream.cut",
@@ -182,7 +172,7 @@
         outcome=request.tried[-1].outcome,
         silent=None if relay.last_event_at is None else round(now - relay.last_event_at),
         left=round(request.left_ms(now)),
-        leaving=record is None or record.announcement.leaving,
+        leaving=gateway.directory.has_left(server),
         unreachable=gateway.standing.is_unreachable(server),
         version=request.version,
         version_now=gateway.table.version,
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -233,3 +233,12 @@
             running.append(server)
         yield running
         nursery.cancel_scope.cancel()
+
+
+async def late_server(site: Site, behaviour, name: str = "i-late") -> StandinServer:
+    """Start an engine that the gateway did not know before, and make it known."""
+    server = StandinServer(name)
+    server.script.append(behaviour)
+    await site.gateway.chores.start(server.serve)
+    site.announce(server, "engines")
+    return server
--- a/tests/platform/test_next_step.py
+++ b/tests/platform/test_next_step.py
@@ -10,13 +10,12 @@
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.gateway import reaching
 from siskinspoke.gateway.context import now_ms
-from tests.platform.site import gateway_site, request_bytes, servers, until
+from tests.platform.site import gateway_site, late_server, request_bytes, servers, until
 from tests.platform.standin_server import Close, Events, Refuse, Whole
 from tests.platform.test_silence import (
     LONG,
     LONG_CALL,
     PAUSED,
-    late_server,
     spend_budget,
     whole_stream,
 )
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -7,8 +7,8 @@
 
 from siskinspoke.gateway import reaching
 from siskinspoke.gateway.context import now_ms
-from tests.platform.site import gateway_site, servers, until
-from tests.platform.standin_server import Close, Events, StandinServer, Whole
+from tests.platform.site import gateway_site, late_server, servers, until
+from tests.platform.standin_server import Close, Events, Whole
 from tests.platform.test_lost_servers import Network
 from tests.platform.test_streams import PROMPT, data_of, event
 
@@ -30,15 +30,6 @@
         pass
 
 
-async def late_server(site, behaviour, name: str = "i-late") -> StandinServer:
-    """Start an engine that the VM did not know before."""
-    server = StandinServer(name)
-    server.script.append(behaviour)
-    await site.gateway.chores.start(server.serve)
-    site.announce(server, "engines")
-    return server
-
-
 class TestSilentStream:
     """A stream in mid-answer whose engine says nothing for longer than a pause may last.
 
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -6,7 +6,14 @@
 
 from siskinspoke.coordination.books import Job, Work
 from siskinspoke.gateway.context import now_ms
-from tests.platform.site import gateway_site, read_answer, request_bytes, servers, until
+from tests.platform.site import (
+    gateway_site,
+    late_server,
+    read_answer,
+    request_bytes,
+    servers,
+    until,
+)
 from tests.platform.standin_server import (
     STAMP,
     Events,
@@ -67,7 +74,7 @@
                 await stream.send_all(request_bytes("/stream/x", **PROMPT))
                 while not first.seen:
                     await trio.sleep(0.01)
-                second = await _late_server(site, Events(last=5))
+                second = await late_server(site, Events(last=5))
                 answer = await read_answer(stream)
                 assert answer.whole
                 expected = b"".join(event(number) for number in range(1, 6))
@@ -90,7 +97,7 @@
                 await stream.send_all(request_bytes("/stream/x", Deadline_Ms="5000", **PROMPT))
                 while not first.seen:
                     await trio.sleep(0.01)
-                await _late_server(site, Events(last=5))
+                await late_server(site, Events(last=5))
                 with trio.fail_after(4):
                     answer = await read_answer(stream)
                 expected = b"".join(event(number) for number in range(1, 6))
@@ -159,15 +166,6 @@
         trio.run(run)
 
 
-async def _late_server(site, behaviour):
-    """Start a second server once the first has the request."""
-    server = StandinServer("i-second")
-    server.script.append(behaviour)
-    await site.gateway.chores.start(server.serve)
-    site.announce(server, "engines")
-    return server
-
-
 class TestLongPrompts:
     """Prompts that several engines read, or that none holds alone."""
 
--- a/tests/platform/test_taken_steps.py
+++ b/tests/platform/test_taken_steps.py
@@ -7,11 +7,11 @@
 
 from siskinspoke.gateway import reaching, upstream
 from siskinspoke.transport.http1 import ClientConnection
-from tests.platform.site import gateway_site, servers, until
+from tests.platform.site import gateway_site, late_server, servers, until
 from tests.platform.standin_server import Close, Events, Refuse, Silent, Whole
 from tests.platform.test_lost_servers import Network
 from tests.platform.test_next_step import fill
-from tests.platform.test_silence import late_server, whole_stream
+from tests.platform.test_silence import whole_stream
 from tests.platform.test_streams import PROMPT, data_of
 
 
