Log which request broke off at a server, and servers that refuse connections

Before: nothing in the logs said whether two attempts were of the same request, whether a server had ended or one connection had, or that a look was refused. Now attempt.broke has the fingerprint of customer, target and body, whether the server closed, and whether it had said that it leaves; server.refuses says that a machine answers where no process listens. No decision changes.

--- /dev/null
+++ b/siskinspoke/coordination/fingerprints.py
@@ -0,0 +1,39 @@
+"""Tell whether two requests are the same, whoever of the VMs has them.
+
+A caller that asks again has another request id each time, and may ask any VM.  What stays the
+same is the customer, the target and the body.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+import xxhash
+
+DIGEST_BYTES = 16
+
+
+class Subject(NamedTuple):
+    """What makes two requests the same."""
+
+    customer: str
+    target: str
+    body: bytes
+
+    @property
+    def shape(self) -> int:
+        """Return a number that equal requests share, without reading the body."""
+        parts = f"{self.customer}\0{self.target}\0{len(self.body)}"
+        return xxhash.xxh64_intdigest(parts.encode())
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what only equal requests share; it reads the whole body.
+
+        The hash is a cryptographic one: nobody can make up a request that is taken for another.
+        """
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (self.customer.encode(), self.target.encode()):
+            digest.update(len(part).to_bytes(4, "big"))
+            digest.update(part)
+        digest.update(self.body)
+        return digest.hexdigest()
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -11,6 +11,7 @@
 from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
+from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.coordination.fullness import Fullness
 from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
@@ -150,6 +151,12 @@
         """Remember how an attempt ended."""
         self.tried.append(Tried(server, outcome, round(now - self.arrived_ms, 1)))
 
+    @property
+    def subject(self) -> Subject:
+        """Return what tells whether another request is the same."""
+        customer = self.customer.name if self.customer is not None else ""
+        return Subject(customer, f"{self.call.host}{self.call.target}", self.call.body)
+
     @property
     def rank(self) -> int:
         """Return the rank of the request; 0 goes first."""
--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -101,7 +101,8 @@
             lost(gateway, server, told)
         case NoConnection.REFUSED:
             # What is open there may well be worked on, so nothing ends.
-            pass
+            said = server.announcement
+            gateway.log.note("server.refuses", server=said.server, start=said.incarnation)
         case ServerConnection():
             _reached(gateway, server)
             return found
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -97,6 +97,17 @@
     server, incarnation = record.start
     request.note(server, outcome.reason, now)
     gateway.counters.count(f"attempt.{outcome.trouble.value}")
+    if isinstance(outcome, Broke):
+        gateway.log.note(
+            "attempt.broke",
+            request=request.call.id,
+            fingerprint=request.subject.fingerprint,
+            server=server,
+            start=incarnation,
+            reason=outcome.reason,
+            closed=outcome.closed,
+            leaving=gateway.directory.has_left(server),
+        )
     if gateway.directory.superseded(server, incarnation):
         # The process that failed is gone, and the new one has not.
         return
