--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,137 @@
+"""Several gateways in this process, which hear control VMs and each other over loopback."""
+
+from collections.abc import Callable, Iterable
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from siskinspoke.control.feed_hub import FeedHub, Held
+from siskinspoke.coordination.directory import Directory
+from siskinspoke.core.counters import Counters
+from siskinspoke.core.decisions import DecisionLog
+from siskinspoke.gateway.daemon import GatewayDaemon
+from siskinspoke.platform.calls import PlatformWire
+from siskinspoke.testing.networks import group_nets, in_turn, networks
+from siskinspoke.transport.datagrams import open_datagram_port
+from tests.feeds.test_follower import Quiet
+from tests.platform.site import Site, document, serve_clients, until, vm_settings
+from tests.platform.standin_server import StandinServer
+
+PORTS = (7_340, 7_355)
+FEED_PORT = PORTS[0] + 1
+_next_net = in_turn(group_nets)
+
+
+class Fleet:
+    """Own control VMs' hubs and entry VMs; a test starts and cuts off entry VMs as it likes."""
+
+    def __init__(self, folder: Path, nursery: trio.Nursery, stack: AsyncExitStack):
+        self._folder = folder
+        self._nursery = nursery
+        self._stack = stack
+        self._net = f"127.{networks().groups[0]}.{_next_net()}"
+        self._links: dict[str, trio.CancelScope] = {}
+        self.controls = [f"{self._net}.{number}" for number in (1, 2)]
+        self.sites: list[Site] = []
+        self.servers: list[StandinServer] = []
+
+    async def start_controls(self) -> None:
+        """Start the hubs of two control VMs."""
+        for host in self.controls:
+            hub = FeedHub(
+                host,
+                "a",
+                Directory(4_800),
+                lambda: self.controls,
+                lambda: Held(1, document(timeout_ms=10_000)),
+                b"k",
+                Counters(),
+                Quiet(),
+            )
+            await self._nursery.start(hub.serve, host, FEED_PORT)
+
+    async def start_vm(self) -> Site:
+        """Start an entry VM and wait until it hears the control VMs and knows the servers."""
+        number = len(self.sites) + 1
+        settings = vm_settings(
+            f"entry-{number}", f"{self._net}.{100 + number}", tuple(self.controls), PORTS
+        )
+        out = self._stack.enter_context((self._folder / f"log-{number}").open("w"))
+        log = DecisionLog(settings.name, out)
+        self._stack.callback(log.close)
+        daemon = GatewayDaemon(lambda: settings, PlatformWire(), log)
+        site = await serve_clients(daemon, log, self._nursery)
+        self.sites.append(site)
+        await self.connect(site)
+        for server in self.servers:
+            site.announce(server, "engines", seq=server.starts)
+        return site
+
+    async def connect(self, site: Site) -> None:
+        """Let an entry VM hear and be heard."""
+        self._links[site.host] = trio.CancelScope()
+        await self._nursery.start(self._talk, site)
+        feeds = site.daemon._feeds
+        await until(lambda: feeds.connected == len(self.controls) and site.gateway.table)
+        await until(lambda: len(feeds.peers) >= len(self._links) - 1, 8.0)
+
+    async def _talk(self, site: Site, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        settings = site.gateway.settings
+        with self._links[site.host]:
+            port = await open_datagram_port(
+                settings.host, settings.peer_port, settings.internal_key, Counters()
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(site.gateway.peers.run, port)
+                nursery.start_soon(site.daemon._feeds.run)
+                task_status.started()
+                await trio.sleep_forever()
+
+    async def cut_off(self, site: Site) -> None:
+        """Part an entry VM from control VMs and from the others; servers and clients reach it."""
+        self._links.pop(site.host).cancel()
+        await trio.testing.wait_all_tasks_blocked(0.05)
+
+    def announce(self, server: StandinServer) -> None:
+        """Tell all entry VMs of a server."""
+        for site in self.sites:
+            site.announce(server, "engines", seq=server.starts)
+
+    async def start_servers(self, service_scripts: Iterable, **traits) -> list[StandinServer]:
+        """Start one engine for each script; those that end are back under other names."""
+        for number, script in enumerate(service_scripts):
+            server = StandinServer(f"i-{number}", on_back=self._back(number), **traits)
+            server.script.extend(script)
+            await self._nursery.start(server.serve)
+            self.servers.append(server)
+            self.announce(server)
+        return self.servers
+
+    def _back(self, number: int) -> Callable[[StandinServer], None]:
+        def back(server: StandinServer) -> None:
+            server.name = f"i-{number}-{server.starts}"
+            self.announce(server)
+
+        return back
+
+    def sendings(self, body: bytes) -> int:
+        """Return how often a request has reached a server."""
+        return sum(seen.body == body for server in self.servers for seen in server.seen)
+
+    @property
+    def ends(self) -> int:
+        """Return how often servers have ended."""
+        return sum(server.ends for server in self.servers)
+
+
+@asynccontextmanager
+async def fleet(tmp_path, vms: int):
+    """Run control VMs and so many entry VMs, which know no server so far."""
+    async with AsyncExitStack() as stack, trio.open_nursery() as nursery:
+        running = Fleet(tmp_path, nursery, stack)
+        await running.start_controls()
+        for _ in range(vms):
+            await running.start_vm()
+        yield running
+        nursery.cancel_scope.cancel()
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -99,6 +99,7 @@
     daemon: GatewayDaemon
     port: int
     log: DecisionLog
+    host: str = "127.0.0.1"
 
     @property
     def gateway(self):
@@ -128,7 +129,7 @@
 
     async def connect(self) -> trio.SocketStream:
         """Open a client's connection."""
-        return await trio.open_tcp_stream("127.0.0.1", self.port)
+        return await trio.open_tcp_stream(self.host, self.port)
 
     async def ask(self, path: str, request_id: str = "r1", body: bytes = b"", **headers) -> Answer:
         """Send one request on a connection of its own and read its answer."""
@@ -182,15 +183,19 @@
             await trio.sleep(0.01)
 
 
-@asynccontextmanager
-async def gateway_site(tmp_path, **changes):
-    """Run a gateway that knows a configuration and, so far, no server."""
-    settings = VmSettings(
-        name="entry-1",
-        host="127.0.0.1",
+def vm_settings(
+    name: str = "entry-1",
+    host: str = "127.0.0.1",
+    seeds: tuple[str, ...] = ("127.0.0.1",),
+    internal_ports: tuple[int, int] = (1, 9),
+) -> VmSettings:
+    """Return the settings of an entry VM."""
+    return VmSettings(
+        name=name,
+        host=host,
         failure_domain="a",
-        seeds=(Address("127.0.0.1", 1),),
-        internal_ports=(1, 9),
+        seeds=tuple(Address(seed, 1) for seed in seeds),
+        internal_ports=internal_ports,
         found=True,
         public=None,
         ready=None,
@@ -202,6 +207,23 @@
         retry_burst=100,
         internal_key=b"k",
     )
+
+
+async def serve_clients(daemon: GatewayDaemon, log: DecisionLog, nursery: trio.Nursery) -> Site:
+    """Serve clients on a free port of a gateway's host, for as long as the nursery is open."""
+    host = daemon.gateway.settings.host
+    daemon.gateway.chores = nursery
+    listeners = await trio.open_tcp_listeners(0, host=host)
+    port = listeners[0].socket.getsockname()[1]
+    server = ClientServer(daemon.gateway)
+    nursery.start_soon(trio.serve_listeners, server._serve_one, listeners)
+    return Site(daemon, port, log, host)
+
+
+@asynccontextmanager
+async def gateway_site(tmp_path, **changes):
+    """Run a gateway that knows a configuration and, so far, no server."""
+    settings = vm_settings()
     with (tmp_path / "log").open("w") as out:
         log = DecisionLog("entry-1", out)
         daemon = GatewayDaemon(lambda: settings, PlatformWire(), log)
@@ -210,12 +232,7 @@
             assert table.is_ok(), table.error
             daemon.gateway.table = table.ok
         async with trio.open_nursery() as nursery:
-            daemon.gateway.chores = nursery
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            port = listeners[0].socket.getsockname()[1]
-            server = ClientServer(daemon.gateway)
-            nursery.start_soon(trio.serve_listeners, server._serve_one, listeners)
-            yield Site(daemon, port, log)
+            yield await serve_clients(daemon, log, nursery)
             nursery.cancel_scope.cancel()
         log.close()
 
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's backend servers, with the ways in which they misbehave."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -83,7 +84,11 @@
 
 @dataclass
 class StandinServer:
-    """Serve one request after the other as the script says, the last entry again and again."""
+    """Serve one request after the other as the script says, the last entry again and again.
+
+    A body in ``deadly`` ends the whole process ``dies_after`` seconds later, with all that is
+    open there.  It is back ``back_after`` seconds after that, and ``on_back`` is told.
+    """
 
     name: str
     script: deque[Behaviour] = field(default_factory=deque)
@@ -92,13 +97,37 @@
     connections: int = 0
     host: str = "127.0.0.1"
     port: int = 0
+    deadly: frozenset[bytes] = frozenset()
+    dies_after: float = 0.05
+    back_after: float = 0.4
+    starts: int = 1
+    on_back: Callable[["StandinServer"], None] = lambda server: None
+    life: trio.CancelScope | None = None
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Listen on a free port."""
-        listeners = await trio.open_tcp_listeners(0, host=self.host)
-        self.port = listeners[0].socket.getsockname()[1]
-        task_status.started()
-        await trio.serve_listeners(self._serve_one, listeners)
+        """Listen on a free port, and on the same one again after each end."""
+        async with trio.open_nursery() as self._nursery:
+            while True:
+                listeners = await trio.open_tcp_listeners(self.port, host=self.host)
+                self.port = listeners[0].socket.getsockname()[1]
+                if self.starts == 1:
+                    task_status.started()
+                else:
+                    self.on_back(self)
+                with trio.CancelScope() as self.life:
+                    await trio.serve_listeners(self._serve_one, listeners)
+                await trio.sleep(self.back_after)
+                self.starts += 1
+
+    @property
+    def ends(self) -> int:
+        """Return how often the process has ended."""
+        return self.starts - 1 + self.life.cancel_called
+
+    async def _end_soon(self) -> None:
+        life = self.life
+        await trio.sleep(self.dies_after)
+        life.cancel()
 
     async def _serve_one(self, stream: trio.SocketStream) -> None:
         self.connections += 1
@@ -121,6 +150,8 @@
                 behaviour = self._next()
                 ran = not isinstance(behaviour, Refuse)
                 self.seen.append(Seen(lines[0], body, headers, number, ran))
+                if body in self.deadly:
+                    self._nursery.start_soon(self._end_soon)
                 if not await self._answer(stream, headers, behaviour):
                     return
         except trio.BrokenResourceError:
