Keep a request that crashes servers from the next one, at every VM, and suspects apart from others

Callers saw streams reset in series, since a request that ends each engine it runs on was sent on for ever; the cause is that what a VM knew of a request ended with it. Now each VM notes its attempts, finds crashes (a connection that ends, and then one that is refused, from a server that has not left), and tells its cell and, by way of the control VMs, everybody who was open there; a request that the ledger holds for the cause is refused unsent, with the time until the next trial. A VM that joins or is back is told what is known. Suspects go to idle engines, which others leave to them, and wait for one from the second crash on: a neighbour is served and so cleared, and the cause is seen alone. Servers that crashed are no attempts of max_attempts, so neighbours are not cut after two. Ruled out by the logs: sendings beyond max_attempts (two a request), ends that follow the load.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -7,11 +7,13 @@
 import trio
 
 from siskinspoke.coordination.cells import MOST_VMS
+from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.watchers import rendezvous_order
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.feed import (
     EntryPeer,
     Follow,
@@ -96,6 +98,8 @@
         self._renewed: dict[str, Announcement] = {}
         self._control_domains = {host: failure_domain}
         self._confirmation = trio.Event()
+        # A control VM sends no requests, so it has nothing of its own to tell of crashes.
+        self._crashes = CrashWatch(lambda news: None, counters, log)
 
     async def serve(self, host: str, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve followers forever."""
@@ -146,6 +150,8 @@
                             self._wake()
                     case Holds(version=version):
                         session.version = max(session.version, version)
+                    case CrashNews() as news:
+                        self.hear_crashes(news, session)
                     case _:
                         self._counters.count("feed.refused.kind")
                         return
@@ -184,6 +190,8 @@
             self._send(session, Remembered(recalled))
         heard = [record.announcement for record in known if not record.recalled]
         self._send(session, News(self._number, heard))
+        for news in self._crashes.all_news(_now_ms()):
+            self._send(session, news)
 
     def _end(self, session: Session | None) -> None:
         if session is None or session not in self._sessions:
@@ -277,6 +285,15 @@
         """Tell all followers which servers this VM knew before its restart."""
         self._send_all(Remembered(announcements))
 
+    def hear_crashes(self, news: CrashNews, teller: Session | None = None) -> None:
+        """Take in what a VM has learned of crashes, and tell all others what of it is news."""
+        fresh = self._crashes.hear(news, _now_ms())
+        if not any(fresh):
+            return
+        frame = frame_of(self._key, fresh)
+        for session in self._sessions - {teller}:
+            self._send_frame(session, frame)
+
     def renew(self, announcement: Announcement) -> None:
         """Tell all followers soon that a server has spoken again."""
         self._renewed[announcement.server] = announcement
@@ -307,6 +324,7 @@
                 last_roster, told_at = roster, trio.current_time()
                 self._send_all(roster)
             self._send_renewals()
+            self._crashes.forget(_now_ms())
             self._counters.gauge("feed.followers", len(self._sessions))
 
     def _send_renewals(self) -> None:
@@ -331,6 +349,10 @@
         return {service for service, size in sizes.items() if size > FEW_SERVERS}
 
 
+def _now_ms() -> float:
+    return trio.current_time() * 1000
+
+
 def _renewals_for(domain: str | None, renewed: list[Announcement], large: set[str]) -> Renewals:
     """Return what followers of a failure domain hear, or those that hear all."""
     return Renewals(
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -92,6 +92,7 @@
             on_renewals=self.registry.hear_renewals,
             on_remembered=self.registry.hear_remembered,
             version=lambda: 2**62,
+            on_crashes=lambda news: self._hub.hear_crashes(news),
         )
         return FeedSet(
             Me(settings.name, settings.host, 0, settings.failure_domain),
--- a/siskinspoke/coordination/books.py
+++ b/siskinspoke/coordination/books.py
@@ -4,6 +4,7 @@
 datagram.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -48,7 +49,7 @@
     """One request in the books; the first server writes, the others read a part.
 
     ``held`` are the tokens of the prompt that each other server keeps until the end.  The first
-    one keeps the rest, and the answer.
+    one keeps the rest, and the answer.  Nobody else should join work that is ``alone``.
     """
 
     job: Job
@@ -56,6 +57,7 @@
     began_at: float
     held: tuple[int, ...] = ()
     stage: Stage = Stage.READING
+    alone: bool = False
 
     @property
     def parts(self) -> int:
@@ -85,6 +87,7 @@
     def __init__(self) -> None:
         self._works: dict[str, Work] = {}
         self._engines: dict[str, Engine] = {}
+        self._alone: Counter[str] = Counter()
 
     def engine(self, server: str) -> Engine:
         """Return the book of one engine."""
@@ -99,6 +102,8 @@
         self._works[name] = work
         for server in work.servers:
             self.engine(server).works[name] = work
+        if work.alone:
+            self._alone.update(work.servers)
 
     def wrote(self, name: str) -> None:
         """Note that a request has its first token, so nothing of its prompt is left to read."""
@@ -117,6 +122,17 @@
             return
         for server in work.servers:
             self.engine(server).works.pop(name, None)
+        if work.alone:
+            self._alone -= Counter(work.servers)
+
+    def is_alone(self, server: str) -> bool:
+        """Tell whether an engine holds work that nobody should join."""
+        return server in self._alone
+
+    def is_idle(self, server: str) -> bool:
+        """Tell whether an engine holds no work."""
+        known = self._engines.get(server)
+        return known is None or not known.works
 
     def started(self, server: str) -> None:
         """Empty the book of an engine that has started anew: it holds nothing of before."""
--- a/siskinspoke/coordination/crashes.py
+++ b/siskinspoke/coordination/crashes.py
@@ -168,6 +168,11 @@
         """Return the crash of one start of a server."""
         return self._crashes.get(start)
 
+    def servers_of(self, fingerprint: str) -> list[str]:
+        """Return the servers that crashed with a request open since it was last answered whole."""
+        served_at = self._served.get(fingerprint, -math.inf)
+        return [item.start[0] for item in self._of.get(fingerprint, ()) if item.at > served_at]
+
     def has_shape(self, shape: str) -> bool:
         """Tell whether some suspect has this shape; only then its body is worth reading."""
         return shape in self._shapes
--- a/siskinspoke/coordination/fingerprints.py
+++ b/siskinspoke/coordination/fingerprints.py
@@ -5,7 +5,8 @@
 """
 
 import hashlib
-from typing import NamedTuple
+from dataclasses import dataclass
+from functools import cached_property
 
 import xxhash
 
@@ -13,20 +14,21 @@
 SHAPE_DIGITS = 16
 
 
-class Subject(NamedTuple):
+@dataclass(frozen=True)
+class Subject:
     """What makes two requests the same."""
 
     customer: str
     target: str
     body: bytes
 
-    @property
+    @cached_property
     def shape(self) -> str:
         """Return what equal requests share, without reading the body."""
         parts = f"{self.customer}\0{self.target}\0{len(self.body)}"
         return xxhash.xxh64_hexdigest(parts.encode())
 
-    @property
+    @cached_property
     def fingerprint(self) -> str:
         """Return what only equal requests share, after their shape; it reads the whole body.
 
--- a/siskinspoke/core/codes.py
+++ b/siskinspoke/core/codes.py
@@ -41,6 +41,7 @@
     CLAIMS_UNAVAILABLE = 2005
     TOO_MANY_STREAMS = 2006
     NOT_REACHABLE_NOW = 2007
+    QUARANTINED = 2008
     DEADLINE_PASSED = 3001
     FATE_UNKNOWN = 3002
     IN_PROGRESS = 3003
@@ -106,6 +107,9 @@
     ResultCode.NOT_REACHABLE_NOW: CodeFacts(
         503, Run.NOT_RUN, 20, "The servers that could hold it are cut off."
     ),
+    ResultCode.QUARANTINED: CodeFacts(
+        503, Run.NOT_RUN, 20, "Servers crash under this request, so it is not sent."
+    ),
     ResultCode.DEADLINE_PASSED: CodeFacts(504, Run.UNKNOWN, 30, "The deadline passed."),
     ResultCode.FATE_UNKNOWN: CodeFacts(502, Run.UNKNOWN, 30, "It may have run."),
     ResultCode.IN_PROGRESS: CodeFacts(409, Run.RAN, 30, "The first attempt still runs."),
--- a/siskinspoke/feeds/follower.py
+++ b/siskinspoke/feeds/follower.py
@@ -8,6 +8,7 @@
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.feed import (
     EntryPeer,
     Follow,
@@ -40,16 +41,23 @@
 PEER_SECONDS = 20.0
 # A control VM that no roster names any more is followed on for this long.
 FORGET_SECONDS = 10.0
+# News of crashes that wait for one hub; a fleet has a few a second at the worst.
+MOST_CRASH_NEWS = 256
 
 
 class Listener(NamedTuple):
-    """What to do with what a hub says; ``version`` tells which configuration is held."""
+    """What to do with what a hub says, and what this VM has to say.
+
+    ``version`` tells which configuration is held, ``own_crashes`` what it has seen of crashes.
+    """
 
     on_publication: Callable[[int, dict], None]
     on_news: Callable[[list[Announcement]], None]
     on_renewals: Callable[[list[tuple[str, int, int]]], None]
     on_remembered: Callable[[list[Announcement]], None]
     version: Callable[[], int]
+    on_crashes: Callable[[CrashNews], None] = lambda news: None
+    own_crashes: Callable[[], list[CrashNews]] = list
 
 
 class Me(NamedTuple):
@@ -95,6 +103,7 @@
         self._peer_changes = 0
         self._installed = trio.Event()
         self._named = trio.Event()
+        self._outboxes: set[trio.MemorySendChannel[CrashNews]] = set()
 
     @property
     def connected(self) -> int:
@@ -204,6 +213,7 @@
             await self._send(stream, follow)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._tell_versions, stream)
+                nursery.start_soon(self._tell_crashes, stream)
                 await self._listen(host, stream)
                 nursery.cancel_scope.cancel()
 
@@ -225,6 +235,29 @@
                 self._counters.count("feed.broken")
                 return
 
+    def tell_crashes(self, news: CrashNews) -> None:
+        """Tell all hubs what this VM has learned of crashes; they tell everybody else."""
+        for outbox in self._outboxes:
+            try:
+                outbox.send_nowait(news)
+            except trio.WouldBlock:
+                self._counters.count("feed.overrun")
+
+    async def _tell_crashes(self, stream: trio.SocketStream) -> None:
+        """Tell one hub of crashes, first what it may have forgotten in a restart or a cut."""
+        outbox, pending = trio.open_memory_channel[CrashNews](MOST_CRASH_NEWS)
+        self._outboxes.add(outbox)
+        try:
+            for news in self._listener.own_crashes():
+                await self._patiently(stream, news)
+            async for news in pending:
+                await self._patiently(stream, news)
+        except (OSError, trio.BrokenResourceError, trio.TooSlowError):
+            # The reader of the same connection notices a break by itself.
+            self._counters.count("feed.broken")
+        finally:
+            self._outboxes.discard(outbox)
+
     async def _send(self, stream: trio.SocketStream, item: NamedTuple) -> None:
         await send_frames(stream, [frame_of(self._key, item)])
 
@@ -253,6 +286,8 @@
                 await self._patiently(stream, Receipt(0))
             case Remembered(announcements=announcements):
                 self._listener.on_remembered(announcements)
+            case CrashNews() as news:
+                self._listener.on_crashes(news)
             case News(number=number, announcements=announcements):
                 self._listener.on_news(announcements)
                 await self._confirm(stream, number)
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -3,12 +3,14 @@
 import math
 import random
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import NamedTuple
 
 import trio
 
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.coordination.books import Books
+from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.fingerprints import Subject
@@ -57,6 +59,7 @@
     cells: CellView
     questions: Questions
     peers: Peers
+    crashes: CrashWatch
     counters: Counters
     latencies: Latencies
     log: DecisionLog
@@ -67,6 +70,7 @@
     draining_since: float | None = None
     open_requests: int = 0
     idle: set[trio.CancelScope] = field(default_factory=set)
+    crash_looks: dict[tuple[str, int], trio.Event] = field(default_factory=dict)
     configured: trio.Event = field(default_factory=trio.Event)
     started_at: float = -math.inf
 
@@ -134,6 +138,8 @@
     widened: bool = False
     events: int = 0
     longest_pause_ms: float = 0.0
+    # How many servers have crashed with this request open, and nothing has cleared it since.
+    crashes: int = 0
     status: int = 0
     end: str = ""
 
@@ -151,7 +157,7 @@
         """Remember how an attempt ended."""
         self.tried.append(Tried(server, outcome, round(now - self.arrived_ms, 1)))
 
-    @property
+    @cached_property
     def subject(self) -> Subject:
         """Return what tells whether another request is the same."""
         customer = self.customer.name if self.customer is not None else ""
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -10,6 +10,7 @@
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.conf.watch import SettingsWatch
 from siskinspoke.coordination.books import Books
+from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory, Heard
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.liveness import ConnectTimer, Looks
@@ -34,6 +35,7 @@
 from siskinspoke.gateway.reports import ask_forever, try_cut_domains_forever
 from siskinspoke.gateway.wire import Wire
 from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.transport.datagrams import open_datagram_port
 from siskinspoke.transport.pages import Page, Pages, metrics_pages, serve_pages
@@ -66,6 +68,8 @@
             on_renewals=self._on_renewals,
             on_remembered=self._on_remembered,
             version=lambda: self.gateway.table.version if self.gateway.table else 0,
+            on_crashes=self._on_crashes,
+            own_crashes=lambda: self.gateway.crashes.own_news(now_ms()),
         )
         directory = Directory(settings.announce_every_ms * LEASES_PER_ANNOUNCEMENT)
         self._feeds = FeedSet(
@@ -115,7 +119,9 @@
                 counters,
                 self._feeds.heard_peer,
                 lambda server: hear_lost(self.gateway, server),
+                self._on_crashes,
             ),
+            crashes=CrashWatch(self._tell_crashes, counters, log),
             counters=counters,
             latencies=Latencies(),
             log=log,
@@ -157,6 +163,14 @@
         new = [item for item in announcements if self.gateway.directory.remember(item, now)]
         self._log.note("servers.remembered", told=len(announcements), new=len(new))
 
+    def _on_crashes(self, news: CrashNews) -> None:
+        self.gateway.crashes.hear(news, now_ms())
+
+    def _tell_crashes(self, news: CrashNews) -> None:
+        """Tell the VMs of this cell at once, and all others by way of the control VMs."""
+        self.gateway.peers.crashes(news)
+        self._feeds.tell_crashes(news)
+
     def _on_renewals(self, items: list[tuple[str, int, int]]) -> None:
         now = now_ms()
         for server, incarnation, seq in items:
@@ -234,6 +248,7 @@
             gateway.standing.forget(names)
             gateway.books.forget(now, names)
             gateway.peers.forget_silent(now)
+            gateway.crashes.forget(now)
             gateway.pool.prune(now)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected)
--- a/siskinspoke/gateway/lives.py
+++ b/siskinspoke/gateway/lives.py
@@ -7,6 +7,7 @@
 
 from siskinspoke.coordination.directory import Heard
 from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.crashes import take_in_crash
 from siskinspoke.protocol.announcements import Announcement
 
 
@@ -17,6 +18,8 @@
     if known is None or known.announcement.incarnation >= announcement.incarnation:
         return heard
     server = announcement.server
+    if not known.announcement.leaving and not gateway.crashes.has_crashed(known.start):
+        take_in_crash(gateway, known, now_ms())
     gateway.standing.started(server)
     gateway.books.started(server)
     ended = gateway.attempts.started(server, announcement.incarnation)
--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -38,6 +38,7 @@
     BUDGET = "budget_spent"
     PLACE = "no_place"
     TRIES = "tries_used"
+    QUARANTINE = "servers_crash_under_it"
 
 
 class Step(NamedTuple):
@@ -201,8 +202,9 @@
 
     One that cannot be reached may work on.  One that has said that it leaves, and then closes the
     connection, has ended: counted as an attempt, two that leave one after the other used up what
-    most routes allow, and the stream was cut though other engines were well.
+    most routes allow, and the stream was cut though other engines were well.  The same holds for
+    the neighbours of a request that crashes one server after the other.
     """
-    if broke.reason == STARTED_AGAIN:
+    if broke.reason == STARTED_AGAIN or gateway.crashes.has_crashed(server.start):
         return True
     return broke.closed and gateway.directory.has_left(server.announcement.server)
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -17,6 +17,7 @@
 from siskinspoke.core.counters import Counters
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.questions import Questions
+from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.peers import (
     EnginePace,
     PlaceOffer,
@@ -59,6 +60,7 @@
         counters: Counters,
         heard_peer: Callable[[str, str], None],
         heard_lost: Callable[[str], None],
+        heard_crashes: Callable[[CrashNews], None] = lambda news: None,
     ):
         self._host = host
         self._domain = domain
@@ -70,6 +72,8 @@
         self._counters = counters
         self._heard_peer = heard_peer
         self._heard_lost = heard_lost
+        self._heard_crashes = heard_crashes
+        self._crash_news: list[CrashNews] = []
         self._next = 0
         # Tells this start of the process from earlier ones on the same VM.
         self._start = f"{random.getrandbits(32):x}"
@@ -94,6 +98,7 @@
             job.target_ms,
             job.pause_ms,
             list(work.held),
+            work.alone,
         )
         self._watching[number] = self._cells.watching(work.servers)
         for cell in self._watching[number]:
@@ -123,6 +128,14 @@
         self._tell(self._own_news().lost, server)
         self._urgent.set()
 
+    def crashes(self, news: CrashNews) -> None:
+        """Tell the others of this cell what this VM has learned of crashes.
+
+        They also hear it from control VMs, but those may be behind a cut.
+        """
+        self._tell(self._crash_news, news)
+        self._urgent.set()
+
     def paced(self, server: str, pace: float) -> None:
         """Note how slow an engine says that it is, and tell the peers where that is news."""
         changed = abs(self._books.engine(server).pace - pace) > PACE_NEWS
@@ -167,6 +180,9 @@
 
     async def _tell_all(self, port: DatagramPort) -> None:
         now = trio.current_time() * 1000
+        crash_news, self._crash_news = self._crash_news, []
+        for item in crash_news:
+            await port.send_to_all(item, self._cells.addresses(self._cells.mine))
         news, self._news = self._news, {}
         mine = self._cells.mine
         if mine in news or self._budget.has_repeats_to_tell:
@@ -215,6 +231,8 @@
                 await self._questions.answer(item)
             case PlaceOffer():
                 self._questions.hear(item)
+            case CrashNews():
+                self._heard_crashes(item)
             case _:
                 self._counters.count("datagram.refused.kind")
 
@@ -224,7 +242,7 @@
         now = trio.current_time() * 1000
         for began in item.began:
             job = Job(began.tokens, began.max_tokens, began.target_ms, began.pause_ms)
-            work = Work(job, tuple(began.servers), now, tuple(began.held))
+            work = Work(job, tuple(began.servers), now, tuple(began.held), alone=began.alone)
             self._books.begin(_work_name(host, start, began.number), work)
         for number in item.wrote:
             self._books.wrote(_work_name(host, start, number))
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -1,6 +1,6 @@
 """Choose where a stream goes, by what this VM knows of its servers and of the time left."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from siskinspoke.coordination.books import Job
 from siskinspoke.coordination.directory import ServerRecord
@@ -26,6 +26,8 @@
 LEAST_TARGET_MS = 40.0
 # Share of the time left in which the first token should come.
 FIRST_SHARE = 0.6
+# From so many crashes on a request waits for an idle engine: two in a row are seldom an accident.
+MUST_BE_ALONE = 2
 # What a stream's pauses may last where its route does not say.  Milliseconds.
 LONGEST_PAUSE_MS = 1_000.0
 
@@ -42,6 +44,7 @@
     job: Job | None = None
     costs: EngineCosts | None = None
     held: tuple[int, ...] = ()
+    alone: bool = False
 
     @property
     def name(self) -> str:
@@ -72,11 +75,14 @@
     last_event_at: float | None,
     excluded: set[str],
     near_only: bool,
+    may_wait: bool = False,
 ) -> Placed | None:
     """Return where the request goes now, or None.
 
     ``last_event_at`` is when the client had the stream's last event, None before the first.
-    ``near_only`` keeps to this failure domain.
+    ``near_only`` keeps to this failure domain.  A request under which servers have crashed goes to
+    an idle engine, and may have to wait for one: beside others it would end those too, and if it
+    is not the cause, nobody could tell.
     """
     costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
@@ -84,6 +90,10 @@
         records = _near(gateway, candidates(gateway, request.service, excluded), near_only)
         return Placed(least_loaded(gateway, records)) if records else None
     records = _near(gateway, cell_candidates(gateway, request.service, excluded), near_only)
+    if request.crashes and (found := _choose_idle(gateway, costs, job, records)) is not None:
+        return replace(_placed(gateway, found, job, costs), alone=True)
+    if request.crashes >= MUST_BE_ALONE and may_wait:
+        return None
     found = choose(gateway, costs, job, records)
     if not near_only and gateway.cells.others and is_short(found, request.route.target_ms):
         offered = await ask_others(gateway, request, job, excluded, found)
@@ -183,12 +193,24 @@
     return job
 
 
+def _choose_idle(
+    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
+) -> Place | None:
+    idle = [item for item in records if gateway.books.is_idle(item.announcement.server)]
+    return choose(gateway, costs, job, idle) if idle else None
+
+
 def choose(
     gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
 ) -> Place | None:
-    """Return the engines for a job among some servers, or None where none can take it."""
+    """Return the engines for a job among some servers, or None where none can take it.
+
+    Engines at which a request is suspected to crash them are left to it, where there are others.
+    """
     here = gateway.settings.failure_domain
     offered = []
+    shared = [item for item in records if not gateway.books.is_alone(item.announcement.server)]
+    records = shared or records
     for record in records:
         said = record.announcement
         penalty = FAILING_MS * gateway.standing.failure_share(said.server)
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -2,12 +2,14 @@
 
 from typing import NamedTuple
 
+from siskinspoke.coordination.crash_watch import RunEnd
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.liveness import whole_due_ms
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.crashes import note_end, noted, quarantine_of, refusal
 from siskinspoke.gateway.onward import Onward, Progress
 from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded, reachable
 from siskinspoke.gateway.upstream import (
@@ -47,6 +49,16 @@
     body: bytes
 
 
+def run_end(outcome: object) -> RunEnd:
+    """Return what the outcome of an attempt proves; any but these is an end that proves nothing."""
+    match outcome:
+        case Whole():
+            return RunEnd.WHOLE
+        case NotRun():
+            return RunEnd.NOT_RUN
+    return RunEnd.BROKE
+
+
 def retry_after(gateway: Gateway, least_ms: float = RETRY_AFTER_MS) -> int:
     """Return when to come back, spread so that refused callers do not come back together."""
     return int(least_ms * (1 + RETRY_SPREAD * gateway.rng.random()))
@@ -55,10 +67,13 @@
 async def serve_plain(gateway: Gateway, request: Request) -> Whole | Failure:
     """Return a server's whole answer, or the failure that the caller gets instead."""
     request.service = choose_service(gateway, request)
+    quarantine = await quarantine_of(gateway, request)
+    if quarantine is not None:
+        return refusal(quarantine)
     gateway.budget.first_attempt(request.service, now_ms())
     progress = Progress()
     last: Whole | Failure | None = None
-    while True:
+    while last is None or await quarantine_of(gateway, request) is None:
         records = _others(gateway, request, progress)
         if not records:
             return last or _nobody(gateway)
@@ -68,6 +83,8 @@
         server = least_loaded(gateway, reachable(gateway, records) or records)
         progress.left_out.fail(server.start)
         outcome = await _attempt(gateway, request, server, progress)
+        if isinstance(outcome, Broke):
+            await note_end(gateway, server, outcome)
         progress.count(gateway, server, outcome)
         match outcome:
             case Whole(answer=answer):
@@ -84,6 +101,9 @@
                 last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
         if progress.ran >= request.route.max_attempts:
             return last
+        if not progress.has_tries(len(request.tried)):
+            return last
+    return last
 
 
 def _others(gateway: Gateway, request: Request, progress: Progress) -> list[ServerRecord]:
@@ -123,7 +143,10 @@
     gateway.standing.began(name)
     outcome: Whole | NotRun | Broke | Begun = Broke(Trouble.SILENT, GIVEN_UP)
     try:
-        with gateway.attempts.attempt(server, move_on=onward.move_on) as attempt:
+        with (
+            noted(gateway, request, server) as run,
+            gateway.attempts.attempt(server, move_on=onward.move_on) as attempt,
+        ):
             usual_ms = gateway.standing.usual_ms([name], began)
             attempt.expect_within(whole_due_ms(usual_ms), began)
             with attempt.within(left / 1000):
@@ -134,6 +157,7 @@
                 progress.give_back(gateway, request)
                 give_up_at = began + patience_ms
                 outcome = await _read_whole(gateway, server, outcome, attempt, give_up_at)
+            run.end = run_end(outcome)
         if attempt.lost and isinstance(outcome, Broke):
             outcome = Broke(Trouble.BROKEN, attempt.lost, gone=True)
     finally:
@@ -143,6 +167,7 @@
         case Whole(answer=answer):
             request.note(name, str(answer.status), now)
             gateway.directory.prove(*server.start, now)
+            gateway.crashes.answered(server.start, began, now)
             if answer.status >= 500:
                 gateway.standing.failed(name, Trouble.ERROR, now)
             else:
--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -85,6 +85,13 @@
 
     ``told`` means that another VM has said that the server is lost.
     """
+    found = await _connect(gateway, server, told)
+    return found if isinstance(found, ServerConnection) else None
+
+
+async def _connect(
+    gateway: Gateway, server: ServerRecord, told: bool
+) -> ServerConnection | NoConnection:
     gateway.looks.began(server.start, now_ms())
     finished = False
     try:
@@ -105,8 +112,7 @@
             gateway.log.note("server.refuses", server=said.server, start=said.incarnation)
         case ServerConnection():
             _reached(gateway, server)
-            return found
-    return None
+    return found
 
 
 def _reached(gateway: Gateway, server: ServerRecord) -> None:
@@ -151,9 +157,18 @@
 
 async def look(gateway: Gateway, server: ServerRecord, told: bool = False) -> None:
     """See whether a server can be reached, and keep the connection if it can."""
-    connection = await connect_to(gateway, server, told)
-    if connection is not None:
-        gateway.pool.put(server, connection)
+    found = await _connect(gateway, server, told)
+    if isinstance(found, ServerConnection):
+        gateway.pool.put(server, found)
+
+
+async def look_at(gateway: Gateway, server: ServerRecord) -> NoConnection | None:
+    """Look at a server now, and return why it cannot be reached, or None where it can."""
+    found = await _connect(gateway, server, told=False)
+    if isinstance(found, ServerConnection):
+        gateway.pool.put(server, found)
+        return None
+    return found
 
 
 def look_soon(gateway: Gateway, server: ServerRecord, told: bool = False) -> None:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -6,6 +6,7 @@
 import trio
 
 from siskinspoke.coordination.books import Work
+from siskinspoke.coordination.crash_watch import RunEnd
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
 from siskinspoke.coordination.passes import read_ms
 from siskinspoke.coordination.second_tries import doubt_after_ms, move
@@ -13,16 +14,18 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.crashes import note_end, noted, quarantine_of, refusal
 from siskinspoke.gateway.onward import NoMore, Onward, Progress, Step
 from siskinspoke.gateway.placing import (
     LEAST_TARGET_MS,
+    MUST_BE_ALONE,
     Placed,
     choose,
     other_place,
     pass_ms_at,
     place,
 )
-from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after
+from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after, run_end
 from siskinspoke.gateway.relaying import Ended, Flow, Relay, given_up, pass_on
 from siskinspoke.gateway.reservations import Member, Refused, reserved
 from siskinspoke.gateway.servers import cell_candidates, choose_service, learn
@@ -39,6 +42,8 @@
 # cut, where a kept connection would take the request in and say nothing.
 FRESH_AFTER_LOSS_MS = 0.0
 TRUNCATED = "the stream broke off"
+# A request under which servers have crashed waits for an idle engine for this share of its time.
+ALONE_SHARE = 0.4
 
 
 async def serve_stream(
@@ -46,6 +51,9 @@
 ) -> Whole | Failure | None:
     """Pass a stream on; return an answer that is still to be sent, or None if all is sent."""
     request.service = choose_service(gateway, request)
+    quarantine = await quarantine_of(gateway, request)
+    if quarantine is not None:
+        return refusal(quarantine)
     gateway.budget.first_attempt(request.service, now_ms())
     relay = Relay(client, closes, last_id=request.call.resume_after)
     progress = Progress()
@@ -62,6 +70,9 @@
     last: Whole | Failure | None = None
     why = NoMore.TRIES
     while progress.has_tries(len(request.tried)):
+        if last is not None and await quarantine_of(gateway, request) is not None:
+            why = NoMore.QUARANTINE
+            break
         step = await _next_step(gateway, request, relay, progress)
         if isinstance(step, NoMore):
             why = step
@@ -78,6 +89,7 @@
                 last = outcome
             case Broke(reason=reason):
                 last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
+                await note_end(gateway, placed.server, outcome)
         _account(gateway, progress, placed, outcome)
         if isinstance(outcome, Broke) and not request.route.repeatable:
             why = NoMore.ONCE
@@ -127,18 +139,24 @@
     """Return where the request goes next, or why nowhere.
 
     A stream that has begun waits for its place until its time is over: its caller holds a part of
-    the answer, and room comes as soon as another stream ends.  Anything else is refused at once.
+    the answer, and room comes as soon as another stream ends.  One under which servers have crashed
+    waits for an engine of its own, for a part of its time.  Anything else is refused at once.
     """
     said: NoMore | None = None
+    alone_until = now_ms() + ALONE_SHARE * request.left_ms(now_ms())
     while (step := progress.use_step(gateway)) is None:
         left_out = progress.left_out.names(gateway.directory, now_ms())
-        placed = await place(gateway, request, relay.last_event_at, left_out, progress.near_only)
+        may_wait = now_ms() < alone_until
+        placed = await place(
+            gateway, request, relay.last_event_at, left_out, progress.near_only, may_wait
+        )
         if placed is not None and progress.pay(gateway, request):
             return _begin(gateway, placed)
         why = NoMore.PLACE if placed is None else NoMore.BUDGET
         if why is not said:
             gateway.counters.count("place.none" if placed is None else "retry.budget_spent")
-        if not relay.head_sent:
+        waits = request.crashes >= MUST_BE_ALONE and may_wait and placed is None
+        if not relay.head_sent and not waits:
             return why
         if why is not said:
             gateway.log.note("place.wanting", request=request.call.id, why=why.value)
@@ -155,7 +173,7 @@
     now = now_ms()
     if placed.job is None:
         return Step(placed, None, now)
-    work = Work(placed.job, placed.names, now, placed.held)
+    work = Work(placed.job, placed.names, now, placed.held, alone=placed.alone)
     return Step(placed, gateway.peers.began(work), now)
 
 
@@ -198,6 +216,7 @@
     outcome: Ended | Whole | NotRun | Broke = Broke(Trouble.SILENT, "given up")
     try:
         async with AsyncExitStack() as stack:
+            run = stack.enter_context(noted(gateway, request, *placed.servers))
             attempt = stack.enter_context(
                 gateway.attempts.attempt(*placed.servers, move_on=onward.move_on)
             )
@@ -206,6 +225,7 @@
                 trouble = Trouble.BUSY if reservation.full else Trouble.UNREACHABLE
                 reason = f"memory could not be reserved at {reservation.server}"
                 outcome = NotRun(trouble, reason, arrived=False, member=reservation.server)
+                run.end = RunEnd.NOT_RUN
                 return outcome
             dispatch = _dispatch(request, placed, relay, reservation)
             seconds = _first_seconds(request, placed, began)
@@ -223,6 +243,7 @@
                 give_up_at = began + seconds * 1000
                 flow = Flow(placed, outcome, attempt, work, give_up_at, due)
                 outcome = await pass_on(gateway, request, relay, flow)
+            run.end = RunEnd.WHOLE if isinstance(outcome, Ended) else run_end(outcome)
             return outcome
     finally:
         gateway.standing.ended(placed.name)
@@ -284,6 +305,9 @@
     attempt.expect_within(first_due_ms(placed.expected_ms), now)
     if not placed.job.short or onward.obstacle in (NoMore.ONCE, NoMore.ATTEMPTS):
         return
+    if request.crashes:
+        # It may crash the server that it leaves all the same, and then the next one.
+        return
 
     def reconsider(attempt: Attempt, now: float) -> bool:
         left = request.route.target_ms - (now - request.arrived_ms)
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -9,7 +9,8 @@
 class WorkBegan(NamedTuple):
     """A request has been sent; the first server writes, the others read parts.
 
-    ``held`` are the tokens that each of the others keeps; empty where the first keeps all.
+    ``held`` are the tokens that each of the others keeps; empty where the first keeps all.  Nobody
+    else should join work that is ``alone``.
     """
 
     number: int
@@ -19,6 +20,7 @@
     target_ms: float
     pause_ms: float
     held: list[int]
+    alone: bool = False
 
 
 class EnginePace(NamedTuple):
--- a/tests/coordination/test_fingerprints.py
+++ b/tests/coordination/test_fingerprints.py
@@ -1,5 +1,7 @@
 """Tests of how a request is known again."""
 
+from dataclasses import replace
+
 from siskinspoke.coordination.fingerprints import Subject, shape_of
 
 ONE = Subject("acme", "shop.example/stream/x", b"a prompt")
@@ -15,10 +17,10 @@
 
     def test_other_requests(self):
         others = [
-            ONE._replace(customer="other"),
-            ONE._replace(target="shop.example/stream/y"),
-            ONE._replace(body=b"a prompT"),
-            ONE._replace(body=b""),
+            replace(ONE, customer="other"),
+            replace(ONE, target="shop.example/stream/y"),
+            replace(ONE, body=b"a prompT"),
+            replace(ONE, body=b""),
         ]
         assert ONE.fingerprint not in {item.fingerprint for item in others}
 
@@ -30,8 +32,8 @@
 
     def test_shape_does_not_read_the_body(self):
         """Bodies reach megabytes, and every request is compared while something is suspected."""
-        assert ONE._replace(body=b"A PROMPT").shape == ONE.shape
-        assert ONE._replace(body=b"a prompt!").shape != ONE.shape
+        assert replace(ONE, body=b"A PROMPT").shape == ONE.shape
+        assert replace(ONE, body=b"a prompt!").shape != ONE.shape
 
     def test_fingerprint_begins_with_the_shape(self):
         assert shape_of(ONE.fingerprint) == ONE.shape
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -82,11 +82,12 @@
             port = await open_datagram_port(
                 settings.host, settings.peer_port, settings.internal_key, Counters()
             )
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(site.gateway.peers.run, port)
-                nursery.start_soon(site.daemon._feeds.run)
-                task_status.started()
-                await trio.sleep_forever()
+            with port._socket:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(site.gateway.peers.run, port)
+                    nursery.start_soon(site.daemon._feeds.run)
+                    task_status.started()
+                    await trio.sleep_forever()
 
     async def cut_off(self, site: Site) -> None:
         """Part an entry VM from control VMs and from the others; servers and clients reach it."""
