--- /dev/null
+++ b/tests/coordination/test_crash_watch.py
@@ -0,0 +1,214 @@
+"""Tests of what VMs tell each other of servers' crashes."""
+
+from siskinspoke.coordination.crash_watch import CrashWatch, RunEnd
+from siskinspoke.coordination.crashes import Clear, Quarantined, Suspected
+from siskinspoke.coordination.fingerprints import Subject
+from siskinspoke.core.counters import Counters
+from siskinspoke.protocol import decode_message, encode_message
+from siskinspoke.protocol.crashes import CrashNews
+from tests.feeds.test_follower import Quiet
+
+DEADLY = Subject("acme", "shop.example/stream/x", b"what no engine survives")
+SOUND = Subject("acme", "shop.example/stream/x", b"what any engine answers")
+RAN_MS = 100.0
+LATE_MS = 3.0
+MOST_MESSAGES = 40
+
+
+def watch(told: list[CrashNews]) -> CrashWatch:
+    """Return the watch of a VM whose news are added to a list."""
+    return CrashWatch(told.append, Counters(), Quiet())
+
+
+class Vms:
+    """Some VMs, each of which passes on to all others what is news to it, a little later."""
+
+    def __init__(self, count: int):
+        self.now = 1_000.0
+        self.messages = 0
+        self._waiting: list[tuple[int, CrashNews]] = []
+        self.watches = [
+            CrashWatch(lambda news, number=number: self._say(number, news), Counters(), Quiet())
+            for number in range(count)
+        ]
+
+    def _say(self, teller: int, news: CrashNews) -> None:
+        self._waiting += [(number, news) for number in range(len(self.watches)) if number != teller]
+
+    def settle(self) -> None:
+        """Deliver what is said until nobody has anything to say, for a bounded time."""
+        while self._waiting and self.messages < MOST_MESSAGES * len(self.watches) ** 2:
+            number, news = self._waiting.pop(0)
+            self.messages += 1
+            self.now += LATE_MS
+            fresh = self.watches[number].hear(news, self.now)
+            if any(fresh):
+                self._say(number, fresh)
+
+    def crash(self, number: int, name: str, subject: Subject, end: RunEnd = RunEnd.BROKE) -> None:
+        """Have a server crash under a request of one VM."""
+        start = (name, 1)
+        run = self.watches[number].began(subject, [start], self.now)
+        self.now += RAN_MS
+        self.watches[number].crashed(start, "m", 20, self.now, self.now)
+        self.watches[number].ended(run, end, self.now)
+        self.settle()
+
+    def serve(self, number: int, subject: Subject) -> None:
+        """Have a VM answer a request whole."""
+        run = self.watches[number].began(subject, [("well", 1)], self.now)
+        self.now += RAN_MS
+        self.watches[number].ended(run, RunEnd.WHOLE, self.now)
+        self.settle()
+
+
+class TestTelling:
+    """What one VM has seen all know, and nobody says it for ever."""
+
+    def test_crashes_at_three_vms(self):
+        vms = Vms(3)
+        for number in range(3):
+            vms.crash(number, f"s{number}", DEADLY)
+        vms.now += 1_000.0
+        for item in vms.watches:
+            assert isinstance(item.judge(DEADLY, vms.now), Quarantined)
+
+    def test_neighbours_at_other_vms(self):
+        """The cause is at one VM, its neighbour at another, the answer that clears at a third."""
+        vms = Vms(3)
+        for number in range(3):
+            start = (f"s{number}", 1)
+            runs = [vms.watches[0].began(DEADLY, [start], vms.now)]
+            runs.append(vms.watches[1].began(SOUND, [start], vms.now))
+            vms.now += RAN_MS
+            vms.watches[0].crashed(start, "m", 20, vms.now, vms.now)
+            vms.settle()
+            for item, run in zip(vms.watches, runs, strict=False):
+                item.ended(run, RunEnd.BROKE, vms.now)
+        assert all(isinstance(item.judge(DEADLY, vms.now), Suspected) for item in vms.watches)
+        vms.serve(2, SOUND)
+        vms.now += 1_000.0
+        for item in vms.watches:
+            assert isinstance(item.judge(DEADLY, vms.now), Quarantined)
+            assert item.judge(SOUND, vms.now) == Clear()
+
+    def test_news_come_to_an_end(self):
+        """Control VMs passed a whole answer on to each other, each time as a later one.
+
+        Ages are counted from the sending, so the time on the way made it look newer: 490,000
+        messages reached one entry VM in half a minute, and took three quarters of all processor
+        time.
+        """
+        vms = Vms(4)
+        vms.crash(0, "s0", SOUND)
+        vms.serve(1, SOUND)
+        assert vms.messages < MOST_MESSAGES
+        before = vms.messages
+        vms.serve(2, SOUND)
+        vms.serve(3, SOUND)
+        assert vms.messages == before
+
+    def test_probes_come_to_an_end(self):
+        vms = Vms(4)
+        vms.crash(0, "s0", DEADLY)
+        before = vms.messages
+        vms.watches[1].probe(DEADLY, vms.now)
+        vms.settle()
+        assert vms.messages - before < MOST_MESSAGES
+
+    def test_answer_is_known_before_the_crash(self):
+        """The report of a crash is lost at first and comes by way of a control VM."""
+        told, late = [], []
+        first, last = watch(told), watch(late)
+        run = first.began(SOUND, [("s0", 1)], 0.0)
+        first.crashed(("s0", 1), "m", 20, 100.0, 100.0)
+        first.ended(run, RunEnd.BROKE, 100.0)
+        again = first.began(SOUND, [("s1", 1)], 110.0)
+        first.ended(again, RunEnd.WHOLE, 200.0)
+        crash, answer = told
+        last.hear(answer, 210.0)
+        last.hear(crash._replace(crashes=[crash.crashes[0]._replace(age_ms=120)]), 220.0)
+        assert last.judge(SOUND, 230.0) == Clear()
+
+    def test_news_survive_the_wire(self):
+        told = []
+        one = watch(told)
+        run = one.began(DEADLY, [("s0", 1)], 0.0)
+        one.crashed(("s0", 1), "m", 20, 100.0, 100.0)
+        one.ended(run, RunEnd.BROKE, 100.0)
+        assert decode_message(encode_message(told[0])).ok == told[0]
+
+
+class TestRuns:
+    """Who was open at a server when it crashed."""
+
+    def suspects(self, *ends, at=100.0):
+        one = watch([])
+        for number, (end, ended_at) in enumerate(ends):
+            subject = Subject("acme", "x", b"%d" % number)
+            run = one.began(subject, [("s0", 1)], 0.0)
+            if end is not None:
+                one.ended(run, end, ended_at)
+        one.crashed(("s0", 1), "m", 20, at, at)
+        return len(one.ledger.find(("s0", 1)).suspects)
+
+    def test_open_and_broken_off(self):
+        assert self.suspects((None, 0.0), (RunEnd.BROKE, 100.0)) == 2
+
+    def test_left_just_before(self):
+        """A late first token is awaited elsewhere; the server that was left crashed 50 ms later."""
+        assert self.suspects((RunEnd.BROKE, 60.0)) == 1
+
+    def test_left_long_before(self):
+        assert self.suspects((RunEnd.BROKE, 60.0), at=2_000.0) == 0
+
+    def test_answered_or_refused(self):
+        """What was answered whole is no cause, and what a server refused it has not run."""
+        assert self.suspects((RunEnd.WHOLE, 60.0), (RunEnd.NOT_RUN, 60.0)) == 0
+
+    def test_body_is_not_read_without_a_crash(self):
+        """A body may have megabytes, and nothing is wrong on most days."""
+        one = watch([])
+        subject = Subject("acme", "x", b"body")
+        one.ended(one.began(subject, [("s0", 1)], 0.0), RunEnd.WHOLE, 50.0)
+        assert one.judge(subject, 60.0) == Clear()
+        assert "fingerprint" not in vars(subject)
+
+
+class TestNewcomers:
+    """A VM that starts, or is back, is told what matters and no more."""
+
+    def after_crashes(self):
+        one = watch([])
+        for number in range(3):
+            start = (f"s{number}", 1)
+            run = one.began(DEADLY, [start], 1_000.0 * number)
+            neighbour = one.began(SOUND, [start], 1_000.0 * number)
+            one.crashed(start, "m", 20, 1_000.0 * number + RAN_MS, 1_000.0 * number + RAN_MS)
+            one.ended(run, RunEnd.BROKE, 1_000.0 * number + RAN_MS)
+            one.ended(neighbour, RunEnd.BROKE, 1_000.0 * number + RAN_MS)
+        one.ended(one.began(SOUND, [("well", 1)], 2_200.0), RunEnd.WHOLE, 2_300.0)
+        return one
+
+    def test_told_by_a_control_vm(self):
+        newcomer = watch([])
+        for news in self.after_crashes().all_news(4_000.0):
+            newcomer.hear(news, 50.0)
+        assert isinstance(newcomer.judge(DEADLY, 60.0), Quarantined)
+        assert newcomer.judge(SOUND, 60.0) == Clear()
+
+    def test_control_vm_that_has_forgotten(self):
+        """All control VMs were restarted; entry VMs tell them what they have seen themselves."""
+        control = watch([])
+        for news in self.after_crashes().own_news(4_000.0):
+            control.hear(news, 50.0)
+        assert isinstance(control.judge(DEADLY, 60.0), Quarantined)
+        assert control.judge(SOUND, 60.0) == Clear()
+
+    def test_nothing_where_all_are_cleared(self):
+        one = watch([])
+        run = one.began(SOUND, [("s0", 1)], 0.0)
+        one.crashed(("s0", 1), "m", 20, 100.0, 100.0)
+        one.ended(run, RunEnd.BROKE, 100.0)
+        one.ended(one.began(SOUND, [("s1", 1)], 110.0), RunEnd.WHOLE, 200.0)
+        assert one.all_news(300.0) == []
