Tell of a whole answer once for each crash that it clears, and keep one whose crash is not known yet

What callers saw: nothing yet, but entry VMs spent three quarters of their processor time on news that control VMs passed on to each other without end: ages are counted from the sending, so each copy looked a little newer. An answer is news only where it clears a crash, a probe only after half the time of one. An answer that comes before the report of its crash is kept, and a VM that answered between the two says so.

--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -6,6 +6,7 @@
 milliseconds of this VM's clock.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -74,6 +75,7 @@
         self._left: deque[Run] = deque(maxlen=MOST_LEFT)
         self._own: dict[Start, set[str]] = {}
         self._quarantined: set[str] = set()
+        self._answered: dict[str, float] = {}
 
     @property
     def ledger(self) -> CrashLedger:
@@ -97,9 +99,12 @@
                 self._left.append(run)
 
     def _clear(self, subject: Subject, now: float) -> None:
-        if not self.is_suspect(subject) or not self._ledger.clear(subject.fingerprint, now):
+        if not self.is_suspect(subject):
             return
         fingerprint = subject.fingerprint
+        self._answered[fingerprint] = now
+        if not self._ledger.clear(fingerprint, now):
+            return
         self._counters.count("crash.cleared")
         lifted = fingerprint in self._quarantined
         self._quarantined.discard(fingerprint)
@@ -226,8 +231,19 @@
         own = self._suspects_at(start, self._ledger.find(start).at)
         more = self._ledger.add(start, report.service, report.servers, at, own)
         self._tell_own(start, more or [], now)
+        self._tell_answered(fresh, at, now)
         return True
 
+    def _tell_answered(self, suspects: list[Suspect], crashed_at: float, now: float) -> None:
+        """Tell which suspects this VM has answered since their crash, before it heard of that."""
+        cleared = [
+            SuspectEvent(item.fingerprint, round(now - answered_at))
+            for item in suspects
+            if (answered_at := self._answered.get(item.fingerprint, -math.inf)) >= crashed_at
+        ]
+        if cleared:
+            self._tell(CrashNews([], cleared, [], []))
+
     def _hear_served(self, item: SuspectEvent, now: float) -> bool:
         return self._ledger.clear(item.fingerprint, now - item.age_ms)
 
@@ -277,6 +293,8 @@
         self._ledger.forget(now)
         for start in [start for start in self._own if self._ledger.find(start) is None]:
             del self._own[start]
+        for item in [item for item in self._answered if not self._ledger.knows(item)]:
+            del self._answered[item]
         self._quarantined = {item for item in self._quarantined if self._ledger.knows(item)}
         self._counters.gauge("crash.remembered", len(self._ledger.crashes))
 
--- a/siskinspoke/coordination/crashes.py
+++ b/siskinspoke/coordination/crashes.py
@@ -55,6 +55,8 @@
 # is remembered any more begins anew.
 KEEP_MS = 3_600_000.0
 MOST_CRASHES = 1_024
+# Whole answers of suspects whose crash is not known yet.
+MOST_EARLY = 256
 # An engine holds its slots and a few that wait.  With more suspects than that nobody can tell.
 MOST_SUSPECTS = 32
 
@@ -139,6 +141,7 @@
         self._of: dict[str, list[Crash]] = {}
         self._shapes: dict[str, int] = {}
         self._served: dict[str, float] = {}
+        self._early: dict[str, float] = {}
         self._probed: dict[str, float] = {}
         self._refuted: dict[Start, float] = {}
         self._by_service: dict[str, list[Crash]] = {}
@@ -212,6 +215,8 @@
         if not known:
             shape = shape_of(fingerprint)
             self._shapes[shape] = self._shapes.get(shape, 0) + 1
+            if fingerprint in self._early:
+                self._served[fingerprint] = self._early.pop(fingerprint)
         bisect.insort(known, crash, key=_time_of)
         return True
 
@@ -241,19 +246,36 @@
             del self._shapes[shape]
 
     def clear(self, fingerprint: str, at: float) -> bool:
-        """Note that a suspect was answered whole; return whether that is news."""
-        if fingerprint not in self._of or self._served.get(fingerprint, -math.inf) >= at:
+        """Note that a suspect was answered whole; return whether that is news.
+
+        It is where it clears a crash.  Any later answer would be passed on among VMs without end,
+        since what is told on comes to look newer by its time on the way.
+        """
+        known = self._of.get(fingerprint)
+        if known is None:
+            return self._clear_early(fingerprint, at)
+        before = self._served.get(fingerprint, -math.inf)
+        if at <= before:
             return False
         self._served[fingerprint] = at
         self._cases.clear()
-        return True
+        return any(before < crash.at <= at for crash in known) or before == -math.inf
+
+    def _clear_early(self, fingerprint: str, at: float) -> bool:
+        """Keep an answer whose crash is not known here yet: news come by several ways."""
+        is_news = fingerprint not in self._early
+        self._early[fingerprint] = max(at, self._early.pop(fingerprint, -math.inf))
+        while len(self._early) > MOST_EARLY:
+            del self._early[next(iter(self._early))]
+        return is_news
 
     def probe(self, fingerprint: str, at: float) -> bool:
         """Note that a suspect is let through after its quarantine; return whether that is news."""
-        if fingerprint not in self._of or self._probed.get(fingerprint, -math.inf) >= at:
+        if fingerprint not in self._of:
             return False
-        self._probed[fingerprint] = at
-        return True
+        before = self._probed.get(fingerprint, -math.inf)
+        self._probed[fingerprint] = max(before, at)
+        return at > before + PROBE_MS / 2
 
     def refute(self, start: Start, at: float) -> bool:
         """Note that a server has answered what was sent after its crash, so there was none.
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -16,6 +16,8 @@
 # A server from which an attempt was taken away may crash under it all the same; it is looked at
 # after this time.
 LOOK_LATER_SECONDS = 0.4
+# The end of a wait, in whole milliseconds of one clock, may lie a little before that of another.
+LEAST_WAIT_SECONDS = 0.001
 
 
 class Attempted:
@@ -50,7 +52,7 @@
         match verdict:
             case Undecided(wait_ms=wait_ms):
                 gateway.counters.count("quarantine.waits")
-                await trio.sleep(wait_ms / 1000)
+                await trio.sleep(max(LEAST_WAIT_SECONDS, wait_ms / 1000))
             case Quarantined():
                 gateway.counters.count("quarantine.refused")
                 return verdict
--- a/tests/coordination/test_crash_watch.py
+++ b/tests/coordination/test_crash_watch.py
@@ -130,6 +130,23 @@
         last.hear(crash._replace(crashes=[crash.crashes[0]._replace(age_ms=120)]), 220.0)
         assert last.judge(SOUND, 230.0) == Clear()
 
+    def test_answered_between_a_crash_and_its_report(self):
+        """A VM answers a suspect, which is no news to it, and then hears of an earlier crash."""
+        told, reports = [], []
+        one, other = watch(told), watch(reports)
+        run = one.began(SOUND, [("s0", 1)], 0.0)
+        one.crashed(("s0", 1), "m", 20, 100.0, 100.0)
+        one.ended(run, RunEnd.BROKE, 100.0)
+        for at in (200.0, 900.0):
+            one.ended(one.began(SOUND, [("s1", 1)], at - 50.0), RunEnd.WHOLE, at)
+        other.began(SOUND, [("s2", 1)], 700.0)
+        other.crashed(("s2", 1), "m", 20, 850.0, 930.0)
+        told.clear()
+        one.hear(reports[0], 933.0)
+        assert [item.fingerprint for news in told for item in news.served] == [SOUND.fingerprint]
+        other.hear(told[0], 936.0)
+        assert other.judge(SOUND, 940.0) == Clear()
+
     def test_news_survive_the_wire(self):
         told = []
         one = watch(told)
