--- a/siskinspoke/management/commands/standin_engine.py
+++ b/siskinspoke/management/commands/standin_engine.py
@@ -17,6 +17,7 @@
 flags.DEFINE_integer("chunk_tokens", 1_024, "Tokens of one step at most.")
 flags.DEFINE_float("order_seconds", 0.0, "Time that an order takes.")
 flags.DEFINE_float("slow", 1.0, "Factor by which this engine is slower than it says.")
+flags.DEFINE_string("deadly_text", "", "Text in a prompt at whose first token the engine ends.")
 
 
 def handle(_arguments: list[str]) -> int:
@@ -29,7 +30,7 @@
         FLAGS.chunk_tokens,
     )
     who = identity()
-    server = EngineServer(who, parameters, FLAGS.slow)
+    server = EngineServer(who, parameters, FLAGS.slow, FLAGS.deadly_text)
     server.order_seconds = FLAGS.order_seconds
     app = engine_app(server)
     trio.run(run_standin, app, who, announce_addresses(), read_key(), server.report, server.run)
--- a/siskinspoke/standins/engine_server.py
+++ b/siskinspoke/standins/engine_server.py
@@ -1,6 +1,7 @@
 """Run an engine model in real time behind the backend protocol."""
 
 import math
+import os
 import time
 from typing import NamedTuple
 
@@ -18,6 +19,8 @@
 RANKS = 16
 MAX_BODY = 64_000_000
 IDLE_SECONDS = 0.05
+# Exit code of an engine that a deadly prompt has ended.
+DEADLY_EXIT = 70
 
 
 class EngineIdentity(NamedTuple):
@@ -51,8 +54,16 @@
 class EngineServer:
     """Own an engine model, its clock and its readers."""
 
-    def __init__(self, identity: EngineIdentity, parameters: EngineParameters, slow: float = 1.0):
+    def __init__(
+        self,
+        identity: EngineIdentity,
+        parameters: EngineParameters,
+        slow: float = 1.0,
+        deadly_text: str = "",
+    ):
         self.identity = identity
+        self._deadly_text = deadly_text
+        self._deadly: list[Attempt] = []
         self.model = EngineModel(parameters)
         self.fence = 0
         self.orders: list[dict] = []
@@ -74,6 +85,9 @@
             await trio.sleep(plan.duration_ms * self._slow / 1000)
             self.model.finish_step(plan, now_ms())
             self._announce_tick()
+            if any(attempt.emitted for attempt in self._deadly):
+                # As a process ends that the system kills: nothing is closed, nobody is told.
+                os._exit(DEADLY_EXIT)
 
     def _announce_tick(self) -> None:
         tick, self._tick = self._tick, trio.Event()
@@ -119,6 +133,8 @@
             return None
         self.began[key.request] = self.began.get(key.request, 0) + 1
         self._work.set()
+        if self._deadly_text and self._deadly_text in prompt:
+            self._deadly.append(self.model.attempts[key])
         return self.model.attempts[key]
 
     async def stream(self, attempt: Attempt, offset: int):
