Keep a prompt or call that crashes servers from the next one at the product's own interface too

Callers saw every engine of the site end in turn, and at each entry VM anew; the cause is the same as in the gateway, in entry/ with attempts of its own. The same ledger and watch serve both: attempts are noted, a crash is a stream that breaks off and cannot be read on since its machine refuses or its process knows nothing, a call that breaks off at a machine that refuses, or a start that nobody announced the end of. News go to all VMs of the failure domain and to one of each other, which passes them on; every few seconds a VM asks another one for what it may have missed, so one that started late or was cut off knows. Not done there: an engine of its own for a suspect. A broken attempt's body is read at once and not kept, since the crash may come to be known seconds later.

--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any, NamedTuple, Protocol
 
 from siskinspoke.coordination.crashes import (
     Clear,
@@ -24,7 +25,6 @@
 )
 from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.core.counters import Counters
-from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.crashes import (
     CrashNews,
     CrashReport,
@@ -36,13 +36,22 @@
 # A server may crash under a request that has just been taken away from it, which still works there
 # until the server has noticed.
 LINGER_MS = 1_000.0
-MOST_LEFT = 64
+# That a server crashed may come to be known only when it is back.
+LEFT_MS = 10_000.0
+MOST_LEFT = 256
 # A newcomer is told of this many crashes, the newest ones; 256 of eight suspects are 120 KB.
 MOST_TOLD = 256
 # A message of this many crashes fits into a datagram with all suspects that a crash may have.
 CRASHES_A_MESSAGE = 16
 
 
+class Log(Protocol):
+    """Where decisions are written down."""
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Write down one event and what decided it."""
+
+
 class RunEnd(Enum):
     """How an attempt ended: with a whole answer, refused unread, or nobody knows."""
 
@@ -58,21 +67,27 @@
     subject: Subject
     starts: frozenset[Start]
     began_at: float
-    ended_at: float | None = None
+
+
+class LeftRun(NamedTuple):
+    """An attempt that has broken off; the body of its request is not kept."""
+
+    fingerprint: str
+    starts: frozenset[Start]
+    began_at: float
+    ended_at: float
 
 
 class CrashWatch:
     """Own the ledger of a VM and the runs that are open on it."""
 
-    def __init__(
-        self, tell: Callable[[CrashNews], None], counters: Counters, log: DecisionLog
-    ) -> None:
+    def __init__(self, tell: Callable[[CrashNews], None], counters: Counters, log: Log) -> None:
         self._tell = tell
         self._counters = counters
         self._log = log
         self._ledger = CrashLedger()
         self._open: set[Run] = set()
-        self._left: deque[Run] = deque(maxlen=MOST_LEFT)
+        self._left: deque[LeftRun] = deque(maxlen=MOST_LEFT)
         self._own: dict[Start, set[str]] = {}
         self._quarantined: set[str] = set()
         self._answered: dict[str, float] = {}
@@ -95,8 +110,8 @@
             case RunEnd.WHOLE:
                 self._clear(run.subject, now)
             case RunEnd.BROKE:
-                run.ended_at = now
-                self._left.append(run)
+                fingerprint = run.subject.fingerprint
+                self._left.append(LeftRun(fingerprint, run.starts, run.began_at, now))
 
     def _clear(self, subject: Subject, now: float) -> None:
         if not self.is_suspect(subject):
@@ -169,14 +184,29 @@
         self._note_crash(start, service, servers, suspects, told=False)
         self._tell_own(start, fresh, now)
 
+    def started_anew(self, start: Start, service: str, servers: int, now: float) -> None:
+        """Take in that a server has started again, and so crashed, unseen, some time before.
+
+        What was sent to it broke off when it did; what has not broken off yet will not be answered.
+        """
+        ends = [run.ended_at for run in self._left if start in run.starts]
+        waits = any(start in run.starts for run in self._open)
+        at = now if waits or not ends else max(ends)
+        self.crashed(start, service, servers, at, now)
+
     def _suspects_at(self, start: Start, at: float) -> list[Suspect]:
         """Return this VM's runs that were open at a server when it crashed, or had just left."""
-        runs = [run for run in (*self._open, *self._left) if start in run.starts]
-        return [
+        found = [
             Suspect(run.subject.fingerprint, run.began_at)
-            for run in sorted(runs, key=lambda run: run.began_at)
-            if run.began_at <= at and (run.ended_at is None or at - run.ended_at <= LINGER_MS)
+            for run in self._open
+            if start in run.starts and run.began_at <= at
+        ]
+        found += [
+            Suspect(run.fingerprint, run.began_at)
+            for run in self._left
+            if start in run.starts and run.began_at <= at <= run.ended_at + LINGER_MS
         ]
+        return sorted(found, key=lambda item: item.began_at)
 
     def _note_crash(
         self, start: Start, service: str, servers: int, suspects: list[Suspect], told: bool
@@ -288,7 +318,7 @@
 
     def forget(self, now: float) -> None:
         """Drop what is too old to matter."""
-        while self._left and now - self._left[0].ended_at > LINGER_MS:
+        while self._left and now - self._left[0].ended_at > LEFT_MS:
             self._left.popleft()
         self._ledger.forget(now)
         for start in [start for start in self._own if self._ledger.find(start) is None]:
--- a/siskinspoke/coordination/fingerprints.py
+++ b/siskinspoke/coordination/fingerprints.py
@@ -20,7 +20,7 @@
 
     customer: str
     target: str
-    body: bytes
+    body: bytes | str
 
     @cached_property
     def shape(self) -> str:
@@ -38,7 +38,7 @@
         for part in (self.customer.encode(), self.target.encode()):
             digest.update(len(part).to_bytes(4, "big"))
             digest.update(part)
-        digest.update(self.body)
+        digest.update(self.body.encode() if isinstance(self.body, str) else self.body)
         return self.shape + digest.hexdigest()
 
 
--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -16,6 +16,8 @@
 
 CANCEL_SECONDS = 1.0
 SILENCE_SECONDS = 0.5
+# Why no byte left, where a machine answers and no process listens there.
+REFUSED = httpx.ConnectError.__name__
 # No server has counted so many cache events, so a question for later ones has a short answer.
 NO_EVENTS_AFTER = 2**62
 
@@ -229,6 +231,18 @@
                 self._counters.count("backend.exchange_failed")
         return None
 
+    async def refuses(self, target: Target) -> bool:
+        """Tell whether a server's machine refuses connections, as it does for a dead process."""
+        with trio.move_on_after(CANCEL_SECONDS):
+            try:
+                await self._control.get(f"http://{target.host}:{target.port}/")
+            except httpx.ConnectError:
+                return True
+            except httpx.HTTPError:
+                # It listens, or says nothing; neither is a dead process.
+                self._counters.count("backend.exchange_failed")
+        return False
+
     async def cache_events(self, target: Target, after: int) -> CacheEvents | None:
         """Fetch a server's cache events after a sequence number."""
         url = f"http://{target.host}:{target.port}/v1/cache-events?after={after}"
--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -4,8 +4,11 @@
 import msgspec
 import trio
 
+from siskinspoke.coordination.crash_watch import RunEnd
+from siskinspoke.coordination.crashes import Probation, Quarantined
 from siskinspoke.coordination.deadlines import margin_seconds
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.core.codes import FACTS, Failure, ResultCode, Run
 from siskinspoke.entry.backend import connection_failed
 from siskinspoke.entry.claiming import (
@@ -14,11 +17,13 @@
     claim,
     claim_name,
     find_out,
+    honest,
     lookup,
     settle_not_run,
     settle_ran,
 )
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.entry.crashes import refusal, verdict_on
 from siskinspoke.entry.requests import Call, Caller
 from siskinspoke.protocol.claims import ClaimAnswer, Target
 
@@ -50,10 +55,20 @@
         self._deadline = trio.current_time() + seconds - margin_seconds(seconds)
         self._dispatched = False
         self._excluded: set[str] = set()
+        self._identity = Subject(caller.customer, call.service, call.input)
 
     async def run(self) -> dict | Failure:
         """Return the service's answer or the final failure."""
         with trio.move_on_at(self._deadline):
+            verdict = await verdict_on(self._context, self._identity)
+            match verdict:
+                case Quarantined() if self._call.key is None:
+                    return refusal(self._context, verdict)
+                case Quarantined():
+                    failure = refusal(self._context, verdict)
+                    return await honest(self._context, self._subject(), failure)
+                case Probation():
+                    self._context.crashes.probe(self._identity, now_ms())
             if self._call.key is not None:
                 return await self._run_claimed()
             return await self._run_plain()
@@ -88,14 +103,21 @@
             "subject": self._subject(),
             "input": self._call.input,
         }
+        crashes = self._context.crashes
+        start = (target.server, target.incarnation)
+        run, end = crashes.began(self._identity, [start], now_ms()), RunEnd.BROKE
         try:
             self._dispatched = True
             response = await self._context.backend.call(target, body)
+            end = RunEnd.WHOLE
         except httpx.HTTPError as error:
             if connection_failed(error):
                 self._dispatched = False
+                end = RunEnd.NOT_RUN
                 raise _NotBegun from error
             raise
+        finally:
+            crashes.ended(run, end, now_ms())
         if response.status_code == 409:
             self._dispatched = False
             raise _NotBegun
@@ -124,6 +146,10 @@
             except httpx.HTTPError as error:
                 self._excluded.add(target.server)
                 reason = type(error).__name__
+                await self._look_for_crash(target)
+                if isinstance(await verdict_on(context, self._identity), Quarantined):
+                    reason = "servers crash under this request"
+                    break
             if not context.retries.take():
                 context.counters.count("retry.budget_spent")
                 break
@@ -131,6 +157,11 @@
         run = Run.UNKNOWN if self._dispatched else Run.NOT_RUN
         return Failure(ResultCode.DISPATCH_FAILED, reason, RETRY_LATER_MS, run)
 
+    async def _look_for_crash(self, target: Target) -> None:
+        """Find out whether a server that broke off a call has crashed."""
+        if await self._context.backend.refuses(target):
+            self._context.crashed(target)
+
     def _give_up_on(self, target: Target) -> None:
         self._excluded.add(target.server)
         self._context.directory.suspect(target.server, target.incarnation, now_ms())
@@ -176,6 +207,7 @@
         except httpx.HTTPStatusError as error:
             return await self._server_error(error, attempt)
         except httpx.HTTPError:
+            await self._look_for_crash(target)
             if await find_out(context, target, self._request_id, attempt):
                 self._excluded.add(target.server)
                 await settle_not_run(context, self._subject(), attempt)
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -1,18 +1,23 @@
 """Answer one request to a model: route, claim, dispatch, retry, and clean up behind it."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 import trio
 from expression import Error, Result
 from loguru import logger
 
 from siskinspoke.coordination import fairness
+from siskinspoke.coordination.crash_watch import Run, RunEnd
+from siskinspoke.coordination.crashes import Probation, Quarantined
 from siskinspoke.coordination.deadlines import margin_seconds
+from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.coordination.left_out import LeftOut
 from siskinspoke.coordination.routing import Choice, Ticket, Work, length_class
-from siskinspoke.core.codes import Failure, ResultCode, Run
+from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.codes import Run as Fate
 from siskinspoke.entry import groups
-from siskinspoke.entry.backend import AttemptEnd, Completed, Lost, NotBegun, Unknown
+from siskinspoke.entry.backend import REFUSED, AttemptEnd, Completed, Lost, NotBegun, Unknown
 from siskinspoke.entry.claiming import (
     Claimed,
     Held,
@@ -25,6 +30,7 @@
     settle_ran,
 )
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.entry.crashes import refusal, verdict_on
 from siskinspoke.entry.janitor import CancelAttempt
 from siskinspoke.entry.requests import Caller, Completion
 from siskinspoke.entry.stream_tokens import StreamToken
@@ -49,6 +55,29 @@
     failure: Failure | None
 
 
+def run_end(end: AttemptEnd | None) -> RunEnd:
+    """Return what the end of an attempt proves; None is one that was cancelled."""
+    match end:
+        case Completed():
+            return RunEnd.WHOLE
+        case NotBegun():
+            return RunEnd.NOT_RUN
+    return RunEnd.BROKE
+
+
+def _shows_crash(resumed: AttemptEnd) -> bool:
+    """Tell whether a server whose stream broke off has crashed, from how it answered after it.
+
+    Its machine refuses connections, or the process there knows nothing of the attempt.
+    """
+    match resumed:
+        case NotBegun(reason=reason):
+            return reason == REFUSED
+        case Unknown():
+            return True
+    return False
+
+
 class ReaderTooSlowError(Exception):
     """The caller read nothing for its whole allowance."""
 
@@ -102,6 +131,12 @@
         """Return the tokens answered so far."""
         return self._progress.offset
 
+    @cached_property
+    def _subject(self) -> Subject:
+        """Return what tells whether another request is the same."""
+        target = f"{self.completion.service}/{self.completion.max_tokens}"
+        return Subject(self.caller.customer, target, self.completion.prompt)
+
     def _work(self) -> Work:
         limits = self._limits
         return Work(
@@ -118,6 +153,9 @@
     def admit(self) -> Result[Choice, Failure]:
         """Decide whether the request can be served on time and within its customer's share."""
         context, work = self._context, self._work()
+        verdict = context.crashes.judge(self._subject, now_ms())
+        if isinstance(verdict, Quarantined):
+            return Error(refusal(context, verdict))
         chosen = context.router.choose(work, now_ms(), context.rng)
         if chosen.is_error():
             return chosen
@@ -172,16 +210,16 @@
             return Failure(ResultCode.CALLER_GONE, "the caller hung up", None, run)
         return Failure(ResultCode.DEADLINE_PASSED, "the deadline passed", None, run)
 
-    def _fate(self) -> Run:
+    def _fate(self) -> Fate:
         """Return what is known of a request that ends without its answer.
 
         One with a key may be the resend of a request that ran at another VM.
         """
         if self._progress.offset:
-            return Run.RAN
+            return Fate.RAN
         if self._progress.dispatched or self.completion.key is not None:
-            return Run.UNKNOWN
-        return Run.NOT_RUN
+            return Fate.UNKNOWN
+        return Fate.NOT_RUN
 
     def hang_up(self) -> None:
         """Note that the caller is gone; an attempt that may run only once goes on.
@@ -203,6 +241,11 @@
             )
 
     async def _serve(self, choice: Choice) -> Failure | None:
+        verdict = await verdict_on(self._context, self._subject)
+        if isinstance(verdict, Quarantined):
+            return refusal(self._context, verdict)._replace(run=self._fate())
+        if isinstance(verdict, Probation):
+            self._context.crashes.probe(self._subject, now_ms())
         if len(choice.servers) > 1:
             return await self._serve_by_group()
         if self.completion.key is not None:
@@ -237,6 +280,8 @@
             progress.left_out.put_off(target.server, now_ms())
             if progress.attempt == MAX_ATTEMPTS:
                 break
+            if isinstance(await verdict_on(context, self._subject), Quarantined):
+                return self._given_up("servers crash under this request")
             chosen = await self._next_choice(reason)
             if isinstance(chosen, Failure):
                 return chosen
@@ -291,14 +336,22 @@
         target = target_of(record)
         ticket = context.router.dispatched(record, self._work(), choice.uncached_tokens, now_ms())
         self._note_running(target)
+        run = self._run_at(target)
+        end: AttemptEnd | None = None
         try:
             end = await self._dispatch(target, body, ticket)
         finally:
             context.router.ended(ticket)
+            context.crashes.ended(run, run_end(end), now_ms())
         if isinstance(end, Completed):
             context.router.prefixes.stored(target.server, self._blocks)
         return end
 
+    def _run_at(self, *targets: Target) -> Run:
+        """Note an attempt, for who asks later which requests were open at a server."""
+        starts = [(target.server, target.incarnation) for target in targets]
+        return self._context.crashes.began(self._subject, starts, now_ms())
+
     async def _dispatch(
         self, target: Target, body: GenerateRequest, ticket: Ticket | None
     ) -> AttemptEnd:
@@ -334,6 +387,8 @@
                 break
             self._context.counters.count("retried.resume")
             end = await self._resume(target)
+            if _shows_crash(end):
+                self._context.crashed(target)
         return end
 
     async def _resume(self, target: Target) -> AttemptEnd:
@@ -436,7 +491,12 @@
         body["reservation"] = group.reservation
         body["prefilled"] = sum(member.tokens for member in group.helpers)
         self._note_running(target, group)
-        end = await self._dispatch(target, body, None)
+        run = self._run_at(target, *(member.target for member in group.helpers))
+        end: AttemptEnd | None = None
+        try:
+            end = await self._dispatch(target, body, None)
+        finally:
+            context.crashes.ended(run, run_end(end), now_ms())
         if self.completion.key is not None:
             return self._outcome(await self._settle(end, target))
         end = await self._resume_while_alive(end, target)
@@ -456,7 +516,7 @@
         if settled is not None:
             return settled.failure
         message = "the attempt never began; ask again"
-        return Failure(ResultCode.DISPATCH_FAILED, message, RETRY_LATER_MS, Run.NOT_RUN)
+        return Failure(ResultCode.DISPATCH_FAILED, message, RETRY_LATER_MS, Fate.NOT_RUN)
 
     async def _serve_claimed(self, choice: Choice) -> Failure | None:
         """Run a non-idempotent request at most once, whoever else asks for it."""
--- a/siskinspoke/entry/context.py
+++ b/siskinspoke/entry/context.py
@@ -10,6 +10,7 @@
 from siskinspoke.conf import Settings
 from siskinspoke.conf.settings import EntryVM, Limits
 from siskinspoke.coordination.configuration import ConfigurationHolder
+from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory, ServerRecord
 from siskinspoke.coordination.fairness import FairShares
 from siskinspoke.coordination.retries import RetryBudget
@@ -20,6 +21,7 @@
 from siskinspoke.entry.control_client import ControlClient
 from siskinspoke.entry.janitor import Janitor
 from siskinspoke.protocol.claims import Target
+from siskinspoke.protocol.crashes import CrashNews
 
 
 def now_ms() -> float:
@@ -43,6 +45,8 @@
     backend: Backend
     control: ControlClient
     janitor: Janitor
+    crashes: CrashWatch
+    crash_news: trio.MemoryReceiveChannel[CrashNews]
     rng: random.Random
     nursery: trio.Nursery
     open_requests: int = 0
@@ -79,6 +83,14 @@
             return True
         return now_ms() - record.heard_at < self.settings.announcement_lease_ms
 
+    def crashed(self, target: Target) -> None:
+        """Take in that a server has crashed."""
+        record = self.directory.latest(target.server)
+        service = record.announcement.service if record is not None else ""
+        start, now = (target.server, target.incarnation), now_ms()
+        servers = len(self.directory.believed(service, now))
+        self.crashes.started_anew(start, service, servers, now)
+
     def request_opened(self) -> None:
         """Count a request that is being answered."""
         self.open_requests += 1
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -10,6 +10,7 @@
 
 from siskinspoke.conf import Settings
 from siskinspoke.coordination.configuration import ConfigurationHolder
+from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.fairness import FairShares
 from siskinspoke.coordination.prefixes import PrefixIndex
@@ -20,6 +21,7 @@
 from siskinspoke.entry.backend import Backend
 from siskinspoke.entry.context import EntryContext
 from siskinspoke.entry.control_client import ControlClient
+from siskinspoke.entry.crashes import CrashTeller, LogLines
 from siskinspoke.entry.followers import (
     AnnouncementFollower,
     CacheFollower,
@@ -30,12 +32,15 @@
 from siskinspoke.entry.janitor import Janitor
 from siskinspoke.entry.public_app import public_app
 from siskinspoke.protocol.claims import Target
+from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.transport.datagrams import open_datagram_port
 from siskinspoke.transport.http import HttpServer, serve
 
 REFUSING_SECONDS = 0.5
 CHORES_SECONDS = 3.0
 WARM_UP_LEASES = 0.5
+# News of crashes that wait to be told.
+MOST_CRASH_NEWS = 256
 
 
 def make_context(
@@ -51,6 +56,14 @@
     limits = settings.configuration.limits
     directory = Directory(settings.announcement_lease_ms)
 
+    news, crash_news = trio.open_memory_channel[CrashNews](MOST_CRASH_NEWS)
+
+    def tell(item: CrashNews) -> None:
+        try:
+            news.send_nowait(item)
+        except trio.WouldBlock:
+            counters.count("crash.untold")
+
     def is_gone(target: Target) -> bool:
         return directory.superseded(target.server, target.incarnation)
 
@@ -67,6 +80,8 @@
         backend=backend,
         control=control,
         janitor=Janitor(backend, counters, is_gone),
+        crashes=CrashWatch(tell, counters, LogLines()),
+        crash_news=crash_news,
         rng=random.Random(),
         nursery=nursery,
     )
@@ -89,8 +104,10 @@
         follower.load()
         limits = context.holder.current.configuration.limits
         drain_seconds = limits.drain_ms / 1000
+        teller = CrashTeller(context, port)
         tasks = [
-            AnnouncementFollower(context, port).run,
+            AnnouncementFollower(context, port, teller).run,
+            teller.run,
             follower.run,
             context.janitor.run,
             backend.watch_forever,
--- a/siskinspoke/entry/followers.py
+++ b/siskinspoke/entry/followers.py
@@ -8,9 +8,10 @@
 from loguru import logger
 
 from siskinspoke.coordination.configuration import FROM_CONTROL, FROM_DISK
-from siskinspoke.coordination.directory import Heard
+from siskinspoke.coordination.directory import Heard, ServerRecord
 from siskinspoke.coordination.watchers import watchers
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.entry.crashes import CrashTeller
 from siskinspoke.protocol.announcements import (
     Announcement,
     Load,
@@ -19,6 +20,7 @@
     load_of,
     server_key,
 )
+from siskinspoke.protocol.crashes import CrashSpread, CrashWant
 from siskinspoke.state.files import read_checked, write_atomically
 from siskinspoke.transport.datagrams import DatagramPort
 
@@ -41,9 +43,10 @@
     after its start, asks for it.
     """
 
-    def __init__(self, context: EntryContext, port: DatagramPort):
+    def __init__(self, context: EntryContext, port: DatagramPort, crashes: CrashTeller):
         self._context = context
         self._port = port
+        self._crashes = crashes
         self._entries = context.settings.entries
         self._place = self._entries.index(context.me)
         self._whole: OrderedDict[int, Announcement] = OrderedDict()
@@ -65,6 +68,10 @@
                 await self._send(Spread(self._whole[key]), sender)
             case Want():
                 self._context.counters.count("announcement.wanted_unknown")
+            case CrashSpread():
+                await self._crashes.hear(item)
+            case CrashWant():
+                await self._crashes.answer(item)
             case _:
                 self._context.counters.count("datagram.refused.kind")
 
@@ -96,16 +103,27 @@
         """Take in a load; ask, at most once a second, for a server that is not known."""
         now = now_ms()
         directory = self._context.directory
+        known = directory.latest(directory.name_of(load.key))
         heard = directory.hear_load(load, now)
+        self._note_end(known, load.incarnation)
         self._note(heard, directory.name_of(load.key), load.incarnation)
         if heard is Heard.UNKNOWN and now - self._asked.get(load.key, 0.0) > ASK_MS:
             self._asked[load.key] = now
             await self._send(Want(load.key, self._place), load.sender)
 
     def _hear(self, announcement: Announcement) -> None:
+        known = self._context.directory.latest(announcement.server)
         heard = self._context.directory.hear(announcement, now_ms())
+        self._note_end(known, announcement.incarnation)
         self._note(heard, announcement.server, announcement.incarnation)
 
+    def _note_end(self, known: ServerRecord | None, incarnation: int) -> None:
+        """Take in that a server has started again without having left: it crashed before."""
+        if known is None or known.announcement.leaving:
+            return
+        if known.announcement.incarnation < incarnation:
+            self._context.crashed(target_of(known))
+
     def _note(self, heard: Heard, server: str, incarnation: int) -> None:
         """Count what was heard; log a server that comes or goes."""
         context = self._context
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -113,11 +113,6 @@
         found = await look_at(gateway, server)
         if found is not NoConnection.REFUSED:
             return
-    take_in_crash(gateway, server, at)
-
-
-def take_in_crash(gateway: Gateway, server: ServerRecord, at: float) -> None:
-    """Tell who was open at a server that crashed."""
     now, service = now_ms(), server.announcement.service
     servers = len(gateway.directory.believed(service, now))
     gateway.crashes.crashed(server.start, service, servers, at, now)
--- a/siskinspoke/gateway/lives.py
+++ b/siskinspoke/gateway/lives.py
@@ -7,7 +7,6 @@
 
 from siskinspoke.coordination.directory import Heard
 from siskinspoke.gateway.context import Gateway, now_ms
-from siskinspoke.gateway.crashes import take_in_crash
 from siskinspoke.protocol.announcements import Announcement
 
 
@@ -19,7 +18,9 @@
         return heard
     server = announcement.server
     if not known.announcement.leaving and not gateway.crashes.has_crashed(known.start):
-        take_in_crash(gateway, known, now_ms())
+        now, service = now_ms(), announcement.service
+        servers = len(gateway.directory.believed(service, now))
+        gateway.crashes.started_anew(known.start, service, servers, now)
     gateway.standing.started(server)
     gateway.books.started(server)
     ended = gateway.attempts.started(server, announcement.incarnation)
--- a/siskinspoke/protocol/crashes.py
+++ b/siskinspoke/protocol/crashes.py
@@ -52,3 +52,18 @@
     served: list[SuspectEvent]
     probed: list[SuspectEvent]
     refuted: list[RefutedCrash]
+
+
+@message
+class CrashSpread(NamedTuple):
+    """News between entry VMs; one of another failure domain passes them on in its own."""
+
+    domain: str
+    news: CrashNews
+
+
+@message
+class CrashWant(NamedTuple):
+    """A question for all that matters of crashes, from the VM at this place in the settings."""
+
+    place: int
--- a/tests/entry/test_going_on.py
+++ b/tests/entry/test_going_on.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok
 
 from siskinspoke.bench.slopes import announcement
+from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.retries import RetryBudget
 from siskinspoke.coordination.routing import Choice
@@ -16,6 +17,7 @@
 from siskinspoke.entry.completions import CompletionJob
 from siskinspoke.entry.requests import Caller, Completion
 from siskinspoke.protocol.assembly import Piece
+from tests.feeds.test_follower import Quiet
 
 FULL = Failure(ResultCode.OVERLOADED, "every engine is full", 400)
 
@@ -79,6 +81,7 @@
         counters=Counters(),
         directory=SimpleNamespace(suspect=lambda *_: None),
         janitor=SimpleNamespace(add=lambda _: None),
+        crashes=CrashWatch(lambda news: None, Counters(), Quiet()),
         is_alive=lambda target: False,
         request_opened=lambda: None,
         request_closed=lambda: None,
