--- /dev/null
+++ b/siskinspoke/bench/crash_slopes.py
@@ -0,0 +1,104 @@
+"""Measure what it costs to remember servers' crashes: processor time, bytes and memory.
+
+Run as ``python -m siskinspoke.bench.crash_slopes``; prints one line for each figure.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from siskinspoke.coordination.crash_watch import CrashWatch
+from siskinspoke.coordination.crashes import MOST_CRASHES
+from siskinspoke.coordination.fingerprints import Subject
+from siskinspoke.core.counters import Counters
+from siskinspoke.protocol import encode_message
+from siskinspoke.protocol.crashes import CrashNews
+
+SUSPECTS = 8
+SERVERS = 870
+GAP_MS = 200.0
+BODY_BYTES = (20_000, 4_000_000)
+TIMES = 1_000
+
+
+class Silent:
+    """A log that nobody reads."""
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Leave a line out."""
+
+
+def subject(number: int, size: int = 200) -> Subject:
+    """Return a request of its own, with a body of so many bytes."""
+    return Subject("acme", "shop.example/stream/x", b"%d" % number + b"x" * size)
+
+
+def micros(act: Callable[[], Any], times: int = TIMES) -> float:
+    """Return the processor time of one call, in microseconds."""
+    began = time.process_time()
+    for _ in range(times):
+        act()
+    return (time.process_time() - began) / times * 1e6
+
+
+def crashes(told: list[CrashNews], count: int) -> CrashWatch:
+    """Return a watch after so many crashes under requests that differ but for one of each eight."""
+    watch = CrashWatch(told.append, Counters(), Silent())
+    for number in range(count):
+        start, at = (f"i-{number:010x}", 0), number * GAP_MS
+        bodies = [0, *range(number * SUSPECTS + 1, (number + 1) * SUSPECTS)]
+        for body in bodies:
+            watch.began(subject(body), [start], at - 100.0)
+        watch.crashed(start, "m", SERVERS, at, at)
+        watch._open.clear()
+    return watch
+
+
+def main() -> None:
+    """Print the figures."""
+    idle = CrashWatch(lambda news: None, Counters(), Silent())
+    one = subject(0)
+    print(f"request, nothing suspected: {micros(lambda: idle.judge(subject(0), 0.0)):.1f} us")
+    for size in BODY_BYTES:
+        cost = micros(lambda size=size: subject(0, size).fingerprint, 20)
+        print(f"fingerprint of {size:,} bytes: {cost:.0f} us")
+    told: list[CrashNews] = []
+    began = time.process_time()
+    watch = crashes(told, MOST_CRASHES)
+    took = time.process_time() - began
+    now = MOST_CRASHES * GAP_MS + 1_000.0
+    print(f"crash of {SUSPECTS} suspects, found and told: {took / MOST_CRASHES * 1e6:.0f} us")
+    print(f"news of one crash: {len(encode_message(told[-1]))} bytes")
+    report = told[-1].crashes[0]
+    alone = told[-1]._replace(crashes=[report._replace(suspects=report.suspects[:1])])
+    print(f"news of one suspect: {len(encode_message(alone))} bytes")
+    other = CrashWatch(lambda news: None, Counters(), Silent())
+    tracemalloc.start()
+    for news in told:
+        other.hear(news, now)
+    print(f"memory of {MOST_CRASHES} crashes: {tracemalloc.get_traced_memory()[0] / 1e6:.1f} MB")
+    tracemalloc.stop()
+    other = CrashWatch(lambda news: None, Counters(), Silent())
+    began = time.process_time()
+    for news in told:
+        other.hear(news, now)
+    took = time.process_time() - began
+    print(f"crash heard: {took / MOST_CRASHES * 1e6:.0f} us")
+    sound = subject(-1, 201)
+    print(
+        f"request of another shape, {MOST_CRASHES} crashes: "
+        f"{micros(lambda: watch.judge(sound, now)):.1f} us"
+    )
+
+    def judge_anew() -> None:
+        watch.ledger._cases.clear()
+        watch.judge(one, now)
+
+    print(f"verdict on one that was at all of them: {micros(judge_anew, 5):.0f} us")
+    snapshot = sum(len(encode_message(item)) for item in watch.all_news(now))
+    print(f"all that a newcomer is told: {snapshot:,} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -254,6 +254,7 @@
         gateway = self._gateway
         took = now_ms() - request.arrived_ms
         kind = request.route.kind.value
+        suspect = gateway.crashes.is_suspect(request.subject)
         gateway.latencies.record(f"request_{kind}", took)
         gateway.counters.count(f"ended.{request.end.replace(' ', '_')}")
         gateway.log.note(
@@ -281,5 +282,6 @@
             longest_pause=round(request.longest_pause_ms),
             tried=[list(item) for item in request.tried],
             reason=result.message if isinstance(result, Failure) else None,
+            fingerprint=request.subject.fingerprint if suspect else None,
             works=gateway.books.open_works,
         )
