Let a late call stay open at its server beside the next one, since that one may refuse

Callers got 502 for a call whose first server would have answered in time: after 45% of its time it was taken away from there, and the next server said that it had no room. The cause is that the first connection was ended before the second server had accepted. Now both are open, at most as many as the route's attempts, and the first whole answer counts; a late server still counts as silent.

--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -59,7 +59,8 @@
 
     ``ran`` servers may have worked on it, ``arrivals`` sendings have reached one, ``unreached``
     have not, and ``lost`` servers were found to be gone.  ``paid`` says that the repeat of the next
-    sending is taken from the budget, ``next`` where a stream then goes.
+    sending is taken from the budget, ``next`` where a stream then goes.  ``open`` attempts are
+    under way: one of a stream, several of a plain call, of which ``refused`` were not run.
     """
 
     left_out: LeftOut = field(default_factory=LeftOut)
@@ -68,6 +69,8 @@
     unreached: int = 0
     lost: int = 0
     near_only: bool = False
+    open: int = 1
+    refused: int = 0
     paid: bool = False
     next: Step | None = None
 
@@ -171,7 +174,7 @@
         gateway, request, progress = self._gateway, self._request, self._progress
         if not request.route.repeatable:
             return NoMore.ONCE
-        if progress.ran + 1 >= request.route.max_attempts:
+        if progress.ran + progress.open >= request.route.max_attempts:
             return NoMore.ATTEMPTS
         if not progress.has_tries(len(request.tried) + 1):
             return NoMore.TRIES
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -1,7 +1,12 @@
 """Serve a request whose answer is one piece: a plain service, or any failure of a stream."""
 
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import NamedTuple
 
+import trio
+
 from siskinspoke.coordination.crash_watch import RunEnd
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.liveness import whole_due_ms
@@ -71,39 +76,113 @@
     if quarantine is not None:
         return refusal(quarantine)
     gateway.budget.first_attempt(request.service, now_ms())
-    progress = Progress()
-    last: Whole | Failure | None = None
-    while last is None or await quarantine_of(gateway, request) is None:
+    async with trio.open_nursery() as nursery:
+        result = await _PlainCall(gateway, request, nursery).run()
+        # An attempt that is still open has lost against another one.
+        nursery.cancel_scope.cancel()
+    return result
+
+
+@dataclass(frozen=True)
+class _Late:
+    """An attempt has not ended in good time, and a repeat is paid for another one beside it."""
+
+
+@dataclass(frozen=True)
+class _Ended:
+    """What became of an attempt."""
+
+    server: ServerRecord
+    outcome: Whole | NotRun | Broke
+
+
+class _PlainCall:
+    """The attempts of one call; one that is late stays open beside the next.
+
+    Whoever seems to have room may refuse, and then the first is the only one who answers.
+    """
+
+    def __init__(self, gateway: Gateway, request: Request, nursery: trio.Nursery):
+        self._gateway = gateway
+        self._request = request
+        self._nursery = nursery
+        self._progress = Progress(open=0)
+        self._last: Whole | Failure | None = None
+        self._tell, self._events = trio.open_memory_channel[_Late | _Ended](math.inf)
+
+    async def run(self) -> Whole | Failure:
+        """Begin attempts until one brings an answer, or none is open and none may begin."""
+        self._begin()
+        while self._progress.open:
+            match await self._events.receive():
+                case _Late():
+                    self._begin()
+                case _Ended(server=server, outcome=outcome):
+                    self._progress.open -= 1
+                    result = await self._take_in(server, outcome)
+                    if result is not None:
+                        return result
+                    if await self._may_go_on():
+                        self._begin()
+        self._progress.give_back(self._gateway, self._request)
+        return self._last or _nobody(self._gateway)
+
+    async def _may_go_on(self) -> bool:
+        progress, request = self._progress, self._request
+        if progress.ran + progress.open >= request.route.max_attempts:
+            return False
+        if not progress.has_tries(len(request.tried)) or self._has_found_nobody():
+            return False
+        return self._last is None or await quarantine_of(self._gateway, request) is None
+
+    def _has_found_nobody(self) -> bool:
+        """Tell whether so many servers could not take the call that the next will hardly do."""
+        tried = self._request.tried
+        return len(tried) >= MOST_UNREACHABLE and self._progress.refused > 0
+
+    def _begin(self) -> None:
+        """Begin an attempt at another server, if there is one and a repeat is left."""
+        gateway, request, progress = self._gateway, self._request, self._progress
         records = _others(gateway, request, progress)
         if not records:
-            return last or _nobody(gateway)
+            return
         if not progress.pay(gateway, request):
             gateway.counters.count("retry.budget_spent")
-            return last or _nobody(gateway)
+            return
         server = least_loaded(gateway, reachable(gateway, records) or records)
         progress.left_out.fail(server.start)
-        outcome = await _attempt(gateway, request, server, progress)
+        progress.open += 1
+        self._nursery.start_soon(self._attempt, server)
+
+    async def _attempt(self, server: ServerRecord) -> None:
+        outcome = await _attempt(self._gateway, self._request, server, self._progress, self._late)
+        self._tell.send_nowait(_Ended(server, outcome))
+
+    def _late(self, server: ServerRecord) -> None:
+        """Take in that another attempt is paid for, since this one's server is late."""
+        learn(self._gateway, self._request, server, Broke(Trouble.SILENT, GIVEN_UP))
+        self._tell.send_nowait(_Late())
+
+    async def _take_in(
+        self, server: ServerRecord, outcome: Whole | NotRun | Broke
+    ) -> Whole | Failure | None:
+        """Take in how an attempt ended; return what the caller gets, None if that is open."""
+        repeatable = self._request.route.repeatable
         if isinstance(outcome, Broke):
-            await note_end(gateway, server, outcome)
-        progress.count(gateway, server, outcome)
+            await note_end(self._gateway, server, outcome)
+        self._progress.count(self._gateway, server, outcome)
         match outcome:
             case Whole(answer=answer):
-                if answer.status < 500 or not request.route.repeatable:
+                if answer.status < 500 or not repeatable:
                     return outcome
-                last = outcome
+                self._last = outcome
             case NotRun():
-                if len(request.tried) >= MOST_UNREACHABLE:
-                    return last or _nobody(gateway)
-                continue
+                self._progress.refused += 1
             case Broke(reason=reason):
-                if not request.route.repeatable:
-                    return Failure(ResultCode.FATE_UNKNOWN, reason)
-                last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
-        if progress.ran >= request.route.max_attempts:
-            return last
-        if not progress.has_tries(len(request.tried)):
-            return last
-    return last
+                self._last = self._last or Failure(ResultCode.FATE_UNKNOWN, reason)
+                if not repeatable:
+                    return self._last
+        return None
 
 
 def _others(gateway: Gateway, request: Request, progress: Progress) -> list[ServerRecord]:
@@ -118,9 +197,16 @@
 
 
 async def _attempt(
-    gateway: Gateway, request: Request, server: ServerRecord, progress: Progress
+    gateway: Gateway,
+    request: Request,
+    server: ServerRecord,
+    progress: Progress,
+    late: Callable[[ServerRecord], None],
 ) -> Whole | NotRun | Broke:
-    """Send the request to one server and read its whole answer."""
+    """Send the request to one server and read its whole answer.
+
+    ``late`` is called once the answer is late and a repeat is paid; this attempt goes on.
+    """
     name = server.announcement.server
     began = now_ms()
     left = request.left_ms(began)
@@ -129,6 +215,15 @@
         return bool(reachable(gateway, _others(gateway, request, progress)))
 
     onward = Onward(gateway, request, name, progress, has_other)
+    told = False
+
+    def move_on() -> bool:
+        nonlocal told
+        if not told and onward.move_on():
+            told = True
+            late(server)
+        return False
+
     fresh = request.route.repeatable and not progress.lost
     fresh_ms = FRESH_MS if fresh else FRESH_ONCE_MS
     patience_ms = FIRST_SHARE * left
@@ -145,7 +240,7 @@
     try:
         with (
             noted(gateway, request, server) as run,
-            gateway.attempts.attempt(server, move_on=onward.move_on) as attempt,
+            gateway.attempts.attempt(server, move_on=move_on) as attempt,
         ):
             usual_ms = gateway.standing.usual_ms([name], began)
             attempt.expect_within(whole_due_ms(usual_ms), began)
@@ -154,7 +249,6 @@
                     gateway, dispatch, server, attempt, patience_ms / 1000, fresh_ms
                 )
             if isinstance(outcome, Begun):
-                progress.give_back(gateway, request)
                 give_up_at = began + patience_ms
                 outcome = await _read_whole(gateway, server, outcome, attempt, give_up_at)
             run.end = run_end(outcome)
