Bring about what looks like a request that crashes servers and is none; name the parts of news of crashes

Connections that break at servers that live on, servers that leave in good order with a request open, one body that many send while its servers are killed: nobody is turned away.

--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -31,6 +31,7 @@
     RefutedCrash,
     SuspectEvent,
     SuspectReport,
+    crash_news,
 )
 
 # A server may crash under a request that has just been taken away from it, which still works there
@@ -124,7 +125,7 @@
         lifted = fingerprint in self._quarantined
         self._quarantined.discard(fingerprint)
         self._log.note("request.cleared", fingerprint=fingerprint, lifted=lifted)
-        self._tell(CrashNews([], [SuspectEvent(fingerprint, 0)], [], []))
+        self._tell(crash_news(served=[SuspectEvent(fingerprint, 0)]))
 
     def is_suspect(self, subject: Subject) -> bool:
         """Tell whether a server crashed with this request open; its body is read if need be."""
@@ -168,7 +169,7 @@
         if self._ledger.probe(fingerprint, now):
             self._counters.count("quarantine.probed")
             self._log.note("request.probed", fingerprint=fingerprint)
-            self._tell(CrashNews([], [], [SuspectEvent(fingerprint, 0)], []))
+            self._tell(crash_news(probed=[SuspectEvent(fingerprint, 0)]))
 
     def has_crashed(self, start: Start) -> bool:
         """Tell whether one start of a server is known to have crashed."""
@@ -229,7 +230,7 @@
             return
         self._own.setdefault(start, set()).update(item.fingerprint for item in suspects)
         report = _report_of(self._ledger.find(start), suspects, now)
-        self._tell(CrashNews([report], [], [], []))
+        self._tell(crash_news([report]))
 
     def answered(self, start: Start, sent_at: float, now: float) -> None:
         """Take in an answer to what was sent at a time; a server that crashed before gives none."""
@@ -239,15 +240,15 @@
         server, incarnation = start
         self._counters.count("crash.refuted")
         self._log.note("server.not_crashed", server=server, start=incarnation)
-        self._tell(CrashNews([], [], [], [RefutedCrash(server, incarnation)]))
+        self._tell(crash_news(refuted=[RefutedCrash(server, incarnation)]))
 
     def hear(self, news: CrashNews, now: float) -> CrashNews:
         """Take in what another VM tells, and return the part of it that is news here."""
-        return CrashNews(
-            [report for report in news.crashes if self._hear_crash(report, now)],
-            [item for item in news.served if self._hear_served(item, now)],
-            [item for item in news.probed if self._hear_probed(item, now)],
-            [item for item in news.refuted if self._hear_refuted(item, now)],
+        return crash_news(
+            crashes=[report for report in news.crashes if self._hear_crash(report, now)],
+            served=[item for item in news.served if self._hear_served(item, now)],
+            probed=[item for item in news.probed if self._hear_probed(item, now)],
+            refuted=[item for item in news.refuted if self._hear_refuted(item, now)],
         )
 
     def _hear_crash(self, report: CrashReport, now: float) -> bool:
@@ -272,7 +273,7 @@
             if (answered_at := self._answered.get(item.fingerprint, -math.inf)) >= crashed_at
         ]
         if cleared:
-            self._tell(CrashNews([], cleared, [], []))
+            self._tell(crash_news(served=cleared))
 
     def _hear_served(self, item: SuspectEvent, now: float) -> bool:
         return self._ledger.clear(item.fingerprint, now - item.age_ms)
@@ -306,14 +307,9 @@
             part = told[begin : begin + CRASHES_A_MESSAGE]
             reports = [_report_of(crash, suspects, now) for crash, suspects in part]
             named = {item.fingerprint for report in reports for item in report.suspects}
-            found.append(
-                CrashNews(
-                    reports,
-                    _events(self._ledger.served, named, now),
-                    _events(self._ledger.probed, named, now),
-                    [],
-                )
-            )
+            served = _events(self._ledger.served, named, now)
+            probed = _events(self._ledger.probed, named, now)
+            found.append(crash_news(reports, served, probed))
         return found
 
     def forget(self, now: float) -> None:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -249,7 +249,7 @@
         gateway.standing.ended(placed.name)
         if work is not None:
             gateway.peers.ended(work)
-        _judge(gateway, request, placed, outcome)
+        _judge(gateway, request, placed, outcome, began)
 
 
 def _note_group(gateway: Gateway, request: Request, placed: Placed) -> None:
@@ -364,9 +364,12 @@
     request: Request,
     placed: Placed,
     outcome: Ended | Whole | NotRun | Broke,
+    began: float,
 ) -> None:
-    """Learn from how an attempt ended."""
+    """Learn from how an attempt ended that began at a time."""
     now = now_ms()
+    if isinstance(outcome, Ended | Whole):
+        gateway.crashes.answered(placed.server.start, began, now)
     match outcome:
         case Ended():
             request.note(placed.name, "complete", now)
--- a/siskinspoke/protocol/crashes.py
+++ b/siskinspoke/protocol/crashes.py
@@ -3,6 +3,7 @@
 Clocks differ between VMs, so times are ages: milliseconds before the message was sent.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from siskinspoke.protocol.codec import message
@@ -54,6 +55,16 @@
     refuted: list[RefutedCrash]
 
 
+def crash_news(
+    crashes: Iterable[CrashReport] = (),
+    served: Iterable[SuspectEvent] = (),
+    probed: Iterable[SuspectEvent] = (),
+    refuted: Iterable[RefutedCrash] = (),
+) -> CrashNews:
+    """Return news of some of these kinds."""
+    return CrashNews(list(crashes), list(served), list(probed), list(refuted))
+
+
 @message
 class CrashSpread(NamedTuple):
     """News between entry VMs; one of another failure domain passes them on in its own."""
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -13,7 +13,7 @@
 import trio
 
 from tests.platform.fleet import fleet
-from tests.platform.site import gateway_site
+from tests.platform.site import gateway_site, until
 from tests.platform.standin_server import Events, StandinServer, Whole
 from tests.platform.test_streams import PROMPT
 
@@ -232,3 +232,85 @@
             await self.assert_known(site, others)
 
         self.run(tmp_path, scenario)
+
+
+class TestNoCause:
+    """What looks much like it, and must turn nobody away."""
+
+    def test_connections_that_break(self, tmp_path):
+        """Engines break streams off and live on: a link is bad, or answers are spoilt."""
+
+        async def run():
+            script = [Events(last=2, then="cut")]
+            async with (
+                gateway_site(tmp_path, timeout_ms=10_000) as site,
+                mortal_servers(site, "engines", 4, script, renamed=False) as running,
+            ):
+                for number in range(8):
+                    answer = await site.ask("/stream/x", f"r{number}", SOUND, **PROMPT)
+                    assert answer.status == 200
+                assert sendings(running, SOUND) == 16
+                assert site.gateway.crashes.ledger.is_empty
+
+        trio.run(run)
+
+    def test_servers_that_leave(self, tmp_path):
+        """Servers are replaced one after the other, each with the same slow request open."""
+
+        async def run():
+            script = [Events(last=40, pause=0.1)]
+            async with (
+                gateway_site(tmp_path, timeout_ms=10_000) as site,
+                mortal_servers(site, "engines", 5, script, renamed=True) as running,
+            ):
+                async with site.asking(
+                    "/stream/x", body=SOUND, Deadline_Ms="9000", **PROMPT
+                ) as got:
+                    for _ in range(3):
+                        holder = await holder_of(running)
+                        site.announce(holder, "engines", seq=10, leaving=True)
+                        holder.life.cancel()
+                assert got[0].whole
+                assert site.gateway.crashes.ledger.is_empty
+
+        trio.run(run)
+
+    def test_one_body_that_many_send(self, tmp_path):
+        """Many callers ask the same, and servers that answer them are killed for other reasons."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, timeout_ms=10_000) as site,
+                mortal_servers(
+                    site, "plain", 4, [Whole(begin_after=0.1)], renamed=False
+                ) as running,
+            ):
+                answers = []
+
+                async def caller(name: str) -> None:
+                    for number in range(15):
+                        answers.append(await site.ask("/again/x", f"{name}.{number}", SOUND))
+                        await trio.sleep(0.02)
+
+                async with trio.open_nursery() as nursery:
+                    for name in "abcdef":
+                        nursery.start_soon(caller, name)
+                    for number in range(8):
+                        await trio.sleep(0.2)
+                        running[number % 4].life.cancel()
+                assert not any(b"QUARANTINED" in answer.raw for answer in answers)
+                assert site.gateway.counters.totals["crash.found"] >= KNOWN_AFTER
+                assert "quarantine.began" not in site.gateway.counters.totals
+
+        trio.run(run)
+
+
+async def holder_of(running) -> StandinServer:
+    """Return the server that holds a stream, once it has begun there."""
+
+    def holders() -> list[StandinServer]:
+        alive = [server for server in running if not server.life.cancel_called]
+        return [server for server in alive if len(server.seen) > len(server.closed)]
+
+    await until(holders)
+    return holders()[0]
