Wait for a restarted control VM to listen before asking it, in the test of hundreds of changes

The trace (line 145) shows the test ask a control VM that it had started and not waited for; the entry VM, whose port it waits for, was up first. What is awaited and its bounds stay as they are.

--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -141,6 +141,8 @@
         began = time.monotonic()
         assert not missing(site, 201)
         assert time.monotonic() - began < IN_FORCE_SECONDS
+        control = site.fleet.settings.control_vm(sleeper)
+        site.fleet.wait_listening(control.host, control.port)
         wait_until(
             lambda: site.fleet.control_status(sleeper)["configuration_version"] == 201, "caught up"
         )
