Bring about a repeat that is paid for a late call and never used nor given back

The other server leaves in the moment in which the next attempt would begin, and the first one answers after all. Fails on the code as it is: one repeat taken, none given back.

--- a/tests/platform/test_next_step.py
+++ b/tests/platform/test_next_step.py
@@ -337,3 +337,41 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(run)
+
+
+class TestPaidInVain:
+    """A repeat that is paid for a late call, and not used, goes back to the budget."""
+
+    def test_call_that_is_answered_after_all(self, tmp_path):
+        """The other server leaves in the moment in which the next attempt would begin."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", [Whole(begin_after=LONG_CALL)], [Whole()]) as (one, two),
+            ):
+                budget = site.gateway.budget
+                take, give_back = budget.take, budget.give_back
+                taken, given = [], []
+
+                def take_and_retire(*args):
+                    taken.append(args)
+                    retire(site, two)
+                    return take(*args)
+
+                budget.take = take_and_retire
+                budget.give_back = lambda *args: given.append(args) or give_back(*args)
+                retire(site, two)
+                async with site.asking("/again/x") as answers:
+                    await until(lambda: one.seen)
+                    site.announce(two, "plain", started=5)
+                assert answers[0].status == 200
+                assert not two.seen
+                assert len(taken) == len(given) == 1
+
+        trio.run(run)
+
+
+def retire(site, server) -> None:
+    """Make a gateway hold a server for gone."""
+    site.gateway.directory.retire(*site.gateway.directory.latest(server.name).start)
