Give back the repeat that a late call did not need

It stayed taken for ten seconds, so a service whose calls are late had fewer repeats than its budget. Whatever ends the call now gives back what was not used.

--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -77,10 +77,13 @@
         return refusal(quarantine)
     gateway.budget.first_attempt(request.service, now_ms())
     async with trio.open_nursery() as nursery:
-        result = await _PlainCall(gateway, request, nursery).run()
-        # An attempt that is still open has lost against another one.
-        nursery.cancel_scope.cancel()
-    return result
+        call = _PlainCall(gateway, request, nursery)
+        try:
+            return await call.run()
+        finally:
+            call.give_back()
+            # An attempt that is still open has lost against another one.
+            nursery.cancel_scope.cancel()
 
 
 @dataclass(frozen=True)
@@ -124,9 +127,12 @@
                         return result
                     if await self._may_go_on():
                         self._begin()
-        self._progress.give_back(self._gateway, self._request)
         return self._last or _nobody(self._gateway)
 
+    def give_back(self) -> None:
+        """Give back what was paid for an attempt that nobody could take."""
+        self._progress.give_back(self._gateway, self._request)
+
     async def _may_go_on(self) -> bool:
         progress, request = self._progress, self._request
         if progress.ran + progress.open >= request.route.max_attempts:
