Answer a quarantined request, and wait for its verdict, in one piece of code for both paths

Now Quarantined.refusal and Undecided.wait_seconds serve both; no behaviour and no assertion changes.

--- a/siskinspoke/coordination/crashes.py
+++ b/siskinspoke/coordination/crashes.py
@@ -22,6 +22,7 @@
 from typing import NamedTuple
 
 from siskinspoke.coordination.fingerprints import shape_of
+from siskinspoke.core.codes import Failure, ResultCode
 
 # The chance p that an accident would hit a run weighs log(K * p ** (K - 1)).  Under accidents alone
 # that is worth nothing on average, so a request that meets many of them gathers no weight, and the
@@ -38,6 +39,8 @@
 # Reports of the same crash come from several VMs, some by way of a control VM, and so do whole
 # answers; a request waits so long for them before it is quarantined.
 SETTLE_MS = 500.0
+# A wait that is rounded to nothing would be waited for again and again.
+LEAST_WAIT_MS = 1.0
 # Afterwards one attempt in this time is let through, to see whether the server's fault is mended.
 QUARANTINE_MS = 600_000.0
 # How long such an attempt has for its answer before another one is let through.
@@ -101,6 +104,11 @@
 
     wait_ms: float
 
+    @property
+    def wait_seconds(self) -> float:
+        """Return how long to wait before asking again."""
+        return max(LEAST_WAIT_MS, self.wait_ms) / 1000
+
 
 @dataclass(frozen=True)
 class Quarantined:
@@ -109,6 +117,12 @@
     left_ms: float
     crashes: int
 
+    @property
+    def refusal(self) -> Failure:
+        """Return the answer to a request that is not sent: not run, and when to come back."""
+        message = f"{self.crashes} servers crashed under this request, so it is not sent"
+        return Failure(ResultCode.QUARANTINED, message, int(self.left_ms))
+
 
 @dataclass(frozen=True)
 class Probation:
--- a/siskinspoke/entry/crashes.py
+++ b/siskinspoke/entry/crashes.py
@@ -10,7 +10,7 @@
 from siskinspoke.coordination.crashes import Quarantined, Undecided, Verdict
 from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.coordination.watchers import rendezvous_order
-from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.codes import Failure
 from siskinspoke.entry.context import EntryContext, now_ms
 from siskinspoke.protocol.crashes import CrashNews, CrashSpread, CrashWant
 from siskinspoke.transport.datagrams import DatagramPort
@@ -19,8 +19,6 @@
 # have been cut off, or have just started.  Who knows of no crash does not answer.
 ASK_SECONDS = 3.0
 FORGET_SECONDS = 1.0
-# A wait that is rounded to nothing would be waited for again and again.
-LEAST_WAIT_SECONDS = 0.001
 
 
 class LogLines:
@@ -38,14 +36,13 @@
         if not isinstance(verdict, Undecided):
             return verdict
         context.counters.count("quarantine.waits")
-        await trio.sleep(max(LEAST_WAIT_SECONDS, verdict.wait_ms / 1000))
+        await trio.sleep(verdict.wait_seconds)
 
 
 def refusal(context: EntryContext, verdict: Quarantined) -> Failure:
-    """Return the answer to a request that is not sent, and when to come back."""
+    """Count a request that is not sent, and return its answer."""
     context.counters.count("quarantine.refused")
-    message = f"{verdict.crashes} servers crashed under this request, so it is not sent"
-    return Failure(ResultCode.QUARANTINED, message, int(verdict.left_ms))
+    return verdict.refusal
 
 
 class CrashTeller:
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -8,7 +8,6 @@
 from siskinspoke.coordination.crash_watch import Run, RunEnd
 from siskinspoke.coordination.crashes import Probation, Quarantined, Suspected, Undecided
 from siskinspoke.coordination.directory import ServerRecord
-from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.reaching import NoConnection, look_at
 from siskinspoke.gateway.upstream import Broke
@@ -16,8 +15,6 @@
 # A server from which an attempt was taken away may crash under it all the same; it is looked at
 # after this time.
 LOOK_LATER_SECONDS = 0.4
-# The end of a wait, in whole milliseconds of one clock, may lie a little before that of another.
-LEAST_WAIT_SECONDS = 0.001
 
 
 class Attempted:
@@ -50,9 +47,9 @@
         verdict = gateway.crashes.judge(request.subject, now)
         request.crashes = 0
         match verdict:
-            case Undecided(wait_ms=wait_ms):
+            case Undecided():
                 gateway.counters.count("quarantine.waits")
-                await trio.sleep(max(LEAST_WAIT_SECONDS, wait_ms / 1000))
+                await trio.sleep(verdict.wait_seconds)
             case Quarantined():
                 gateway.counters.count("quarantine.refused")
                 return verdict
@@ -67,12 +64,6 @@
                 return None
 
 
-def refusal(quarantine: Quarantined) -> Failure:
-    """Return the answer to a request that is not sent: it has not run, and when to come back."""
-    message = f"{quarantine.crashes} servers crashed under this request, so it is not sent"
-    return Failure(ResultCode.QUARANTINED, message, int(quarantine.left_ms))
-
-
 async def note_end(gateway: Gateway, server: ServerRecord, outcome: Broke) -> None:
     """Find out whether a server that broke off an attempt has crashed.
 
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -14,7 +14,7 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.crashes import note_end, noted, quarantine_of, refusal
+from siskinspoke.gateway.crashes import note_end, noted, quarantine_of
 from siskinspoke.gateway.onward import Onward, Progress
 from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded, reachable
 from siskinspoke.gateway.upstream import (
@@ -74,7 +74,7 @@
     request.service = choose_service(gateway, request)
     quarantine = await quarantine_of(gateway, request)
     if quarantine is not None:
-        return refusal(quarantine)
+        return quarantine.refusal
     gateway.budget.first_attempt(request.service, now_ms())
     async with trio.open_nursery() as nursery:
         call = _PlainCall(gateway, request, nursery)
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -14,7 +14,7 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.crashes import note_end, noted, quarantine_of, refusal
+from siskinspoke.gateway.crashes import note_end, noted, quarantine_of
 from siskinspoke.gateway.onward import NoMore, Onward, Progress, Step
 from siskinspoke.gateway.placing import (
     LEAST_TARGET_MS,
@@ -53,7 +53,7 @@
     request.service = choose_service(gateway, request)
     quarantine = await quarantine_of(gateway, request)
     if quarantine is not None:
-        return refusal(quarantine)
+        return quarantine.refusal
     gateway.budget.first_attempt(request.service, now_ms())
     relay = Relay(client, closes, last_id=request.call.resume_after)
     progress = Progress()
--- a/tests/platform/test_next_step.py
+++ b/tests/platform/test_next_step.py
@@ -12,6 +12,7 @@
 from siskinspoke.gateway.context import now_ms
 from tests.platform.site import gateway_site, late_server, request_bytes, servers, until
 from tests.platform.standin_server import Close, Events, Refuse, Whole
+from tests.platform.test_lost_servers import leave_one
 from tests.platform.test_silence import (
     LONG,
     LONG_CALL,
@@ -356,12 +357,12 @@
 
                 def take_and_retire(*args):
                     taken.append(args)
-                    retire(site, two)
+                    leave_one(site, two)
                     return take(*args)
 
                 budget.take = take_and_retire
                 budget.give_back = lambda *args: given.append(args) or give_back(*args)
-                retire(site, two)
+                leave_one(site, two)
                 async with site.asking("/again/x") as answers:
                     await until(lambda: one.seen)
                     site.announce(two, "plain", started=5)
@@ -370,8 +371,3 @@
                 assert len(taken) == len(given) == 1
 
         trio.run(run)
-
-
-def retire(site, server) -> None:
-    """Make a gateway hold a server for gone."""
-    site.gateway.directory.retire(*site.gateway.directory.latest(server.name).start)
