Ask other servers of a failure domain before one of it is taken for crashed

Change: a server that refuses has crashed only if another one of its failure domain can be reached; two are asked. Where they refuse too, the domain counts as cut, requests keep away from it, and the question is asked again four times within a second, so that a deadly request that ended half a rack is known a little later. A look that hears nothing is asked again too. Who was parted by such a cut does not use up an attempt. One line of log per crash and VM, not one per teller. Ways weighed: holding reports back until several servers of the domain have ended (a VM of a large fleet has one request open at a time and sees one end); giving such crashes no weight in the ledger (they hardly have any; it is the suspicion that costs); witnesses (kept): two connections for each crash found. Ruled out: an answer of the server itself as the only proof (it comes when the cut is over). Tests: three, all failed before; crashes, watch, worlds and the deadly request's tests pass.

--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -182,7 +182,8 @@
         fresh = self._ledger.add(start, service, servers, at, suspects)
         if fresh is None:
             return
-        self._note_crash(start, service, servers, suspects, told=False)
+        if known is None:
+            self._note_crash(start, service, servers, suspects, told=False)
         self._tell_own(start, fresh, now)
 
     def started_anew(self, start: Start, service: str, servers: int, now: float) -> None:
@@ -255,10 +256,15 @@
         at = now - report.age_ms
         start = (report.server, report.incarnation)
         suspects = [Suspect(item.fingerprint, at - item.ran_ms) for item in report.suspects]
+        is_known = self._ledger.find(start) is not None
         fresh = self._ledger.add(start, report.service, report.servers, at, suspects)
         if fresh is None:
             return False
-        self._note_crash(start, report.service, report.servers, fresh, told=True)
+        if is_known:
+            # Each VM that had a request open there tells of its own; one line a crash is enough.
+            self._counters.count("crash.told_more")
+        else:
+            self._note_crash(start, report.service, report.servers, fresh, told=True)
         own = self._suspects_at(start, self._ledger.find(start).at)
         more = self._ledger.add(start, report.service, report.servers, at, own)
         self._tell_own(start, more or [], now)
--- a/siskinspoke/coordination/domains.py
+++ b/siskinspoke/coordination/domains.py
@@ -53,6 +53,14 @@
         """
         return self.unreached(domain, f"told by {vm}", now)
 
+    def refused(self, domain: str, now: float) -> bool:
+        """Note that several servers of a domain refuse together; return whether the cut is new."""
+        known = self._domains.setdefault(domain, _Domain())
+        known.failed["refused"] = now
+        is_new = known.cut_since is None
+        known.cut_since = now if is_new else known.cut_since
+        return is_new
+
     def is_cut(self, domain: str, now: float) -> bool:
         """Tell whether a domain is believed to be out of reach."""
         known = self._domains.get(domain)
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -8,6 +8,12 @@
 from siskinspoke.coordination.crash_watch import Run, RunEnd
 from siskinspoke.coordination.crashes import Probation, Quarantined, Suspected, Undecided
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.witnesses import (
+    ASK_AGAIN,
+    ASK_AGAIN_SECONDS,
+    choose_witnesses,
+    speaks_for_cut,
+)
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.reaching import NoConnection, look_at
 from siskinspoke.gateway.upstream import Broke
@@ -68,7 +74,8 @@
     """Find out whether a server that broke off an attempt has crashed.
 
     A dead process refuses connections.  One that has ended the connection alone accepts another
-    one, and one that is cut off says nothing, so neither is taken for a crash.
+    one, and one that is cut off says nothing or refuses together with its whole failure domain, so
+    neither is taken for a crash.
     """
     if not (outcome.closed or outcome.gone):
         if not gateway.crashes.ledger.is_empty:
@@ -96,14 +103,72 @@
 
 
 async def _look_for_crash(gateway: Gateway, server: ServerRecord, at: float) -> None:
-    """Take in a crash unless the server has left in good order or can still be reached."""
-    name = server.announcement.server
-    if gateway.directory.has_left(name) or gateway.crashes.has_crashed(server.start):
-        return
-    if not gateway.directory.superseded(*server.start):
-        found = await look_at(gateway, server)
-        if found is not NoConnection.REFUSED:
+    """Take in a crash; where the question stays open it is asked again, and nobody waits for it."""
+    if not await _settle(gateway, server, at):
+        gateway.chores.start_soon(_ask_again, gateway, server, at)
+
+
+async def _ask_again(gateway: Gateway, server: ServerRecord, at: float) -> None:
+    for _ in range(ASK_AGAIN):
+        await trio.sleep(ASK_AGAIN_SECONDS)
+        if await _settle(gateway, server, at):
             return
-    now, service = now_ms(), server.announcement.service
-    servers = len(gateway.directory.believed(service, now))
-    gateway.crashes.crashed(server.start, service, servers, at, now)
+
+
+async def _settle(gateway: Gateway, server: ServerRecord, at: float) -> bool:
+    """Find out whether a server has crashed, and take it in; return whether that is known now.
+
+    It has not if it has left in good order or can be reached.  Nobody can tell where its whole
+    failure domain refuses, or where nothing is heard: this VM itself may have stood still.
+    """
+    said = server.announcement
+    if gateway.directory.has_left(said.server) or gateway.crashes.has_crashed(server.start):
+        return True
+    if not gateway.directory.superseded(*server.start):
+        match await look_at(gateway, server):
+            case None:
+                return True
+            case NoConnection.SILENT:
+                return gateway.domains.is_cut(said.failure_domain, now_ms())
+        if await _domain_refuses(gateway, server):
+            _note_refusing_domain(gateway, server)
+            return False
+    now = now_ms()
+    servers = len(gateway.directory.believed(said.service, now))
+    gateway.crashes.crashed(server.start, said.service, servers, at, now)
+    return True
+
+
+async def _domain_refuses(gateway: Gateway, server: ServerRecord) -> bool:
+    """Tell whether other servers of the failure domain cannot be reached either."""
+    said, now = server.announcement, now_ms()
+    others = {
+        record.announcement.server: record
+        for record in gateway.directory.live(now)
+        if record.announcement.failure_domain == said.failure_domain
+        and record.announcement.server != said.server
+        and not gateway.crashes.has_crashed(record.start)
+    }
+    reached: list[bool] = []
+
+    async def ask(record: ServerRecord) -> None:
+        reached.append(await look_at(gateway, record) is None)
+
+    async with trio.open_nursery() as nursery:
+        for name in choose_witnesses(sorted(others), gateway.rng):
+            nursery.start_soon(ask, others[name])
+    return speaks_for_cut(reached)
+
+
+def _note_refusing_domain(gateway: Gateway, server: ServerRecord) -> None:
+    """Keep new requests from a domain that refuses as a whole, until it can be reached."""
+    said, now = server.announcement, now_ms()
+    gateway.counters.count("crash.doubted")
+    gateway.log.note(
+        "domain.refuses",
+        domain=said.failure_domain,
+        server=said.server,
+        start=said.incarnation,
+    )
+    if gateway.domains.refused(said.failure_domain, now):
+        gateway.log.note("domain.cut", domain=said.failure_domain, server=said.server)
--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -206,8 +206,11 @@
     One that cannot be reached may work on.  One that has said that it leaves, and then closes the
     connection, has ended: counted as an attempt, two that leave one after the other used up what
     most routes allow, and the stream was cut though other engines were well.  The same holds for
-    the neighbours of a request that crashes one server after the other.
+    the neighbours of a request that crashes one server after the other, and for whoever a cut has
+    parted from a whole failure domain: it resets both ends of their connections.
     """
     if broke.reason == STARTED_AGAIN or gateway.crashes.has_crashed(server.start):
         return True
-    return broke.closed and gateway.directory.has_left(server.announcement.server)
+    said = server.announcement
+    is_cut = gateway.domains.is_cut(said.failure_domain, now_ms())
+    return broke.closed and (is_cut or gateway.directory.has_left(said.server))
--- /dev/null
+++ b/tests/platform/test_false_crashes.py
@@ -0,0 +1,110 @@
+"""Servers that refuse connections though they run, and a look that hears nothing."""
+
+from collections import deque
+
+import trio
+
+from siskinspoke.gateway import reaching
+from tests.platform.site import gateway_site, servers, until
+from tests.platform.standin_server import Events
+from tests.platform.test_silence import whole_stream
+from tests.platform.test_streams import PROMPT, data_of
+
+CUT_SECONDS = 0.6
+
+
+class Firewall:
+    """Stand between the gateway and its servers: refuse connections, or say nothing for a while."""
+
+    def __init__(self, monkeypatch):
+        self.refuses: set[int] | None = set()
+        self.silent_tries = 0
+        self._connect = reaching.connect
+        monkeypatch.setattr(reaching, "connect", self._open)
+
+    async def _open(self, host, port, *more):
+        if self.refuses is None or port in self.refuses:
+            if self.silent_tries:
+                self.silent_tries -= 1
+                await trio.sleep_forever()
+            raise ConnectionRefusedError
+        return await self._connect(host, port, *more)
+
+
+def crashes(site) -> list[str]:
+    """Return the servers that this VM believes to have crashed."""
+    return [crash.start[0] for crash in site.gateway.crashes.ledger.crashes]
+
+
+class TestDomainRefuses:
+    """A cut resets all connections into a failure domain and refuses new ones."""
+
+    def test_no_server_there_has_crashed(self, tmp_path, monkeypatch):
+        """Every engine behind the cut was noted as crashed, and sound requests as suspects."""
+
+        async def run():
+            firewall = Firewall(monkeypatch)
+            script = deque([Events(last=2, pause=0.2, then="cut"), Events(first=3, last=4)])
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Events()], [Events()], [Events()]) as running,
+            ):
+                for server in running:
+                    server.script = script
+                async with site.asking("/stream/x", **PROMPT) as answers:
+                    await until(lambda: any(server.seen for server in running))
+                    firewall.refuses = None
+                    await until(lambda: site.gateway.counters.totals.get("crash.doubted"))
+                    assert site.gateway.domains.cut_now(reaching.now_ms())
+                    await trio.sleep(CUT_SECONDS)
+                    assert crashes(site) == []
+                    firewall.refuses = set()
+                    await until(lambda: answers)
+                assert crashes(site) == []
+                assert data_of(answers[0].body) == whole_stream(4)
+
+        trio.run(run)
+
+    def test_server_that_crashed_in_the_cut_is_known_after_it(self, tmp_path, monkeypatch):
+        """A deadly request reaches one engine, and then the cut comes: the evidence is not lost."""
+
+        async def run():
+            firewall = Firewall(monkeypatch)
+            script = [Events(last=2, pause=0.2, then="cut")]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", script, script, script) as running,
+            ):
+                async with site.asking("/stream/x", **PROMPT):
+                    await until(lambda: any(server.seen for server in running))
+                    dead = next(server for server in running if server.seen)
+                    firewall.refuses = None
+                    await until(lambda: site.gateway.counters.totals.get("crash.doubted"))
+                    firewall.refuses = {dead.port}
+                    await until(lambda: crashes(site))
+                    assert crashes(site)[0] == dead.name
+
+        trio.run(run)
+
+
+class TestNothingHeard:
+    """The VM stands still while it looks at a server, and hears not even the refusal."""
+
+    def test_crash_is_found_all_the_same(self, tmp_path, monkeypatch):
+        """One silent look was the last word: a deadly request was then sent on without end."""
+
+        async def run():
+            firewall = Firewall(monkeypatch)
+            script = [Events(last=2, pause=0.2, then="cut")]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", script, script) as running,
+            ):
+                async with site.asking("/stream/x", **PROMPT):
+                    await until(lambda: any(server.seen for server in running))
+                    dead = next(server for server in running if server.seen)
+                    firewall.refuses, firewall.silent_tries = {dead.port}, 2
+                    await until(lambda: crashes(site))
+                    assert crashes(site)[0] == dead.name
+
+        trio.run(run)
