Answer the calls to a control VM on its own HTTP/1.1 connections instead of quart on hypercorn

What takes it is one heartbeat a server and 1.2 s, each answered by quart on hypercorn. Loading the two also held a control VM's processor for 0.4 s after each start, from 0.3 s on. Change: transport/calls.py serves small calls on the connections of the transparent path (h11), the pages of /readyz and /metrics too; the adapter routes by match. Tests: the control app's as before, on its new entry point; new ones for an unknown call and for a fault in one.

--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import trio
 
@@ -25,6 +25,7 @@
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
 from siskinspoke.state.replica_store import open_store
 from siskinspoke.state.server_file import load_servers, save_servers
+from siskinspoke.transport.calls import Bounds, Call, Reply, serve_calls
 from siskinspoke.transport.links import LinkListener, LinkSender, LinkSet
 from siskinspoke.transport.pages import metrics_pages, serve_pages
 
@@ -42,9 +43,6 @@
 KEEP_LINKS_SECONDS = 2.0
 # Servers come and go in series; their list is written at most this often.
 KEEP_SERVERS_SECONDS = 0.5
-GRACEFUL_SECONDS = 1.0
-# Entry VMs look for control VMs every 0.2 s and need one exchange.
-FOLLOWERS_FIRST_SECONDS = 0.3
 
 
 class ControlParts(NamedTuple):
@@ -56,7 +54,11 @@
     log: DecisionLog
 
 
-AppFactory = Callable[[ControlParts], object]
+class App(Protocol):
+    """What answers the calls of operators and servers."""
+
+    async def answer(self, call: Call) -> Reply:
+        """Answer one call."""
 
 
 class GroupDaemon:
@@ -109,11 +111,12 @@
         members = set(self._replica.members) if self._replica is not None else set()
         return sorted(members | {self._watch.settings.host})
 
-    async def run(self, load_app: Callable[[], AppFactory], metrics_port: int) -> None:
+    async def run(
+        self, make_app: Callable[[ControlParts], App], bounds: Bounds, metrics_port: int
+    ) -> None:
         """Serve until SIGTERM."""
         settings = self._watch.settings
         parts = ControlParts(self.registry, self._counters, Latencies(), self._log)
-        shutdown = trio.Event()
         self._recall_servers()
         async with AsyncExitStack() as stack:
             nursery = await stack.enter_async_context(trio.open_nursery())
@@ -131,32 +134,16 @@
             if metrics_port:
                 pages = metrics_pages(self._counters, parts.latencies)
                 await nursery.start(serve_pages, pages, settings.host, metrics_port)
-            nursery.start_soon(self._serve_operators, load_app, parts, shutdown)
+            address = settings.operators
+            answer = make_app(parts).answer
+            await nursery.start(serve_calls, answer, bounds, address.host, address.port)
             self._log.note("start", role="control", found=settings.found, host=settings.host)
             await self._until_told_to_stop()
             self._log.note("stop", role="control")
             if self._task is not None:
                 await self._task.hand_over()
-            shutdown.set()
             nursery.cancel_scope.cancel()
 
-    async def _serve_operators(
-        self, load_app: Callable[[], AppFactory], parts: ControlParts, shutdown: trio.Event
-    ) -> None:
-        """Serve operators and announcements, once the HTTP server is loaded.
-
-        To load it keeps the processor of a small VM for 0.4 s.  Followers come first: after a
-        loss of all VMs, callers are served again as soon as entry VMs have a configuration.
-        """
-        await trio.sleep(FOLLOWERS_FIRST_SECONDS)
-        make_app = await trio.to_thread.run_sync(load_app)
-        from siskinspoke.transport.http import HttpServer, serve
-
-        address = self._watch.settings.operators
-        server = HttpServer(make_app(parts), address.host, address.port, GRACEFUL_SECONDS)
-        self._log.note("operators.open", port=address.port)
-        await serve(server, shutdown)
-
     async def _until_told_to_stop(self) -> None:
         """Wait for SIGTERM; SIGHUP, which would end the process, means changed settings."""
         told = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -1,21 +1,22 @@
 """The platform's calls to a control VM: announcements of servers, and the operator's."""
 
-from typing import Literal
+from typing import Any, Literal
+from urllib.parse import unquote
 
 import msgspec
 from expression import Error, Ok, Result
-from quart import Response, request
 
 from siskinspoke.conf.vm import address_from
 from siskinspoke.control.group_daemon import ControlParts
 from siskinspoke.coordination.directory import UNDATED
 from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.supervise import note_fault
 from siskinspoke.platform.configuration import decode_configuration, services_in
 from siskinspoke.protocol.announcements import Announcement
-from siskinspoke.transport.http import json_response, make_app
+from siskinspoke.transport.calls import Bounds, Call, Reply
 
-MAX_BODY_BYTES = 16_000_000
-BODY_SECONDS = 5.0
+BOUNDS = Bounds(body_bytes=16_000_000, body_seconds=5.0)
+JSON = "application/json"
 # A deregistration has no number; it goes after all that the same start of the server has sent.
 LAST_SEQ = 2**60
 DRAINING = "draining"
@@ -103,61 +104,91 @@
     )
 
 
-def _refusal(failure: Failure, status: int = 400) -> Response:
-    return json_response(failure.to_document(), status)
+def _reply(document: Any, status: int = 200) -> Reply:
+    return Reply(status, msgspec.json.encode(document), JSON)
 
 
-def _unsure(message: str) -> Response:
-    return _refusal(Failure(ResultCode.NO_QUORUM, message), 503)
+def _refusal(failure: Failure, status: int = 400) -> Reply:
+    return _reply(failure.to_document(), status)
 
 
-def control_app(parts: ControlParts):
-    """Return the application that serves the platform's calls."""
-    app = make_app("control", MAX_BODY_BYTES, BODY_SECONDS)
-    registry = parts.registry
+def _unsure(message: str) -> Reply:
+    return _refusal(Failure(ResultCode.NO_QUORUM, message), 503)
 
-    def services() -> frozenset[str] | None:
-        document = registry.held.document
-        return None if document is None else services_in(document)
 
-    @app.post("/instances/<server>/heartbeat")
-    async def heartbeat(server: str) -> Response:
-        read = announcement_from(server, await request.get_data())
-        fault = read.error if read.is_error() else registry.fault_of(read.ok, services())
+class ControlApp:
+    """Answer the platform's calls to a control VM."""
+
+    def __init__(self, parts: ControlParts):
+        self._registry = parts.registry
+        self._counters = parts.counters
+        self._log = parts.log
+        self._known: tuple[int, frozenset[str] | None] = (0, None)
+
+    async def answer(self, call: Call) -> Reply:
+        """Answer one call; a fault in one must not end the VM."""
+        try:
+            return await self._answer(call)
+        except Exception as error:
+            note_fault(self._log, self._counters, f"{call.method} {call.path[:100]}", error)
+            return _refusal(Failure(ResultCode.INTERNAL, "a fault of this VM"), 500)
+
+    async def _answer(self, call: Call) -> Reply:
+        words = [unquote(word) for word in call.path.split("/")[1:]]
+        match (call.method, *words):
+            case ("POST", "instances", server, "heartbeat"):
+                return await self._announce(server, call.body)
+            case ("POST", "instances", server, "deregister"):
+                return await self._deregister(server, call.body)
+            case ("POST", "config", "replace"):
+                return await self._replace(call.body)
+            case ("GET", "config", "get"):
+                return await self._get()
+        return _refusal(Failure(ResultCode.UNKNOWN_PATH, "no such path or method"), 404)
+
+    def _services(self) -> frozenset[str] | None:
+        """Return the services of the configuration in force, None before there is one."""
+        held = self._registry.held
+        if held.document is None:
+            return None
+        if self._known[0] != held.version:
+            self._known = (held.version, services_in(held.document))
+        return self._known[1]
+
+    async def _announce(self, server: str, body: bytes) -> Reply:
+        registry = self._registry
+        read = announcement_from(server, body)
+        fault = read.error if read.is_error() else registry.fault_of(read.ok, self._services())
         if fault is not None:
             registry.refuse(server, fault)
             return _refusal(fault)
-        if not await registry.announce(read.ok):
-            return _unsure("nobody could be told of the leave; ask another VM")
-        return json_response({})
+        return await self._take_in(read.ok)
 
-    @app.post("/instances/<server>/deregister")
-    async def deregister(server: str) -> Response:
-        read = farewell_from(server, await request.get_data(), registry.known(server))
+    async def _deregister(self, server: str, body: bytes) -> Reply:
+        read = farewell_from(server, body, self._registry.known(server))
         if read.is_error():
-            registry.refuse(server, read.error)
+            self._registry.refuse(server, read.error)
             return _refusal(read.error)
-        if not await registry.announce(read.ok):
+        return await self._take_in(read.ok)
+
+    async def _take_in(self, announcement: Announcement) -> Reply:
+        if not await self._registry.announce(announcement):
             return _unsure("nobody could be told of the leave; ask another VM")
-        return json_response({})
+        return _reply({})
 
-    @app.post("/config/replace")
-    async def replace() -> Response:
-        decoded = decode_configuration(await request.get_data())
+    async def _replace(self, body: bytes) -> Reply:
+        decoded = decode_configuration(body)
         if decoded.is_error():
-            parts.log.note("configuration.refused", reason=decoded.error.message[:300])
+            self._log.note("configuration.refused", reason=decoded.error.message[:300])
             return _refusal(decoded.error)
         document, table = decoded.ok
-        published = await registry.publish(table.version, document)
+        published = await self._registry.publish(table.version, document)
         if not published.known:
             return _unsure("no majority confirmed the configuration in time; send it again")
-        return json_response({"version": published.version})
+        return _reply({"version": published.version})
 
-    @app.get("/config/get")
-    async def get() -> Response:
-        held = await registry.read()
+    async def _get(self) -> Reply:
+        held = await self._registry.read()
         if held is None or held.document is None:
             return _unsure("this VM cannot tell which configuration is the newest")
-        return json_response(held.document)
-
-    return app
+        return _reply(held.document)
--- a/siskinspoke/transport/pages.py
+++ b/siskinspoke/transport/pages.py
@@ -12,12 +12,9 @@
 
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.latencies import Latencies
-from siskinspoke.transport.http1 import BadRequestError, ClientConnection, Headers
+from siskinspoke.transport.calls import Bounds, Call, Reply, serve_calls
 
-HEADER_BYTES = 8_192
-BODY_BYTES = 1_024
-# A balancer or a collector asks every few seconds; one that says nothing for longer is gone.
-IDLE_SECONDS = 30.0
+BOUNDS = Bounds(body_bytes=1_024, body_seconds=30.0)
 TEXT = "text/plain; version=0.0.4"
 
 
@@ -48,34 +45,9 @@
 ) -> None:
     """Serve pages by path forever."""
 
-    async def serve_one(stream: trio.SocketStream) -> None:
-        connection = ClientConnection(stream, HEADER_BYTES)
-        try:
-            while await _answer(pages, connection):
-                pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError, BadRequestError):
-            # The asker has gone or speaks no HTTP; it sees a closed connection.
-            return
-        finally:
-            await connection.close()
-
-    await trio.serve_tcp(serve_one, port, host=host, task_status=task_status)
-
-
-async def _answer(pages: Pages, connection: ClientConnection) -> bool:
-    """Answer one request; False when the connection is over."""
-    came = False
-    with trio.move_on_after(IDLE_SECONDS):
-        came = await connection.wait_for_request()
-    if not came:
-        return False
-    head = await connection.read_head()
-    await connection.read_body(BODY_BYTES)
-    make = pages.get(head.target.partition("?")[0])
-    page = Page(404) if make is None else make()
-    headers: Headers = [
-        (b"Content-Type", TEXT.encode()),
-        (b"Content-Length", b"%d" % len(page.body)),
-    ]
-    await connection.send_whole(page.status, headers, page.body)
-    return connection.next_cycle()
+    async def answer(call: Call) -> Reply:
+        make = pages.get(call.path)
+        page = Page(404) if make is None else make()
+        return Reply(page.status, page.body, TEXT)
+
+    await serve_calls(answer, BOUNDS, host, port, task_status=task_status)
--- a/tests/platform/test_control_app.py
+++ b/tests/platform/test_control_app.py
@@ -9,7 +9,8 @@
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.latencies import Latencies
-from siskinspoke.platform.control_app import control_app
+from siskinspoke.platform.control_app import ControlApp
+from siskinspoke.transport.calls import Call
 from tests.feeds.test_follower import Quiet
 
 LEASE_MS = 4_800
@@ -45,8 +46,7 @@
         self.hub = Hub()
         registry = Registry(self.directory, self.counters, Quiet())
         registry.attach(self.hub)
-        app = control_app(ControlParts(registry, self.counters, Latencies(), Quiet()))
-        self.client = app.test_client()
+        self.app = ControlApp(ControlParts(registry, self.counters, Latencies(), Quiet()))
 
     async def beat(self, server, **changes):
         """Send a heartbeat; return the status of its answer."""
@@ -62,7 +62,7 @@
 
     async def post(self, path, body=b""):
         """Send a call; return the status of its answer."""
-        return (await self.client.post(path, data=body)).status_code
+        return (await self.app.answer(Call("POST", path, body))).status
 
     def live(self):
         """Return the names and starts of the servers that may get work."""
@@ -131,3 +131,27 @@
             assert control.live() == []
 
         trio.run(run)
+
+
+class TestCalls:
+    """What is no call of the platform, and a fault in one that is."""
+
+    def test_unknown_path_and_method(self):
+        async def run():
+            control = Control()
+            assert await control.post("/instances/i-1") == 404
+            assert (await control.app.answer(Call("GET", "/instances/i-1/heartbeat"))).status == 404
+
+        trio.run(run)
+
+    def test_fault_ends_one_call_alone(self):
+        """A fault got through to the nursery of the control VM, and would have ended it."""
+
+        async def run():
+            control = Control()
+            control.hub.tell = None
+            assert await control.beat("i-1") == 500
+            control.hub = Hub()
+            assert control.counters.totals["fault"]
+
+        trio.run(run)
--- a/tests/platform/test_false_crashes.py
+++ b/tests/platform/test_false_crashes.py
@@ -74,15 +74,15 @@
             async with (
                 gateway_site(tmp_path) as site,
                 servers(site, "engines", script, script, script) as running,
+                site.asking("/stream/x", **PROMPT),
             ):
-                async with site.asking("/stream/x", **PROMPT):
-                    await until(lambda: any(server.seen for server in running))
-                    dead = next(server for server in running if server.seen)
-                    firewall.refuses = None
-                    await until(lambda: site.gateway.counters.totals.get("crash.doubted"))
-                    firewall.refuses = {dead.port}
-                    await until(lambda: crashes(site))
-                    assert crashes(site)[0] == dead.name
+                await until(lambda: any(server.seen for server in running))
+                dead = next(server for server in running if server.seen)
+                firewall.refuses = None
+                await until(lambda: site.gateway.counters.totals.get("crash.doubted"))
+                firewall.refuses = {dead.port}
+                await until(lambda: crashes(site))
+                assert crashes(site)[0] == dead.name
 
         trio.run(run)
 
@@ -99,12 +99,12 @@
             async with (
                 gateway_site(tmp_path) as site,
                 servers(site, "engines", script, script) as running,
+                site.asking("/stream/x", **PROMPT),
             ):
-                async with site.asking("/stream/x", **PROMPT):
-                    await until(lambda: any(server.seen for server in running))
-                    dead = next(server for server in running if server.seen)
-                    firewall.refuses, firewall.silent_tries = {dead.port}, 2
-                    await until(lambda: crashes(site))
-                    assert crashes(site)[0] == dead.name
+                await until(lambda: any(server.seen for server in running))
+                dead = next(server for server in running if server.seen)
+                firewall.refuses, firewall.silent_tries = {dead.port}, 2
+                await until(lambda: crashes(site))
+                assert crashes(site)[0] == dead.name
 
         trio.run(run)
