Keep the margin of a second try by how late first tokens have come, and serve calls a moment after followers

Second tries: a try was made when what was expected of it fitted into 0.85 of the time left. Control VMs load what answers calls 0.1 s after their start, after their first followers.

--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -46,6 +46,8 @@
 KEEP_LINKS_SECONDS = 2.0
 # Servers come and go in series; their list is written at most this often.
 KEEP_LISTS_SECONDS = 0.5
+# Entry VMs look for control VMs every 0.2 s and need one exchange.
+FOLLOWERS_FIRST_SECONDS = 0.1
 # After its start a control VM calls so often, this long apart, whoever does not follow it yet.
 CALLS = 12
 CALL_SECONDS = 0.1
@@ -67,6 +69,9 @@
         """Answer one call."""
 
 
+AppFactory = tuple[Callable[[ControlParts], App], Bounds]
+
+
 class GroupDaemon:
     """Wire a control VM together; each part owns its sockets and state."""
 
@@ -117,9 +122,7 @@
         members = set(self._replica.members) if self._replica is not None else set()
         return sorted(members | {self._watch.settings.host})
 
-    async def run(
-        self, make_app: Callable[[ControlParts], App], bounds: Bounds, metrics_port: int
-    ) -> None:
+    async def run(self, load_app: Callable[[], AppFactory], metrics_port: int) -> None:
         """Serve until SIGTERM."""
         settings = self._watch.settings
         parts = ControlParts(self.registry, self._counters, Latencies(), self._log)
@@ -142,9 +145,7 @@
             if metrics_port:
                 pages = metrics_pages(self._counters, parts.latencies)
                 await nursery.start(serve_pages, pages, settings.host, metrics_port)
-            address = settings.operators
-            answer = make_app(parts).answer
-            await nursery.start(serve_calls, answer, bounds, address.host, address.port)
+            nursery.start_soon(self._serve_calls, load_app, parts)
             self._log.note("start", role="control", found=settings.found, host=settings.host)
             await self._until_told_to_stop()
             self._log.note("stop", role="control")
@@ -152,6 +153,16 @@
                 await self._task.hand_over()
             nursery.cancel_scope.cancel()
 
+    async def _serve_calls(self, load_app: Callable[[], AppFactory], parts: ControlParts) -> None:
+        """Serve operators and announcements, once followers have had their first word.
+
+        After a loss of all VMs, callers are served again as soon as entry VMs have a configuration.
+        """
+        await trio.sleep(FOLLOWERS_FIRST_SECONDS)
+        make_app, bounds = load_app()
+        address = self._watch.settings.operators
+        await serve_calls(make_app(parts).answer, bounds, address.host, address.port)
+
     async def _until_told_to_stop(self) -> None:
         """Wait for SIGTERM; SIGHUP, which would end the process, means changed settings."""
         told = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
--- a/siskinspoke/coordination/second_tries.py
+++ b/siskinspoke/coordination/second_tries.py
@@ -10,9 +10,6 @@
 # Of 100 first tokens 90 come within this many times what was expected, on days without faults, and
 # 98 within 1.7 times.  Most doubts are put off until little of the target is left.
 DOUBT_FACTOR = 1.3
-# A second try must be expected within this part of the time that is left: estimates are off by a
-# fifth in one case of ten.
-SURE_SHARE = 0.85
 # Nor must it wait for a moment that is nearer than this: second thoughts come every 20 ms, and
 # the one after would be too late.
 LAST_MOMENT_MS = 25.0
@@ -30,16 +27,16 @@
     return DOUBT_FACTOR * expected_ms
 
 
-def move(left_ms: float, best_ms: float | None) -> Move | None:
+def move(left_ms: float, best_ms: float | None, margin_ms: float) -> Move | None:
     """Return whether to try elsewhere, or None where no second try would be in time.
 
     ``left_ms`` is the time left of the target, ``best_ms`` what the best other server needs,
-    None where there is none.  While there is time the first server has it: most that are late
-    still come.
+    None where there is none.  ``margin_ms`` is by how much first tokens come later than that.
+    While there is time the first server has it: most that are late still come.
     """
     if best_ms is None or best_ms > left_ms:
         return None
-    spare_ms = left_ms * SURE_SHARE - best_ms
+    spare_ms = left_ms - best_ms - margin_ms
     if spare_ms <= LAST_MOMENT_MS:
         return Move(now=True)
     return Move(now=False, again_ms=spare_ms - LAST_MOMENT_MS)
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -14,6 +14,7 @@
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.fingerprints import Subject
+from siskinspoke.coordination.foresight import Foresight
 from siskinspoke.coordination.fullness import Fullness
 from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
@@ -65,6 +66,7 @@
     log: DecisionLog
     rng: random.Random
     fullness: Fullness = field(default_factory=Fullness)
+    foresight: Foresight = field(default_factory=Foresight)
     chores: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since: float | None = None
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -44,13 +44,15 @@
 class Flow:
     """What one attempt brings: the answer that has begun, and where it comes from.
 
-    ``give_up_at`` is when the first event is so late that another server is worth a try.
+    ``began`` is when it was sent, ``give_up_at`` when the first event is so late that another
+    server is worth a try.
     """
 
     placed: Placed
     begun: Begun
     attempt: Attempt
     work: int | None
+    began: float
     give_up_at: float
     event_due_ms: float
 
@@ -133,7 +135,7 @@
             flow.attempt.rely_on(placed.keepers)
             if flow.work is not None:
                 gateway.peers.wrote(flow.work)
-            _note_first(gateway, request, placed, now)
+            _note_first(gateway, request, flow, now)
         fresh = [event for event in events if _is_new(relay, event)]
         if fresh:
             relay.events += len(fresh)
@@ -152,7 +154,10 @@
     return True
 
 
-def _note_first(gateway: Gateway, request: Request, placed: Placed, now: float) -> None:
+def _note_first(gateway: Gateway, request: Request, flow: Flow, now: float) -> None:
+    placed = flow.placed
+    if placed.job is not None and placed.job.short:
+        gateway.foresight.came(placed.expected_ms, now - flow.began)
     if request.first_ms is None:
         request.first_ms = now - request.arrived_ms
         gateway.latencies.record("first_token", request.first_ms)
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -241,7 +241,7 @@
                 progress.give_back(gateway, request)
                 due = event_due_ms(pass_ms_at(gateway, request, placed))
                 give_up_at = began + seconds * 1000
-                flow = Flow(placed, outcome, attempt, work, give_up_at, due)
+                flow = Flow(placed, outcome, attempt, work, began, give_up_at, due)
                 outcome = await pass_on(gateway, request, relay, flow)
             run.end = RunEnd.WHOLE if isinstance(outcome, Ended) else run_end(outcome)
             return outcome
@@ -315,7 +315,8 @@
         others = cell_candidates(gateway, request.service, left_out)
         hurried = placed.job._replace(target_ms=max(LEAST_TARGET_MS, left))
         best = choose(gateway, placed.costs, hurried, others) if others else None
-        chosen = move(left, None if best is None else best.first_token_ms)
+        expected = None if best is None else best.first_token_ms
+        chosen = move(left, expected, gateway.foresight.margin_ms)
         if chosen is None:
             return False
         if chosen.now and onward.move_on():
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -77,7 +77,10 @@
     """After a loss of all VMs an entry VM knows the seeds alone, and they are the last to be up."""
 
     def test_follows_who_calls(self):
-        found = feeds()
-        assert found.controls == ("10.0.0.2",)
-        found.hear_control("10.0.0.7")
-        assert found.controls == ("10.0.0.2", "10.0.0.7")
+        async def run():
+            found = feeds()
+            assert found.controls == ("10.0.0.2",)
+            found.hear_control("10.0.0.7")
+            assert found.controls == ("10.0.0.2", "10.0.0.7")
+
+        trio.run(run)
