Let a stream go on elsewhere as soon as the books say that its engine reads for longer than it may pause

Cause: an engine reads inside its passes, so a part of a long prompt stops the streams beside it; they were moved after 1.5 s of silence, when they were late long since. Change: whoever passes a stream on hears of the reading when it begins (books), foresees the pause, and leaves at once if another engine can write within the pause (with the margin that first tokens need). It is a repeat like any other: within max_attempts and the budget; the engine is not blamed.

--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -164,6 +164,14 @@
         least = costs.pass_steps * costs.step_ms
         return max(least, pass_ms(costs, writers)) * self.books.engine(server).pace
 
+    def reading_ms(self, costs: EngineCosts, server: str, now: float) -> float:
+        """Return how long an engine still reads the prompts that it has, as the books stand."""
+        engine = self.books.engine(server)
+        reading = [work for work in engine.works.values() if work.stage is Stage.READING]
+        parts = [read_ms(costs, work.job.tokens, work.parts) * engine.pace for work in reading]
+        begun = [now - work.began_at for work in reading]
+        return sum(max(0.0, part - had) for part, had in zip(parts, begun, strict=True))
+
     def choose(
         self,
         costs: EngineCosts,
--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -14,6 +14,7 @@
 STARTED_AGAIN = "the server has started anew"
 UNREACHABLE = "the server cannot be reached any more"
 SLOW = "no answer in time"
+MOVED = "its engine reads for longer than the stream may pause"
 # A silent attempt that may not go on elsewhere is thought of again after this time: a slot of an
 # engine is free every fifth of a second where all are taken.
 ASK_AGAIN_SECONDS = 0.2
@@ -23,7 +24,8 @@
     """An open attempt at one server or several; ``lost`` says why it was ended.
 
     ``gone`` means that one of the servers is.  In milliseconds: ``doubt_at`` is when
-    ``reconsider`` is to be asked whether to go on; it may put the moment off and return False.
+    ``reconsider`` is to be asked why to end it; it may put the moment off and return nothing.
+    ``writes`` tells that its stream has begun.
     ``move_on`` takes the request's next step, and tells whether there is one.  ``sent`` is False
     until there is a connection.
     """
@@ -36,7 +38,8 @@
         self._due_ms = math.inf
         self.doubt_at = math.inf
         self.sent = False
-        self.reconsider: Callable[[Attempt, float], bool] | None = None
+        self.writes = False
+        self.reconsider: Callable[[Attempt, float], str] | None = None
         self.lost = ""
         self.gone = False
 
@@ -106,8 +109,13 @@
     def doubt(self, now: float) -> None:
         """End the attempt if another server is the better bet."""
         self.doubt_at = math.inf
-        if self.reconsider is not None and self.reconsider(self, now):
-            self._end(SLOW, gone=False)
+        reason = self.reconsider(self, now) if self.reconsider is not None else ""
+        if reason:
+            self._end(reason, gone=False)
+
+    def relies_on_any(self, servers: Iterable[str]) -> bool:
+        """Tell whether the attempt relies on one of some servers."""
+        return not self._servers.keys().isdisjoint(servers)
 
     def _end(self, reason: str, gone: bool) -> None:
         self.lost = reason
@@ -163,6 +171,12 @@
             if item.doubt_at <= now:
                 item.doubt(now)
 
+    def think_of_streams_at(self, servers: Iterable[str], now: float) -> None:
+        """Have the streams reconsidered that are written by some of these servers."""
+        for item in self._waiting():
+            if item.writes and item.relies_on_any(servers):
+                item.doubt_at = min(item.doubt_at, now)
+
     def started(self, server: str, incarnation: int) -> int:
         """End the attempts at a server's former starts; return how many there were."""
         before = self._waiting()
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -33,6 +33,7 @@
 from siskinspoke.gateway.questions import Questions
 from siskinspoke.gateway.reaching import hear_lost, look_again_forever, look_forever
 from siskinspoke.gateway.reports import ask_forever, try_cut_domains_forever
+from siskinspoke.gateway.streams import think_of_streams
 from siskinspoke.gateway.wire import Wire
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.crashes import CrashNews
@@ -121,6 +122,7 @@
                 lambda server: hear_lost(self.gateway, server),
                 self._on_crashes,
                 self._feeds.hear_control,
+                lambda work: think_of_streams(self.gateway, work),
             ),
             crashes=CrashWatch(self._tell_crashes, counters, log),
             counters=counters,
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -63,6 +63,7 @@
         heard_lost: Callable[[str], None],
         heard_crashes: Callable[[CrashNews], None] = lambda news: None,
         heard_control: Callable[[str], None] = lambda host: None,
+        work_began: Callable[[Work], None] = lambda work: None,
     ):
         self._host = host
         self._domain = domain
@@ -76,6 +77,7 @@
         self._heard_lost = heard_lost
         self._heard_crashes = heard_crashes
         self._heard_control = heard_control
+        self._work_began = work_began
         self._crash_news: list[CrashNews] = []
         self._next = 0
         # Tells this start of the process from earlier ones on the same VM.
@@ -93,6 +95,7 @@
         self._next += 1
         number, job = self._next, work.job
         self._books.begin(self._name(number), work)
+        self._work_began(work)
         news = WorkBegan(
             number,
             list(work.servers),
@@ -249,6 +252,7 @@
             job = Job(began.tokens, began.max_tokens, began.target_ms, began.pause_ms)
             work = Work(job, tuple(began.servers), now, tuple(began.held), alone=began.alone)
             self._books.begin(_work_name(host, start, began.number), work)
+            self._work_began(work)
         for number in item.wrote:
             self._books.wrote(_work_name(host, start, number))
         for number in item.ended:
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -1,6 +1,7 @@
 """Pass a stream's events on to the client as they come, whole and each of them once."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from siskinspoke.coordination.standing import Trouble
@@ -23,6 +24,9 @@
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
 
+Reconsider = Callable[[Attempt, float], str]
+
+
 @dataclass
 class Relay:
     """What the client has been given of a stream so far."""
@@ -45,7 +49,8 @@
     """What one attempt brings: the answer that has begun, and where it comes from.
 
     ``began`` is when it was sent, ``give_up_at`` when the first event is so late that another
-    server is worth a try.
+    server is worth a try.  ``reconsider`` says why the stream should leave its engine, once it
+    has begun.
     """
 
     placed: Placed
@@ -55,6 +60,7 @@
     began: float
     give_up_at: float
     event_due_ms: float
+    reconsider: Reconsider | None = None
 
 
 def given_up(attempt: Attempt) -> Broke:
@@ -133,6 +139,8 @@
         if first:
             first = False
             flow.attempt.rely_on(placed.keepers)
+            flow.attempt.writes = True
+            flow.attempt.reconsider = flow.reconsider
             if flow.work is not None:
                 gateway.peers.wrote(flow.work)
             _note_first(gateway, request, flow, now)
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -8,11 +8,12 @@
 from siskinspoke.coordination.books import Work
 from siskinspoke.coordination.crash_watch import RunEnd
 from siskinspoke.coordination.liveness import event_due_ms, first_due_ms
+from siskinspoke.coordination.moving import Prospect, leaves
 from siskinspoke.coordination.passes import read_ms
 from siskinspoke.coordination.second_tries import doubt_after_ms, move
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.core.codes import Failure, ResultCode
-from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
+from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, MOVED, SLOW, Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import note_end, noted, quarantine_of
 from siskinspoke.gateway.onward import NoMore, Onward, Progress, Step
@@ -26,7 +27,7 @@
     place,
 )
 from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after, run_end
-from siskinspoke.gateway.relaying import Ended, Flow, Relay, given_up, pass_on
+from siskinspoke.gateway.relaying import Ended, Flow, Reconsider, Relay, given_up, pass_on
 from siskinspoke.gateway.reservations import Member, Refused, reserved
 from siskinspoke.gateway.servers import cell_candidates, choose_service, learn
 from siskinspoke.gateway.upstream import Begun, Broke, NotRun, send
@@ -241,7 +242,8 @@
                 progress.give_back(gateway, request)
                 due = event_due_ms(pass_ms_at(gateway, request, placed))
                 give_up_at = began + seconds * 1000
-                flow = Flow(placed, outcome, attempt, work, began, give_up_at, due)
+                leave = _leave_for_reading(gateway, request, placed, relay, progress, onward)
+                flow = Flow(placed, outcome, attempt, work, began, give_up_at, due, leave)
                 outcome = await pass_on(gateway, request, relay, flow)
             run.end = RunEnd.WHOLE if isinstance(outcome, Ended) else run_end(outcome)
             return outcome
@@ -309,7 +311,7 @@
         # It may crash the server that it leaves all the same, and then the next one.
         return
 
-    def reconsider(attempt: Attempt, now: float) -> bool:
+    def reconsider(attempt: Attempt, now: float) -> str:
         left = request.route.target_ms - (now - request.arrived_ms)
         left_out = progress.left_out.names(gateway.directory, now) | {placed.name}
         others = cell_candidates(gateway, request.service, left_out)
@@ -318,16 +320,58 @@
         expected = None if best is None else best.first_token_ms
         chosen = move(left, expected, gateway.foresight.margin_ms)
         if chosen is None:
-            return False
+            return ""
         if chosen.now and onward.move_on():
-            return True
+            return SLOW
         attempt.doubt_at = now + (ASK_AGAIN_SECONDS * 1000 if chosen.now else chosen.again_ms)
-        return False
+        return ""
 
     attempt.reconsider = reconsider
     attempt.doubt_at = now + doubt_after_ms(placed.expected_ms)
 
 
+def _leave_for_reading(
+    gateway: Gateway,
+    request: Request,
+    placed: Placed,
+    relay: Relay,
+    progress: Progress,
+    onward: Onward,
+) -> Reconsider | None:
+    """Return what tells whether a stream leaves its engine before that reads a long prompt."""
+    if placed.job is None or request.crashes:
+        return None
+
+    def reconsider(attempt: Attempt, now: float) -> str:
+        reads_ms = gateway.placement.reading_ms(placed.costs, placed.name, now)
+        pause_ms = placed.job.pause_ms
+        if reads_ms <= pause_ms or onward.obstacle is not None:
+            return ""
+        left_out = progress.left_out.names(gateway.directory, now) | {placed.name}
+        others = cell_candidates(gateway, request.service, left_out)
+        hurried = placed.job._replace(target_ms=pause_ms)
+        best = choose(gateway, placed.costs, hurried, others) if others else None
+        expected = None if best is None else best.first_token_ms
+        silent_ms = now - relay.last_event_at
+        margin_ms = gateway.foresight.margin_ms
+        prospect = Prospect(silent_ms, reads_ms, pause_ms, expected, margin_ms)
+        if not leaves(prospect) or not onward.move_on():
+            return ""
+        gateway.counters.count("stream.moved")
+        gateway.log.note(
+            "stream.moved", request=request.call.id, server=placed.name, **prospect._asdict()
+        )
+        return MOVED
+
+    return reconsider
+
+
+def think_of_streams(gateway: Gateway, work: Work) -> None:
+    """Have streams reconsidered that stand beside a prompt which somebody begins to read."""
+    if not work.job.short:
+        gateway.attempts.think_of_streams_at(work.servers, now_ms())
+
+
 @asynccontextmanager
 async def _memory_for(gateway: Gateway, placed: Placed, work: int | None):
     """Hold what the helpers must keep; yield the reservation's name, "" where none is needed.
@@ -382,7 +426,10 @@
             if answer.status >= 500:
                 gateway.standing.failed(placed.name, Trouble.ERROR, now)
         case NotRun() | Broke():
-            if outcome.reason != "given up":
+            if outcome.reason == MOVED:
+                # The engine does what it was asked to do; nothing speaks against it.
+                request.note(placed.name, MOVED, now)
+            elif outcome.reason != "given up":
                 learn(gateway, request, placed.server, outcome)
 
 
