--- a/siskinspoke/control/daemon.py
+++ b/siskinspoke/control/daemon.py
@@ -49,7 +49,8 @@
             random.Random(),
             now_ms(),
         )
-        task = ReplicaTask(replica, store, links, counters, settings.control.snapshot_entries)
+        entries = settings.control.snapshot_entries
+        task = ReplicaTask(replica, store, links, counters, entries, logger.info)
         nursery = await stack.enter_async_context(trio.open_nursery())
         listener = LinkListener(settings.internal_key, counters, task.hear)
         await nursery.start(listener.serve, me.host, me.link_port)
--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -27,7 +27,7 @@
     Roster,
 )
 from siskinspoke.transport.frames import frame_of, frames_from, open_frame, send_frames
-from siskinspoke.transport.http1 import tune
+from siskinspoke.transport.sockets import tune
 
 # Followers answer each flush; one that has missed three is dropped, so that a confirmation waits
 # for it no longer.
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import trio
 
@@ -27,10 +27,11 @@
 from siskinspoke.state.entry_file import load_entries, save_entries
 from siskinspoke.state.replica_store import open_store
 from siskinspoke.state.server_file import load_servers, save_servers
-from siskinspoke.transport.calls import Bounds, Call, Reply, serve_calls
 from siskinspoke.transport.datagrams import open_datagram_port
 from siskinspoke.transport.links import LinkListener, LinkSender, LinkSet
-from siskinspoke.transport.pages import metrics_pages, serve_pages
+
+if TYPE_CHECKING:
+    from siskinspoke.transport.calls import Bounds, Call, Reply
 
 # A disk of a small VM may take 0.15 s for a sync; a leader whose heartbeats wait behind a few
 # such syncs must not be deposed.
@@ -65,11 +66,11 @@
 class App(Protocol):
     """What answers the calls of operators and servers."""
 
-    async def answer(self, call: Call) -> Reply:
+    async def answer(self, call: "Call") -> "Reply":
         """Answer one call."""
 
 
-AppFactory = tuple[Callable[[ControlParts], App], Bounds]
+AppFactory = tuple[Callable[[ControlParts], App], "Bounds"]
 
 
 class GroupDaemon:
@@ -142,10 +143,7 @@
                 (self._call_entries,),
             ):
                 nursery.start_soon(keep_running, self._log, self._counters, task, *args)
-            if metrics_port:
-                pages = metrics_pages(self._counters, parts.latencies)
-                await nursery.start(serve_pages, pages, settings.host, metrics_port)
-            nursery.start_soon(self._serve_calls, load_app, parts)
+            nursery.start_soon(self._serve_calls, load_app, parts, metrics_port)
             self._log.note("start", role="control", found=settings.found, host=settings.host)
             await self._until_told_to_stop()
             self._log.note("stop", role="control")
@@ -153,15 +151,25 @@
                 await self._task.hand_over()
             nursery.cancel_scope.cancel()
 
-    async def _serve_calls(self, load_app: Callable[[], AppFactory], parts: ControlParts) -> None:
-        """Serve operators and announcements, once followers have had their first word.
+    async def _serve_calls(
+        self, load_app: Callable[[], AppFactory], parts: ControlParts, metrics_port: int
+    ) -> None:
+        """Serve operators, announcements and metrics, once followers have had their first word.
 
         After a loss of all VMs, callers are served again as soon as entry VMs have a configuration.
+        What it takes to speak HTTP is loaded here for the same reason.
         """
         await trio.sleep(FOLLOWERS_FIRST_SECONDS)
+        from siskinspoke.transport.calls import serve_calls
+        from siskinspoke.transport.pages import metrics_pages, serve_pages
+
         make_app, bounds = load_app()
-        address = self._watch.settings.operators
-        await serve_calls(make_app(parts).answer, bounds, address.host, address.port)
+        host, address = self._watch.settings.host, self._watch.settings.operators
+        async with trio.open_nursery() as nursery:
+            if metrics_port:
+                pages = metrics_pages(self._counters, parts.latencies)
+                nursery.start_soon(serve_pages, pages, host, metrics_port)
+            await serve_calls(make_app(parts).answer, bounds, address.host, address.port)
 
     async def _until_told_to_stop(self) -> None:
         """Wait for SIGTERM; SIGHUP, which would end the process, means changed settings."""
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -8,7 +8,6 @@
 
 import msgspec
 import trio
-from loguru import logger
 
 from siskinspoke.coordination.machine import Machine
 from siskinspoke.coordination.replica import Replica
@@ -73,6 +72,10 @@
     return time.time_ns() // 1_000_000
 
 
+def _say_nothing(template: str, *args: object) -> None:
+    """Leave a line out: whoever runs the task writes the same down in another way."""
+
+
 class ReplicaTask:
     """Own the replica, its store and the replicated state."""
 
@@ -83,6 +86,7 @@
         links: Mapping[str, LinkSender] | LinkSet,
         counters: Counters,
         snapshot_entries: int,
+        say: Callable[..., None] = _say_nothing,
     ):
         self.machine = Machine()
         self.replica = replica
@@ -90,6 +94,7 @@
         self._links = links
         self._counters = counters
         self._snapshot_entries = snapshot_entries
+        self._say = say
         self._send, self._receive = trio.open_memory_channel[Any](math.inf)
         self._pending: dict[int, tuple[int, Pending]] = {}
         self._changed = trio.Event()
@@ -266,7 +271,7 @@
 
     async def _carry_out(self, out: Output) -> None:
         if out.identity is not None:
-            logger.info("identity: incarnation {}", out.identity.incarnation)
+            self._say("identity: incarnation {}", out.identity.incarnation)
             self._store.save_identity(out.identity)
         if out.snapshot is not None:
             records = self.replica.persistent_records()
@@ -304,7 +309,7 @@
         if pending is not None:
             pending.resolve(answer if term == entry.term else None)
         if self.machine.version != version:
-            logger.info("configuration accepted: version {}", self.machine.version)
+            self._say("configuration accepted: version {}", self.machine.version)
             self._unsaved_commit = True
             self._note_change()
 
@@ -319,7 +324,7 @@
             return
         became_leader = role is Role.LEADER
         if became_leader or self._seen_role is Role.LEADER:
-            logger.info("{} in term {}", role.value, self.replica.term)
+            self._say("{} in term {}", role.value, self.replica.term)
             self._counters.count(f"role.{role.value}")
         self._seen_role = role
         self._since_ms = wall_ms()
--- /dev/null
+++ b/siskinspoke/coordination/replica/elections.py
@@ -0,0 +1,102 @@
+"""How replicas elect a leader: a trial vote first, and only disks that count."""
+
+from siskinspoke.coordination.replica.core import ReplicaCore
+from siskinspoke.coordination.replica_types import Role
+from siskinspoke.protocol.replication import VoteReply, VoteRequest
+
+
+class Electing(ReplicaCore):
+    """Stand, vote, and count votes."""
+
+    def _stand(self, now: float, trial: bool) -> None:
+        """Ask for votes, first on trial."""
+        self._rearm(now)
+        if not self.admitted:
+            return
+        self.role = Role.CANDIDATE
+        self.leader = None
+        self._trial = trial
+        if not trial:
+            self._set_term(self.term + 1, self.name)
+        self._votes = {self.name}
+        request = VoteRequest(
+            self.name,
+            self.identity.incarnation,
+            self.term + trial,
+            self.log.last_index,
+            self.log.last_term,
+            trial,
+            self.commit,
+            self.log.term_at(self.commit),
+        )
+        for peer in self._peers:
+            self._out.sends.append((peer, request))
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        if not self._is_majority(len(self._votes)):
+            return
+        if self._trial:
+            self._stand(now, trial=False)
+        else:
+            self._become_leader(now)
+
+    def _learn_commit(self, index: int, term: int) -> None:
+        """Take over what another replica knows to be committed, where the logs agree there.
+
+        After a repair, perhaps one replica alone has heard that the replaced disk counts.  If
+        it could not pass that on with its votes, the others would refuse each other forever.
+        """
+        if index > self.commit and self.log.term_at(index) == term:
+            self._commit_to(index)
+
+    def _on_vote_request(self, request: VoteRequest, now: float) -> None:
+        self._learn_commit(request.commit, request.commit_term)
+        if request.term > self.term and not request.trial:
+            self._set_term(request.term)
+            self._step_down(now)
+        granted = self._would_grant(request, now)
+        if granted and not request.trial:
+            self._set_term(request.term, request.sender)
+            self._rearm(now)
+        reply = VoteReply(
+            self.name,
+            self.identity.incarnation,
+            request.term,
+            self.term,
+            granted,
+            request.trial,
+            self.commit,
+            self.log.term_at(self.commit),
+        )
+        self._out.sends.append((request.sender, reply))
+
+    def _would_grant(self, request: VoteRequest, now: float) -> bool:
+        """Tell whether a vote is due; whether it counts is for the candidate to know.
+
+        A candidate stands only if its own disk counts, and counts only votes of disks whose
+        admission it knows to be committed.
+        """
+        mine = (self.log.last_term, self.log.last_index)
+        if (request.last_term, request.last_index) < mine:
+            return False
+        if request.trial:
+            quiet = now - self._leader_heard_at >= self._times.election_ms
+            return request.term > self.term and quiet and self.role is not Role.LEADER
+        return request.term == self.term and self._voted_for in ("", request.sender)
+
+    def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
+        self._learn_commit(reply.commit, reply.commit_term)
+        if reply.own_term > self.term:
+            # Otherwise a replica with the longer log and the lower term would be refused for
+            # its term, the other one for its log, and neither would ever lead.
+            self._set_term(reply.own_term)
+            self._step_down(now)
+            return
+        if self.role is not Role.CANDIDATE or reply.trial != self._trial:
+            return
+        if reply.term != self.term + self._trial or not reply.granted:
+            return
+        if self._counts(reply.sender, reply.incarnation):
+            self._votes.add(reply.sender)
+            self._count_votes(now)
--- /dev/null
+++ b/siskinspoke/coordination/replica/leading.py
@@ -0,0 +1,170 @@
+"""What a leader does: replicate, commit, step down without a majority, answer for reads."""
+
+import math
+from typing import Any
+
+from siskinspoke.coordination.followers import Followers, Progress
+from siskinspoke.coordination.membership import ADD, ADMIT, FOUND, REMOVE, Learners
+from siskinspoke.coordination.replica.core import ReplicaCore
+from siskinspoke.coordination.replica_types import Role
+from siskinspoke.protocol.replication import Append, AppendReply, Entry, Handover, Install
+
+NOOP = "noop"
+MAX_BATCH = 256
+LEASE_SHARE = 0.9
+
+
+class Leading(ReplicaCore):
+    """Lead the group, and know for how long that holds."""
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.name
+        self._learners = Learners()
+        self._followers = Followers(self._peers, self.log.last_index + 1, now, self._counts)
+        if self.log.last_index:
+            self.propose(NOOP, None, now)
+        else:
+            # The log itself names the founders, for members that join and never knew them.
+            self.propose(FOUND, dict(self.members), now)
+
+    def propose(self, kind: str, body: Any, now: float) -> int | None:
+        """Append a command as the leader and return its index; None at any other replica."""
+        if self.role is not Role.LEADER:
+            return None
+        entry = Entry(self.log.last_index + 1, self.term, kind, body)
+        self.log.put(entry)
+        self._out.records.append(entry)
+        if kind in (ADD, REMOVE):
+            self._membership.follow(self.log)
+            self._follow_all(now)
+        self._replicate(now)
+        self._advance_commit(now)
+        return entry.index
+
+    def hand_over(self, now: float) -> None:
+        """Stop leading in favour of the follower that holds most.
+
+        Otherwise a planned restart costs claims and changes a whole election timeout.
+        """
+        if self.role is not Role.LEADER:
+            return
+        successor = self._followers.best()
+        if successor is not None:
+            self._out.sends.append((successor, Handover(self.name, self.term)))
+        self._step_down(now)
+
+    def _lead(self, now: float) -> None:
+        """Send heartbeats, and step down without a majority.
+
+        An isolated leader would otherwise go on believing; so would one that was frozen and
+        thaws: its first tick finds that it has heard nobody for too long.
+        """
+        heard = self._followers.heard_since(now - self._times.election_ms)
+        if not self._is_majority(heard + 1):
+            self._step_down(now)
+            return
+        self._change_members(now)
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = now + self._times.heartbeat_ms
+            for _, item in self._followers:
+                item.in_flight_until = 0.0
+            self._replicate(now, heartbeat=True)
+
+    def _replicate(self, now: float, heartbeat: bool = False) -> None:
+        for peer, item in self._followers:
+            behind = item.next_index <= self.log.last_index
+            if heartbeat or (behind and now >= item.in_flight_until):
+                self._send_entries(peer, item, now)
+
+    def _send_entries(self, peer: str, item: Progress, now: float) -> None:
+        previous = item.next_index - 1
+        previous_term = self.log.term_at(previous)
+        if previous_term is None:
+            self._out.sends.append((peer, Install(self.name, self.term, self.snapshot, now)))
+            item.in_flight_until = now + self._times.election_ms
+            return
+        last = min(self.log.last_index, previous + MAX_BATCH)
+        entries = self.log.between(previous + 1, last)
+        append = Append(self.name, self.term, previous, previous_term, entries, self.commit, now)
+        self._out.sends.append((peer, append))
+        if entries:
+            item.in_flight_until = now + self._times.heartbeat_ms
+
+    def _on_append_reply(self, reply: AppendReply, now: float) -> None:
+        if reply.term > self.term:
+            self._set_term(reply.term)
+            self._step_down(now)
+            return
+        if self.role is not Role.LEADER or reply.term != self.term:
+            return
+        item = self._followers.find(reply.sender)
+        if item is None:
+            return
+        if item.incarnation not in (0, reply.incarnation):
+            item.match = 0
+        item.incarnation = reply.incarnation
+        item.heard_at = now
+        item.in_flight_until = 0.0
+        # The follower heard the message that it answers at that message's time or later.  The
+        # time of any later message would be too late: it may not have arrived.
+        item.leased_from = max(item.leased_from, reply.sent_at)
+        if not reply.accepted:
+            item.next_index = max(1, min(reply.match + 1, item.next_index - 1))
+            self._send_entries(reply.sender, item, now)
+            return
+        item.match = max(item.match, reply.match)
+        item.next_index = max(item.next_index, item.match + 1)
+        self._advance_commit(now)
+        self._admit_if_caught_up(reply.sender, item, now)
+        if item.next_index <= self.log.last_index:
+            self._send_entries(reply.sender, item, now)
+
+    def _advance_commit(self, now: float) -> None:
+        """Commit what a majority holds, counting only this term's entries and known disks."""
+        own = self.log.last_index if self.admitted else None
+        reached = self._followers.held_by(len(self.members) // 2, own)
+        if reached > self.commit and self.log.term_at(reached) == self.term:
+            self._commit_to(reached)
+            # Followers learn of the commit at once, so that each may answer for it.
+            self._replicate(now, heartbeat=True)
+
+    def _admit_if_caught_up(self, name: str, item: Progress, now: float) -> None:
+        """Propose to count a replaced disk, once it holds all that is committed."""
+        if name not in self.members or self._counts(name, item.incarnation):
+            return
+        if item.match < self.commit or not self._may_change_members():
+            return
+        self.propose(ADMIT, {"name": name, "incarnation": item.incarnation}, now)
+
+    def lease_until(self) -> float:
+        """Return until when no other replica can have been elected; -inf where none leads.
+
+        A majority grants no trial vote for an election timeout after it has heard the leader.
+        The time counts from the sending of what it has answered, since it may have been heard
+        at once.  A tenth is left for clocks that run at different rates.
+        """
+        if self.role is not Role.LEADER:
+            return -math.inf
+        needed = len(self.members) // 2
+        if not needed:
+            return math.inf
+        return self._followers.leased_from(needed) + self._times.election_ms * LEASE_SHARE
+
+    def may_read(self) -> bool:
+        """Tell whether this leader's commit covers all that earlier leaders have committed."""
+        return self.role is Role.LEADER and self.log.term_at(self.commit) == self.term
+
+    def heard_since(self, asked_at: float) -> bool:
+        """Tell whether a majority has followed this leader since a time of its own clock.
+
+        Then no other leader had committed anything newer by that time, so what this one holds
+        is the newest that anybody was told.
+        """
+        needed = len(self.members) // 2
+        return not needed or self._followers.leased_from(needed) >= asked_at
+
+    def beat_now(self, now: float) -> None:
+        """Send heartbeats at once, for a reader that waits to hear of a majority."""
+        if self.role is Role.LEADER:
+            self._replicate(now, heartbeat=True)
--- a/siskinspoke/coordination/watchers.py
+++ b/siskinspoke/coordination/watchers.py
@@ -5,12 +5,16 @@
 comes or goes moves only its own share.
 """
 
+from __future__ import annotations
+
 import functools
 from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
 
 import xxhash
 
-from siskinspoke.conf.settings import EntryVM
+if TYPE_CHECKING:
+    from siskinspoke.conf.settings import EntryVM
 
 SMALL_SITE = 12
 LOCAL_WATCHERS = 12
--- a/siskinspoke/feeds/follower.py
+++ b/siskinspoke/feeds/follower.py
@@ -21,7 +21,7 @@
     Roster,
 )
 from siskinspoke.transport.frames import frame_of, frames_from, open_frame, send_frames
-from siskinspoke.transport.http1 import tune
+from siskinspoke.transport.sockets import tune
 
 # A connection within a site takes 3 ms, and whoever does not answer may have no power yet.  After
 # a loss of all VMs callers wait until the first control VM is followed: with 0.5 s here, and 0.2 s
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -15,8 +15,8 @@
     ClientConnection,
     Headers,
     RequestHead,
-    tune,
 )
+from siskinspoke.transport.sockets import tune
 
 # The last word leaves this long before the route's timeout: it must cross the network, and
 # timers fire some milliseconds late.
--- a/siskinspoke/testing/replica_group.py
+++ b/siskinspoke/testing/replica_group.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from siskinspoke.coordination.replica import NOOP, Replica
+from siskinspoke.coordination.replica import Replica
+from siskinspoke.coordination.replica.leading import NOOP
 from siskinspoke.coordination.replica_types import Output, Restored, Role, Times, restored_from
 from siskinspoke.protocol.replication import (
     Admitted,
