Give the server after a silent one a connection of its own

Change: after a silent server as after a lost one the next sending opens a connection, which a server behind a cut does not take, so that no attempt is used up.

--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -13,7 +13,7 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.left_out import LeftOut
-from siskinspoke.gateway.attempts import STARTED_AGAIN
+from siskinspoke.gateway.attempts import SLOW, STARTED_AGAIN
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.placing import Placed
 from siskinspoke.gateway.upstream import Broke, NotRun
@@ -58,9 +58,10 @@
     """What the attempts of one request have used up, and what is taken for the next one.
 
     ``ran`` servers may have worked on it, ``arrivals`` sendings have reached one, ``unreached``
-    have not, and ``lost`` servers were found to be gone.  ``paid`` says that the repeat of the next
-    sending is taken from the budget, ``next`` where a stream then goes.  ``open`` attempts are
-    under way: one of a stream, several of a plain call, of which ``refused`` were not run.
+    have not, and ``lost`` servers were found to be gone, or said nothing.  ``paid`` says that the
+    repeat of the next sending is taken from the budget, ``next`` where a stream then goes.
+    ``open`` attempts are under way: one of a stream, several of a plain call, of which ``refused``
+    were not run.
     """
 
     left_out: LeftOut = field(default_factory=LeftOut)
@@ -86,7 +87,7 @@
             case Broke(gone=gone):
                 self.arrivals += 1
                 self.ran += not has_ended(gateway, server, outcome)
-                self.lost += gone
+                self.lost += gone or outcome.reason == SLOW
             case _:
                 self.arrivals += 1
                 self.ran += 1
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -39,8 +39,8 @@
 # off by its server after 1.5 s.
 LATE_FACTOR = 4.0
 LATE_MS = 1_000.0
-# After a server was lost the next one gets a connection of its own: it may stand behind the same
-# cut, where a kept connection would take the request in and say nothing.
+# After a server was lost or silent the next one gets a connection of its own: it may stand behind
+# the same cut, where a kept connection would take the request in and say nothing.
 FRESH_AFTER_LOSS_MS = 0.0
 TRUNCATED = "the stream broke off"
 # A request under which servers have crashed waits for an idle engine for this share of its time.
