Tell followers of servers that come together in one message

Cause: calls are answered 0.1 s after a control VM's start since they need no library that is slow to load; then all servers announce themselves, and each arrival was a message to each follower (48 servers, 87 followers: some 5 ms of a hub's processor each). Change: arrivals wait 0.1 s for each other; a leave is told at once and takes along what waits, so that it overtakes none of its own hub. Calls are answered from 0.25 s on.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -38,10 +38,12 @@
 ROSTER_SECONDS = 5.0
 # Followers that come together, as after a loss of all VMs, are named together.
 JOINS_SECONDS = 0.05
+# Servers that come are told of together: each message costs a hub a write for every follower.
+ARRIVALS_SECONDS = 0.1
 OUTBOX_FRAMES = 1_024
 # Every entry VM hears the renewals of a service with up to so many servers, wherever they are.  Of
 # a larger one, in a fleet that is parted into cells, it hears those of its own failure domain,
-# which are all that its books hold: 870 servers' renewals would be 14 KB a second to each VM.
+# which are all that its books hold.
 FEW_SERVERS = 24
 # Each hub gives the one before it this time to bring a follower a configuration: a crossing and
 # what 100 KB take on a small VM's link.  With six hubs, five of them lost, the last has its turn
@@ -105,6 +107,8 @@
         self._last_roster: Roster | None = None
         self._joins = trio.Event()
         self._published: tuple[int, bytes] = (0, b"")
+        self._untold: list[Announcement] = []
+        self._arrivals = trio.Event()
         # A control VM sends no requests, so it has nothing of its own to tell of crashes.
         self._crashes = CrashWatch(lambda news: None, counters, log)
 
@@ -113,6 +117,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._flush_forever)
             nursery.start_soon(self._tell_joins_forever)
+            nursery.start_soon(self._tell_arrivals_forever)
             await nursery.start(self._listen, host, port)
             task_status.started()
 
@@ -298,11 +303,31 @@
         return ranked.index(self._host) if self._host in ranked else len(ranked)
 
     def tell(self, announcements: list[Announcement]) -> int:
-        """Tell all followers something new; return the number that they will confirm."""
+        """Tell all followers something new; return the number that they will confirm.
+
+        What waits to be told goes first: a leave must not overtake its server's own arrival.
+        """
+        told, self._untold = [*self._untold, *announcements], []
         self._number += 1
-        self._send_all(News(self._number, announcements))
+        self._send_all(News(self._number, told))
         return self._number
 
+    def tell_soon(self, announcements: list[Announcement]) -> None:
+        """Tell all followers of servers that have come, together with those that come just then.
+
+        Nobody waits for it, and after a loss of all VMs all servers come at once.
+        """
+        self._untold += announcements
+        self._arrivals.set()
+
+    async def _tell_arrivals_forever(self) -> None:
+        while True:
+            await self._arrivals.wait()
+            await trio.sleep(ARRIVALS_SECONDS)
+            self._arrivals = trio.Event()
+            if self._untold:
+                self.tell([])
+
     def recall(self, announcements: list[Announcement]) -> None:
         """Tell all followers which servers this VM knew before its restart."""
         self._send_all(Remembered(announcements))
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -37,9 +37,8 @@
 # such syncs must not be deposed.
 HEARTBEAT_MS = 100.0
 ELECTION_MS = 600.0
-# Journal entries before a snapshot.  Each holds a whole configuration, 100 KB at rest and several
-# times that in memory: in a storm of changes a control VM had 91 MB at its peak with 96 entries,
-# and 49 MB with 24.
+# Journal entries before a snapshot.  Each holds a whole configuration, which takes several times
+# its size in memory.
 SNAPSHOT_ENTRIES = 24
 # Announcements come every 1.2 s; four of them may be lost.
 LEASES_PER_ANNOUNCEMENT = 4
@@ -48,7 +47,7 @@
 # Servers come and go in series; their list is written at most this often.
 KEEP_LISTS_SECONDS = 0.5
 # Entry VMs look for control VMs every 0.2 s and need one exchange.
-FOLLOWERS_FIRST_SECONDS = 0.1
+FOLLOWERS_FIRST_SECONDS = 0.25
 # After its start a control VM calls so often, this long apart, whoever does not follow it yet.
 CALLS = 12
 CALL_SECONDS = 0.1
--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -89,7 +89,7 @@
             return await self._spread_leave(announcement, heard)
         if heard is Heard.JOINED:
             self._note(announcement, heard)
-            self._hub.tell([announcement])
+            self._hub.tell_soon([announcement])
         elif heard is Heard.RENEWED:
             self._hub.renew(announcement)
         return True
@@ -108,14 +108,17 @@
 
     def hear_others(self, announcements: list[Announcement]) -> None:
         """Take in what another control VM has heard, and pass on what is new."""
-        fresh = []
+        fresh, has_left = [], False
         for announcement in announcements:
             heard = self._directory.hear(announcement, now_ms())
             if heard in (Heard.JOINED, Heard.LEFT):
                 self._note(announcement, heard)
                 fresh.append(announcement)
-        if fresh:
+                has_left = has_left or heard is Heard.LEFT
+        if has_left:
             self._hub.tell(fresh)
+        elif fresh:
+            self._hub.tell_soon(fresh)
 
     def hear_remembered(self, announcements: list[Announcement]) -> None:
         """Take in which servers a VM knew before its restart, and pass on what is new."""
--- a/siskinspoke/coordination/cells.py
+++ b/siskinspoke/coordination/cells.py
@@ -12,7 +12,7 @@
 import xxhash
 
 # The VMs of a cell tell each other of each request: a cell of this size is as large as a small
-# site.  With 195 VMs in one, nine tenths of all processor time went into telling.
+# site.
 MOST_VMS = 24
 # A cell has at least this many engines of a service where its domain has them: with fewer there
 # is no room beside a long prompt that several engines read, so cells share what they have.
--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -40,7 +40,7 @@
 # That a server crashed may come to be known only when it is back.
 LEFT_MS = 10_000.0
 MOST_LEFT = 256
-# A newcomer is told of this many crashes, the newest ones; 256 of eight suspects are 120 KB.
+# A newcomer is told of this many crashes, the newest ones.
 MOST_TOLD = 256
 # A message of this many crashes fits into a datagram with all suspects that a crash may have.
 CRASHES_A_MESSAGE = 16
--- a/siskinspoke/coordination/fullness.py
+++ b/siskinspoke/coordination/fullness.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 # Many that wait for room in one fleet learn the same: after one has found none, the others do not
-# look for so long.  A look costs about 1 ms with 23 engines, and 200 silent streams of one VM that
-# each looked five times a second took all of its processor.  Milliseconds.
+# look for so long.  Otherwise many silent streams of one VM would take all of its processor.
+# Milliseconds.
 FULL_MS = 100.0
 
 
--- a/siskinspoke/coordination/liveness.py
+++ b/siskinspoke/coordination/liveness.py
@@ -9,8 +9,7 @@
 import math
 from dataclasses import dataclass
 
-# A first token is overdue at the time at which it was expected: with a target of 300 ms and 110 ms
-# expected there is time for another try.
+# A first token is overdue at the time at which it was expected: then there is time for another try.
 LEAST_FIRST_MS = 60.0
 # An event is overdue after so many passes of its engine, and at least after this time: passes
 # take 50 ms with short prompts alone, and twice that when a long one is read beside them.
@@ -83,9 +82,9 @@
 
 
 # While no server was found lost for a time, what is overdue is waited for so many times as long.
-# Of 100 first tokens 98 come within 1.7 times what was expected where all servers are well, half
-# of them after it, and a look costs a connection.  Losses come several at a time: the first is
-# found some 80 ms later for this, and those beside it as soon as before.
+# Where all servers are well nearly all first tokens come within this time, and a look costs a
+# connection.  Losses come several at a time: the first is found a little later for this, and those
+# beside it as soon as before.
 CALM_PATIENCE = 1.7
 ALARM_MS = 10_000.0
 
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -22,35 +22,28 @@
 # Milliseconds by which a short prompt's first token may be later for joining an engine that
 # writes short streams, rather than opening one that writes none.
 GATHER_MS = 45.0
-# A short prompt that waits less than this for its pass, about half of a usual target, is soon
-# enough: among such engines the one with the most streams is taken, each being worth PACK_MS,
-# unless fewer than so many of its slots are free.  What stays free reads long prompts without
-# stopping anybody's stream.  Share of the worth owed in ``bench/pass_bench.py`` with this and
-# without: 0.92 and 0.77 with a third of 23 engines lost, 0.98 and 0.92 in a burst of shorts at 78.
+# A short prompt that waits less than this for its pass is soon enough: among such engines the one
+# with the most streams is taken, each being worth PACK_MS, unless fewer than so many of its slots
+# are free.  What stays free reads long prompts without stopping anybody's stream.
 SOON_ENOUGH_MS = 160.0
 PACK_MS = 8.0
 SLOTS_LEFT = 2
-# In a large fleet each short prompt looks at so many engines, drawn by lot.  VMs that know the
-# same would all choose the one engine that is best in the whole fleet: with books 10 ms late
-# 10% of short prompts met a full engine, of 12 drawn 0.1% (tests: TestHerd).
+# In a large fleet each short prompt looks at so many engines, drawn by lot: VMs that know the same
+# would all choose the one engine that is best in the whole fleet.
 DRAWN_ENGINES = 12
 # Milliseconds by which an engine looks worse when its last slot is taken, rising from this share
 # of its slots on, and a random part of every choice: VMs that learn of each other's work some
-# milliseconds late would otherwise fill the same engine at once (tests: TestHerd).  From half of
-# the slots on it would undo the packing: 0.96 in the burst of shorts at 78 engines.
+# milliseconds late would otherwise fill the same engine at once.
 CROWD_MS = 80.0
 CROWDED_FROM = 0.8
 JITTER_MS = 10.0
-# Prompts that an engine has still to read, beyond so many, make it look worse by this for each.
-# After a loss of all, VMs with empty books let go at once what has waited, and all pile it up on
-# the engine that seems to gather streams; those behind the pile are late.  Share of the worth of
-# short prompts with this and without, in ``bench/pass_bench.py``: 0.94 and 0.90 after a loss of
-# all, 0.92 and 0.89 with a third of the engines lost, no difference on calm days.
+# Prompts that an engine has still to read, beyond so many, make it look worse by this for each:
+# whoever is behind a pile of them is late.
 UNREAD_FREE = 2
 UNREAD_MS = 30.0
 # The herd grows with the fleet, whose VMs all choose within the delay of one datagram.  With few
-# engines it is worth less than keeping some free for long prompts (tests: TestBurst): both are
-# left out up to the first number of engines and count in full from the second.
+# engines that care is worth less than keeping some free for long prompts, so it is left out up to
+# the first number of engines and counts in full from the second.
 NO_HERD_ENGINES = 24
 FULL_HERD_ENGINES = 64
 # Cost of each further engine in a group, in the same units: any of them may fail.
--- a/siskinspoke/coordination/second_tries.py
+++ b/siskinspoke/coordination/second_tries.py
@@ -7,8 +7,8 @@
 
 from typing import NamedTuple
 
-# Of 100 first tokens 90 come within this many times what was expected, on days without faults, and
-# 98 within 1.7 times.  Most doubts are put off until little of the target is left.
+# Nearly all first tokens come within this many times what was expected.  Most doubts are put off
+# until little of the target is left.
 DOUBT_FACTOR = 1.3
 # Nor must it wait for a moment that is nearer than this: second thoughts come every 20 ms, and
 # the one after would be too late.
--- a/siskinspoke/coordination/widening.py
+++ b/siskinspoke/coordination/widening.py
@@ -4,10 +4,7 @@
 
 from siskinspoke.coordination.placement import Place
 
-# So many cells are asked.  Share of the worth owed in ``bench/pass_bench.py`` (means of 8 seeds) at
-# 195 engines in ten cells with nobody asked, two, four, and with all books shared: 0.913, 0.959,
-# 0.980 and 0.989 in a burst of long prompts, 0.829, 0.877, 0.884 and 0.886 in one of short ones,
-# 0.890, 0.927, 0.936 and 0.933 with a third of the engines lost.
+# So many cells are asked.
 ASKED_CELLS = 4
 # A cell is short for a prompt whose first token is expected later than this part of its target.
 # Expectations are off by a third, so beyond it one in ten first tokens comes late.
--- a/siskinspoke/feeds/follower.py
+++ b/siskinspoke/feeds/follower.py
@@ -23,9 +23,8 @@
 from siskinspoke.transport.frames import frame_of, frames_from, open_frame, send_frames
 from siskinspoke.transport.sockets import tune
 
-# A connection within a site takes 3 ms, and whoever does not answer may have no power yet.  After
-# a loss of all VMs callers wait until the first control VM is followed: with 0.5 s here, and 0.2 s
-# between two tries, entry VMs had a configuration 0.35 s after the control VMs could be followed.
+# A connection within a site takes some milliseconds, and whoever does not answer may have no power
+# yet.  After a loss of all VMs callers wait until the first control VM is followed.
 CONNECT_SECONDS = 0.12
 # A hub speaks every 0.45 s; three times that without a word means that the connection is dead,
 # which leaves time to connect anew within the time in which a change must be obeyed (2 s).
--- a/siskinspoke/gateway/reaching.py
+++ b/siskinspoke/gateway/reaching.py
@@ -18,7 +18,7 @@
 STOOD_STILL_SECONDS = 0.03
 TICK_SECONDS = 0.02
 # What begins while nobody thinks of the open attempts is overdue no sooner than after this time.
-# Thinking every 20 ms was a third of all that an idle VM woke for (240 of 769 times in 4 s).
+# To think every tick would be much of all that an idle VM wakes for.
 MOST_QUIET_SECONDS = 0.06
 AGAIN_SECONDS = 0.25
 
--- a/siskinspoke/transport/calls.py
+++ b/siskinspoke/transport/calls.py
@@ -1,8 +1,8 @@
 """Small calls between machines over HTTP: a whole body in, a whole body out.
 
 Served on the connections of the transparent path.  A registry answers an announcement of each
-server every second; quart on hypercorn needs several times the processor time for one, and takes
-half a second of a small VM's processor and 10 MB to load.
+server about every second; quart on hypercorn needs several times the processor time for one, and
+much of a small VM's start and memory to load.
 """
 
 from collections.abc import Awaitable, Callable
--- a/siskinspoke/transport/frames.py
+++ b/siskinspoke/transport/frames.py
@@ -12,8 +12,8 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 256_000_000
 READ_BYTES = 262_144
-# Messages over this size are packed: a configuration of 120 routes has 40 KB and packs to a
-# sixth, in 0.4 ms (one machine, level 1).  A plain message begins with a bracket.
+# Messages over this size are packed; configurations shrink to a sixth.  A plain message begins with
+# a bracket.
 PACKED_FROM_BYTES = 4_096
 PACKING_LEVEL = 1
 PACKED_MARK = b"x"
--- a/siskinspoke/transport/pages.py
+++ b/siskinspoke/transport/pages.py
@@ -1,8 +1,7 @@
 """Small pages for machines: whether a VM takes new clients, and its metrics.
 
-They are served by the connections of the transparent path.  The HTTP server library would take
-0.25 s of processor to load at each start and 10 MB of memory in every entry VM (measured by
-import times and by the resident size), for two addresses that answer one GET each.
+They are served as small calls: the HTTP server library would take more of a small VM's start and
+memory than all else, for two addresses that answer one GET each.
 """
 
 from collections.abc import Callable, Mapping
--- a/tests/control/test_feed_hub.py
+++ b/tests/control/test_feed_hub.py
@@ -3,6 +3,7 @@
 from contextlib import asynccontextmanager
 
 import trio
+from trio.testing import MockClock
 
 from siskinspoke.control.feed_hub import TURN_SECONDS, FeedHub, Held
 from siskinspoke.coordination.cells import MOST_VMS
@@ -227,3 +228,43 @@
     return Announcement(
         name, 1, 1, domain, "10.9.9.9", 1, "", service, False, False, 0, 0, 0, [], 0, 0
     )
+
+
+class TestArrivals:
+    """Servers that come at once are told of together, and a leave never overtakes an arrival."""
+
+    def hub(self) -> tuple[FeedHub, Session]:
+        """Return a hub with one follower."""
+        hub = FeedHub(
+            HUBS[0], "a", Directory(4_800), lambda: HUBS, lambda: None, b"k", Counters(), Quiet()
+        )
+        session = Session("g1", 9, "a")
+        hub._sessions = {session}
+        return hub, session
+
+    def told(self, session: Session) -> list[list[tuple[str, bool]]]:
+        """Return what each message told of servers, and whether they leave."""
+        opened = [open_frame(b"k", frame[LENGTH_BYTES:]).ok for frame in session.frames]
+        return [[(said.server, said.leaving) for said in item.announcements] for item in opened]
+
+    def test_sixty_servers_after_a_loss_of_all(self):
+        """A message for each of 48 servers to each of 87 followers kept new followers waiting."""
+
+        async def run():
+            hub, session = self.hub()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(hub._tell_arrivals_forever)
+                for number in range(60):
+                    hub.tell_soon([server(f"e{number}", "m", "a")])
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            assert [len(item) for item in self.told(session)] == [60]
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
+    def test_leave_of_a_server_that_has_just_come(self):
+        hub, session = self.hub()
+        said = server("e1", "m", "a")
+        hub.tell_soon([said])
+        hub.tell([said._replace(leaving=True)])
+        assert self.told(session) == [[("e1", False), ("e1", True)]]
--- a/tests/integration/test_group.py
+++ b/tests/integration/test_group.py
@@ -206,11 +206,13 @@
         site.until("c1", "POST", "/config/replace", configuration(1, "/a/"))
         site.wait_status("g1", "/none/x", HOST, 404)
         path = "/instances/i-1"
+        log = site.folder / "g1.log"
         site.until("c1", "POST", f"{path}/heartbeat", beat(seq=1))
+        wait_until(lambda: '"event":"server.joined"' in log.read_text(), "the arrival at g1")
         site.until("c2", "POST", f"{path}/heartbeat", beat("draining", 3))
         site.until("c3", "POST", f"{path}/heartbeat", beat(seq=2))
         site.until("c3", "POST", f"{path}/deregister")
-        logged = (site.folder / "g1.log").read_text()
+        logged = log.read_text()
         assert '"event":"server.left","server":"i-1"' in logged
         joins = logged.count('"event":"server.joined","server":"i-1"')
         assert joins == 1
--- a/tests/platform/test_control_app.py
+++ b/tests/platform/test_control_app.py
@@ -29,6 +29,10 @@
         self.told += announcements
         return len(self.told)
 
+    def tell_soon(self, announcements):
+        """Remember what the follower was told."""
+        self.told += announcements
+
     def renew(self, announcement):
         """Leave renewals out."""
 
@@ -149,7 +153,7 @@
 
         async def run():
             control = Control()
-            control.hub.tell = None
+            control.hub.tell_soon = None
             assert await control.beat("i-1") == 500
             control.hub = Hub()
             assert control.counters.totals["fault"]
