--- a/tests/coordination/crash_world.py
+++ b/tests/coordination/crash_world.py
@@ -18,6 +18,12 @@
     Suspected,
     Undecided,
 )
+from siskinspoke.coordination.witnesses import (
+    ASK_AGAIN,
+    ASK_AGAIN_SECONDS,
+    choose_witnesses,
+    speaks_for_cut,
+)
 
 SERVICE = "m"
 MOST_TRIES = 6
@@ -46,6 +52,13 @@
     back_ms: float = 3_000.0
     late_ms: float = 100.0
     run_ms: float = 20_000.0
+    # Servers are dealt out to so many failure domains; one of them is cut off this often, for this
+    # long: its connections are reset, and new ones refused.
+    domains: int = 3
+    cut_every_ms: float = 0.0
+    cut_ms: float = 4_000.0
+    # Whether others of a failure domain are asked before a server there is taken for crashed.
+    witnesses: bool = True
 
 
 @dataclass
@@ -66,6 +79,7 @@
 
     turned_away: Counter = field(default_factory=Counter)
     sent: Counter = field(default_factory=Counter)
+    suspected: Counter = field(default_factory=Counter)
     served: int = 0
     lost: int = 0
     third_end_at: dict[str, float] = field(default_factory=dict)
@@ -94,6 +108,7 @@
         self._ends: Counter = Counter()
         self._result = Result()
         self._now = 0.0
+        self._cut: int | None = None
 
     def run(self) -> Result:
         world = self._world
@@ -102,6 +117,8 @@
             self._at(1_000.0 + 37.0 * number, self._deadly_comes, number)
         if world.accidents_every_ms:
             self._at(500.0, self._accident)
+        if world.cut_every_ms:
+            self._at(1_100.0, self._cut_off)
         while self._queue:
             self._now, _, act, args = heapq.heappop(self._queue)
             act(*args)
@@ -139,7 +156,9 @@
             case Undecided(wait_ms=wait_ms):
                 self._at(self._now + wait_ms + 1, self._send, fingerprint, tries)
                 return
-        up = [number for number, runs in self._running.items() if runs is not None]
+        if isinstance(verdict, Suspected):
+            self._result.suspected[fingerprint] += 1
+        up = [number for number in self._running if self._is_reached(number)]
         if not up:
             self._result.lost += 1
             return
@@ -188,6 +207,48 @@
             gap = self._rng.expovariate(1 / self._world.accidents_every_ms)
             self._at(self._now + gap, self._accident)
 
+    def _is_reached(self, number: int) -> bool:
+        """Tell whether a server runs, and is not cut off."""
+        return self._running[number] is not None and number % self._world.domains != self._cut
+
+    def _cut_off(self) -> None:
+        """Cut one failure domain off: all that runs there breaks off, and nothing has crashed."""
+        self._cut = self._rng.randrange(self._world.domains)
+        for number in self._running:
+            if number % self._world.domains == self._cut and self._running[number] is not None:
+                runs, self._running[number] = self._running[number], []
+                start = (f"server-{number}", self._starts[number] + 1)
+                self._break_off(number, start, runs)
+        self._at(self._now + self._world.cut_ms, self._heal)
+        if self._now < self._world.run_ms:
+            self._at(self._now + self._world.cut_every_ms, self._cut_off)
+
+    def _heal(self) -> None:
+        self._cut = None
+
+    def _report(self, number: int, start, at: float, suspects, asked: int = 0) -> None:
+        """Take a crash in, unless the whole failure domain refuses; then ask again later."""
+        world = self._world
+        others = [
+            other
+            for other in self._running
+            if other != number and other % world.domains == number % world.domains
+            # Whoever is known to have crashed is no witness.
+            and self._ledger.find((f"server-{other}", self._starts[other])) is None
+        ]
+        names = choose_witnesses([str(other) for other in others], self._rng)
+        reached = [self._is_reached(int(name)) for name in names]
+        if not world.witnesses or not speaks_for_cut(reached):
+            self._later(self._ledger.add, start, SERVICE, world.servers, at, suspects)
+        elif asked < ASK_AGAIN:
+            again = (number, start, at, suspects, asked + 1)
+            self._at(self._now + ASK_AGAIN_SECONDS * 1000, self._look_again, *again)
+
+    def _look_again(self, number: int, *more) -> None:
+        """Drop the question where the server is reached, as it is once a cut has healed."""
+        if not self._is_reached(number):
+            self._report(number, *more)
+
     def _crash_under(self, run: Run) -> None:
         if run.open:
             self._crash(run.server)
@@ -199,18 +260,16 @@
         start = (f"server-{server}", self._starts[server])
         self._at(self._now + self._world.back_ms, self._back, server)
         for run in runs:
-            run.open = False
             self._ends[run.fingerprint] += 1
             if self._ends[run.fingerprint] == 3:
                 self._result.third_end_at[run.fingerprint] = self._now
-            self._later(
-                self._ledger.add,
-                start,
-                SERVICE,
-                self._world.servers,
-                self._now,
-                [Suspect(run.fingerprint, run.began_at)],
-            )
+        self._break_off(server, start, runs)
+
+    def _break_off(self, server: int, start, runs: list[Run]) -> None:
+        """Let each VM that had requests at a server report its own, and send them on."""
+        for run in runs:
+            run.open = False
+            self._report(server, start, self._now, [Suspect(run.fingerprint, run.began_at)])
             if run.tries < MOST_TRIES:
                 self._at(self._now + 5, self._send, run.fingerprint, run.tries + 1)
             else:
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -292,3 +292,20 @@
         result = play(World(seed, accidents_every_ms=1_000.0, apart=True))
         assert set(result.turned_away) == {name_of("d", 0)}
         assert result.sent_late[name_of("d", 0)] <= 3
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_cuts_that_refuse(self, seed):
+        """All connections into a failure domain are reset, again and again; nobody is suspected.
+
+        Each server there was taken for crashed, so sound requests travelled alone and waited.
+        """
+        world = World(seed, deadly=0, cut_every_ms=6_000.0, apart=True, late_ms=2.0)
+        assert not play(world).suspected
+        world.witnesses = False
+        assert play(world).suspected
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_deadly_request_among_cuts_that_refuse(self, seed):
+        result = play(World(seed, cut_every_ms=6_000.0, apart=True))
+        assert set(result.turned_away) == {name_of("d", 0)}
+        assert result.sent_late[name_of("d", 0)] <= 3
