--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -23,7 +23,7 @@
     settle_ran,
 )
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
-from siskinspoke.entry.crashes import refusal, verdict_on
+from siskinspoke.entry.crashes import note_refusal, refusal, verdict_on
 from siskinspoke.entry.requests import Call, Caller
 from siskinspoke.protocol.claims import ClaimAnswer, Target
 
@@ -162,7 +162,7 @@
     async def _look_for_crash(self, target: Target) -> None:
         """Find out whether a server that broke off a call has crashed."""
         if await self._context.backend.refuses(target):
-            self._context.crashed(target)
+            await note_refusal(self._context, target)
 
     def _give_up_on(self, target: Target) -> None:
         self._excluded.add(target.server)
--- a/siskinspoke/entry/completion_attempts.py
+++ b/siskinspoke/entry/completion_attempts.py
@@ -14,6 +14,7 @@
 from siskinspoke.entry import groups
 from siskinspoke.entry.backend import REFUSED, AttemptEnd, Completed, Lost, NotBegun, Unknown
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.entry.crashes import note_refusal
 from siskinspoke.entry.requests import Caller, Completion
 from siskinspoke.entry.stream_tokens import StreamToken
 from siskinspoke.protocol.assembly import Assembler, Piece
@@ -37,19 +38,6 @@
     return RunEnd.BROKE
 
 
-def _shows_crash(resumed: AttemptEnd) -> bool:
-    """Tell whether a server whose stream broke off has crashed, from how it answered after it.
-
-    Its machine refuses connections, or the process there knows nothing of the attempt.
-    """
-    match resumed:
-        case NotBegun(reason=reason):
-            return reason == REFUSED
-        case Unknown():
-            return True
-    return False
-
-
 class ReaderTooSlowError(Exception):
     """The caller read nothing for its whole allowance."""
 
@@ -198,10 +186,17 @@
                 break
             self._context.counters.count("retried.resume")
             end = await self._resume(target)
-            if _shows_crash(end):
-                self._context.crashed(target)
+            await self._note_crash(target, end)
         return end
 
+    async def _note_crash(self, target: Target, resumed: AttemptEnd) -> None:
+        """Take in what a server's word after a break shows: refused, or nothing known of it."""
+        match resumed:
+            case NotBegun(reason=reason) if reason == REFUSED:
+                await note_refusal(self._context, target)
+            case Unknown():
+                self._context.crashed(target)
+
     async def _resume(self, target: Target) -> AttemptEnd:
         """Read on from a server that still runs the attempt, after its connection broke."""
         body = {
--- a/siskinspoke/entry/crashes.py
+++ b/siskinspoke/entry/crashes.py
@@ -10,8 +10,10 @@
 from siskinspoke.coordination.crashes import Quarantined, Undecided, Verdict
 from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.coordination.watchers import rendezvous_order
+from siskinspoke.coordination.witnesses import choose_witnesses, speaks_for_cut
 from siskinspoke.core.codes import Failure
-from siskinspoke.entry.context import EntryContext, now_ms
+from siskinspoke.entry.context import EntryContext, now_ms, target_of
+from siskinspoke.protocol.claims import Target
 from siskinspoke.protocol.crashes import CrashNews, CrashSpread, CrashWant
 from siskinspoke.transport.datagrams import DatagramPort
 
@@ -39,6 +41,29 @@
         await trio.sleep(verdict.wait_seconds)
 
 
+async def note_refusal(context: EntryContext, target: Target) -> None:
+    """Take in that a server refuses connections, unless its whole failure domain does.
+
+    A cut may reset connections and refuse new ones; then nobody there has crashed.
+    """
+    record = context.directory.latest(target.server)
+    domain = record.announcement.failure_domain if record is not None else ""
+    others = {
+        item.announcement.server: item
+        for item in context.directory.live(now_ms())
+        if item.announcement.failure_domain == domain
+        and item.announcement.server != target.server
+        and not context.crashes.has_crashed(item.start)
+    }
+    witnesses = [others[name] for name in choose_witnesses(sorted(others), context.rng)]
+    reached = [not await context.backend.refuses(target_of(item)) for item in witnesses]
+    if speaks_for_cut(reached):
+        context.counters.count("crash.doubted")
+        logger.info("domain.refuses {}", {"domain": domain, "server": target.server})
+        return
+    context.crashed(target)
+
+
 def refusal(context: EntryContext, verdict: Quarantined) -> Failure:
     """Count a request that is not sent, and return its answer."""
     context.counters.count("quarantine.refused")
