--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -168,7 +168,9 @@
             if metrics_port:
                 pages = metrics_pages(self._counters, parts.latencies)
                 nursery.start_soon(serve_pages, pages, host, metrics_port)
-            await serve_calls(make_app(parts).answer, bounds, address.host, address.port)
+            answer = make_app(parts).answer
+            await nursery.start(serve_calls, answer, bounds, address.host, address.port)
+            self._log.note("operators.open", port=address.port)
 
     async def _until_told_to_stop(self) -> None:
         """Wait for SIGTERM; SIGHUP, which would end the process, means changed settings."""
--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -123,7 +123,7 @@
         self._registry = parts.registry
         self._counters = parts.counters
         self._log = parts.log
-        self._known: tuple[int, frozenset[str] | None] = (0, None)
+        self._known_services: tuple[int, frozenset[str] | None] = (0, None)
 
     async def answer(self, call: Call) -> Reply:
         """Answer one call; a fault in one must not end the VM."""
@@ -151,9 +151,9 @@
         held = self._registry.held
         if held.document is None:
             return None
-        if self._known[0] != held.version:
-            self._known = (held.version, services_in(held.document))
-        return self._known[1]
+        if self._known_services[0] != held.version:
+            self._known_services = (held.version, services_in(held.document))
+        return self._known_services[1]
 
     async def _announce(self, server: str, body: bytes) -> Reply:
         registry = self._registry
