--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -32,6 +32,8 @@
 
 MAX_ATTEMPTS = 4
 RETRY_LATER_MS = 2_000
+# A last word that leaves so much later than it was due is worth a line.
+OVERRUN_MS = 20
 # An engine with all slots taken ends a stream several times a second.
 ROOM_AGAIN_SECONDS = 0.2
 
@@ -93,12 +95,22 @@
         finally:
             if not ended and self.failure is None:
                 self.failure = self._cut_short()
+                self._note_overrun()
             self._clean_up()
             self._send.close()
             self._context.request_closed()
             if self.failure is not None:
                 self._context.counters.count(f"failed.{self.failure.code.name.lower()}")
 
+    def _note_overrun(self) -> None:
+        """Write down a last word that leaves late: this VM stood still, or its timers are late."""
+        over_ms = round((trio.current_time() - self._deadline) * 1000)
+        if over_ms >= OVERRUN_MS:
+            late_ms = round(self._context.standstill.lateness * 1000)
+            logger.info(
+                "request {} ends {} ms late, timers {} ms", self.request_id, over_ms, late_ms
+            )
+
     def _cut_short(self) -> Failure:
         """Return the failure of a request whose deadline passed or whose caller hung up."""
         run = self._fate()
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -297,7 +297,7 @@
 
         outcomes = trio.run(scenario)
         assert len(outcomes) == 10
-        assert all(item.total < 4.0 for item in outcomes)
+        assert [item.total for item in outcomes if item.total >= 4.0] == []
         assert not any(item.whole for item in outcomes)
 
     def test_refusal_comes_at_once_with_a_time_to_come_back(self, make_site):
--- a/tests/platform/test_lost_servers.py
+++ b/tests/platform/test_lost_servers.py
@@ -72,7 +72,8 @@
                 answer, took = await ask_while(site, "/stream/x", happen, **PROMPT)
                 assert data_of(answer.body) == b"".join(event(n) for n in (1, 2, 3))
                 assert took < SOON_SECONDS
-                assert site.gateway.standing.is_unreachable(one.name)
+                standing = site.gateway.standing
+                await until(lambda: standing.is_unreachable(one.name), SOON_SECONDS)
 
         trio.run(run)
 
