Let a strange call end its own connection alone

Change: such methods get 405; any other fault is logged and closes one connection. Tests: ten strange requests and 200 spoilt ones, each followed by a sound call; HEAD failed before, all pass now.

--- a/siskinspoke/transport/calls.py
+++ b/siskinspoke/transport/calls.py
@@ -15,6 +15,8 @@
 HEADER_BYTES = 8_192
 # A caller asks every few seconds; one that says nothing for longer is gone.
 IDLE_SECONDS = 30.0
+# Methods whose answers have a body of their own, and nothing but an answer.
+METHODS = frozenset({"GET", "POST", "PUT", "DELETE"})
 # Of the listening socket: servers announce themselves all at once after a loss of all VMs.
 BACKLOG = 1_024
 
@@ -58,6 +60,12 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, BadRequestError):
             # The caller has gone or speaks no HTTP; it sees a closed connection.
             return
+        except Exception as error:
+            # A request that nobody expects, or a fault of ours, must not end the VM.  The library
+            # is loaded only here: no other call needs it.
+            from loguru import logger
+
+            logger.error("a call's connection failed: {!r}", error)
         finally:
             await connection.close()
 
@@ -80,7 +88,9 @@
             await _send(connection, Reply(error.status or 400))
             return False
     if not reading.cancelled_caught:
-        reply = await answer(Call(head.method, head.target.partition("?")[0], body))
+        reply = Reply(405)
+        if head.method in METHODS:
+            reply = await answer(Call(head.method, head.target.partition("?")[0], body))
     await _send(connection, reply)
     return connection.next_cycle()
 
--- /dev/null
+++ b/tests/transport/test_calls.py
@@ -0,0 +1,75 @@
+"""Tests of small calls: what is no proper call ends its own connection alone."""
+
+import random
+
+import pytest
+import trio
+
+from siskinspoke.transport.calls import Bounds, Call, Reply, serve_calls
+
+BOUNDS = Bounds(body_bytes=1_000, body_seconds=0.3)
+SOUND = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+STRANGE = [
+    b"HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /x HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n",
+    b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\nab",
+    b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab",
+    b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+    b"A" * 20_000,
+    b"\x00\xff\r\n\r\n",
+]
+
+
+async def answer(call: Call) -> Reply:
+    """Answer with the call's path."""
+    if call.path == "/fault":
+        raise ValueError("a fault")
+    return Reply(200, call.path.encode(), "text/plain")
+
+
+async def exchange(port: int, data: bytes) -> bytes:
+    """Send bytes, and return what comes first within a time."""
+    got = b""
+    with trio.move_on_after(1.0):
+        try:
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                await stream.send_all(data)
+                got = await stream.receive_some()
+        except trio.BrokenResourceError:
+            return got
+    return got
+
+
+class TestStrangeCalls:
+    """One strange request ended the server of calls, and the control VM with it."""
+
+    @pytest.mark.parametrize("data", [*STRANGE, SOUND.replace(b"/x", b"/fault")])
+    def test_others_are_answered(self, data):
+        async def run():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(serve_calls, answer, BOUNDS, "127.0.0.1", 0)
+                port = listeners[0].socket.getsockname()[1]
+                await exchange(port, data)
+                assert (await exchange(port, SOUND)).startswith(b"HTTP/1.1 200")
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_spoilt_bytes(self):
+        async def run():
+            rng = random.Random(1)
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(serve_calls, answer, BOUNDS, "127.0.0.1", 0)
+                port = listeners[0].socket.getsockname()[1]
+                async with trio.open_nursery() as callers:
+                    for _ in range(200):
+                        data = bytearray(rng.choice(STRANGE))
+                        for _ in range(rng.randrange(1, 5)):
+                            data[rng.randrange(len(data))] = rng.randrange(256)
+                        callers.start_soon(exchange, port, bytes(data))
+                assert (await exchange(port, SOUND)).startswith(b"HTTP/1.1 200")
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
