--- a/siskinspoke/coordination/domains.py
+++ b/siskinspoke/coordination/domains.py
@@ -57,9 +57,10 @@
         """Note that several servers of a domain refuse together; return whether the cut is new."""
         known = self._domains.setdefault(domain, _Domain())
         known.failed["refused"] = now
-        is_new = known.cut_since is None
-        known.cut_since = now if is_new else known.cut_since
-        return is_new
+        if known.cut_since is not None:
+            return False
+        known.cut_since = now
+        return True
 
     def is_cut(self, domain: str, now: float) -> bool:
         """Tell whether a domain is believed to be out of reach."""
--- a/siskinspoke/coordination/witnesses.py
+++ b/siskinspoke/coordination/witnesses.py
@@ -8,7 +8,10 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
+
+from siskinspoke.coordination.crashes import Start
+from siskinspoke.coordination.directory import ServerRecord
 
 # So many others of the failure domain are asked.  That both of them have just crashed as well is
 # unlikely; where it happens, others are asked again.
@@ -24,6 +27,24 @@
     return rng.sample(others, min(WITNESSES, len(others)))
 
 
+def witnesses_of(
+    server: str,
+    domain: str,
+    live: Iterable[ServerRecord],
+    has_crashed: Callable[[Start], bool],
+    rng: random.Random,
+) -> list[ServerRecord]:
+    """Return who is asked about a server: some of its domain, but none known to have crashed."""
+    others = {
+        record.announcement.server: record
+        for record in live
+        if record.announcement.failure_domain == domain
+        and record.announcement.server != server
+        and not has_crashed(record.start)
+    }
+    return [others[name] for name in choose_witnesses(sorted(others), rng)]
+
+
 def speaks_for_cut(reached: Sequence[bool]) -> bool:
     """Tell whether a refusal is the domain's rather than the server's, by who was reached.
 
--- a/siskinspoke/entry/crashes.py
+++ b/siskinspoke/entry/crashes.py
@@ -10,7 +10,7 @@
 from siskinspoke.coordination.crashes import Quarantined, Undecided, Verdict
 from siskinspoke.coordination.fingerprints import Subject
 from siskinspoke.coordination.watchers import rendezvous_order
-from siskinspoke.coordination.witnesses import choose_witnesses, speaks_for_cut
+from siskinspoke.coordination.witnesses import speaks_for_cut, witnesses_of
 from siskinspoke.core.codes import Failure
 from siskinspoke.entry.context import EntryContext, now_ms, target_of
 from siskinspoke.protocol.claims import Target
@@ -48,15 +48,9 @@
     """
     record = context.directory.latest(target.server)
     domain = record.announcement.failure_domain if record is not None else ""
-    others = {
-        item.announcement.server: item
-        for item in context.directory.live(now_ms())
-        if item.announcement.failure_domain == domain
-        and item.announcement.server != target.server
-        and not context.crashes.has_crashed(item.start)
-    }
-    witnesses = [others[name] for name in choose_witnesses(sorted(others), context.rng)]
-    reached = [not await context.backend.refuses(target_of(item)) for item in witnesses]
+    live, has_crashed = context.directory.live(now_ms()), context.crashes.has_crashed
+    asked = witnesses_of(target.server, domain, live, has_crashed, context.rng)
+    reached = [not await context.backend.refuses(target_of(item)) for item in asked]
     if speaks_for_cut(reached):
         context.counters.count("crash.doubted")
         logger.info("domain.refuses {}", {"domain": domain, "server": target.server})
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -11,8 +11,8 @@
 from siskinspoke.coordination.witnesses import (
     ASK_AGAIN,
     ASK_AGAIN_SECONDS,
-    choose_witnesses,
     speaks_for_cut,
+    witnesses_of,
 )
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.reaching import NoConnection, look_at
@@ -141,22 +141,17 @@
 
 async def _domain_refuses(gateway: Gateway, server: ServerRecord) -> bool:
     """Tell whether other servers of the failure domain cannot be reached either."""
-    said, now = server.announcement, now_ms()
-    others = {
-        record.announcement.server: record
-        for record in gateway.directory.live(now)
-        if record.announcement.failure_domain == said.failure_domain
-        and record.announcement.server != said.server
-        and not gateway.crashes.has_crashed(record.start)
-    }
+    said, live = server.announcement, gateway.directory.live(now_ms())
+    has_crashed = gateway.crashes.has_crashed
+    asked = witnesses_of(said.server, said.failure_domain, live, has_crashed, gateway.rng)
     reached: list[bool] = []
 
     async def ask(record: ServerRecord) -> None:
         reached.append(await look_at(gateway, record) is None)
 
     async with trio.open_nursery() as nursery:
-        for name in choose_witnesses(sorted(others), gateway.rng):
-            nursery.start_soon(ask, others[name])
+        for record in asked:
+            nursery.start_soon(ask, record)
     return speaks_for_cut(reached)
 
 
