Log why a control VM knows no leader

The log recorded neither why elections failed, nor how long syncs and turns of the replica's loop took, nor whether the links between control VMs were connected, so three hypotheses could not be told apart.

A vote reply now carries the reason for a refusal.

--- a/siskinspoke/control/daemon.py
+++ b/siskinspoke/control/daemon.py
@@ -10,6 +10,7 @@
 from siskinspoke.conf import Settings
 from siskinspoke.control.app import ControlState, control_app
 from siskinspoke.control.order_task import OrderTask
+from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import Times
@@ -22,6 +23,10 @@
 GRACEFUL_SECONDS = 2.0
 
 
+def _log_event(event: str, **fields: object) -> None:
+    logger.info("{}: {}", event, fields)
+
+
 async def run_control(settings: Settings, name: str) -> None:
     """Run the control replica of that name until SIGTERM."""
     me = settings.control_vm(name)
@@ -50,7 +55,10 @@
             now_ms(),
         )
         entries = settings.control.snapshot_entries
-        task = ReplicaTask(replica, store, links, counters, entries, logger.info)
+        report = ReplicaReport(
+            counters, None, _log_event, lambda: {peer: link.state for peer, link in links.items()}
+        )
+        task = ReplicaTask(replica, store, links, counters, entries, logger.info, report)
         nursery = await stack.enter_async_context(trio.open_nursery())
         listener = LinkListener(settings.internal_key, counters, task.hear)
         await nursery.start(listener.serve, me.host, me.link_port)
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -13,6 +13,7 @@
 from siskinspoke.conf.watch import SettingsWatch
 from siskinspoke.control.feed_hub import FeedHub
 from siskinspoke.control.registry import Registry
+from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.replica import Replica
@@ -79,6 +80,7 @@
         self._watch = SettingsWatch(read_settings, self._take_seeds, log)
         self._log = log
         self._counters = Counters()
+        self._latencies = Latencies()
         lease_ms = self._watch.settings.announce_every_ms * LEASES_PER_ANNOUNCEMENT
         self._directory = Directory(lease_ms)
         self.registry = Registry(self._directory, self._counters, log)
@@ -125,7 +127,7 @@
     async def run(self, load_app: Callable[[], AppFactory], metrics_port: int) -> None:
         """Serve until SIGTERM."""
         settings = self._watch.settings
-        parts = ControlParts(self.registry, self._counters, Latencies(), self._log)
+        parts = ControlParts(self.registry, self._counters, self._latencies, self._log)
         self._recall_servers()
         self._recall_entries()
         async with AsyncExitStack() as stack:
@@ -295,7 +297,8 @@
             FoundNow() if founder else JoinGroup(),
         )
         replica.set_contacts(settings.seed_hosts)
-        task = ReplicaTask(replica, store, links, self._counters, SNAPSHOT_ENTRIES)
+        report = ReplicaReport(self._counters, self._latencies, self._log.note, links.states)
+        task = ReplicaTask(replica, store, links, self._counters, SNAPSHOT_ENTRIES, report=report)
         self._replica, self._task = replica, task
         self.registry.serve_with(task)
         self._log.note(
--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -158,6 +158,9 @@
             known=known,
             held=self.held.version,
             leader=self._task.replica.leader,
+            role=self._task.replica.role.value,
+            term=self._task.replica.term,
+            unheard_ms=round(now_ms() - self._task.replica.leader_heard_at),
         )
         return Published(known, self.held.version)
 
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -2,13 +2,14 @@
 
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 import msgspec
 import trio
 
+from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.coordination.machine import Machine
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import Output, Role
@@ -87,6 +88,9 @@
         counters: Counters,
         snapshot_entries: int,
         say: Callable[..., None] = _say_nothing,
+        report: ReplicaReport | None = None,
+        clock: Callable[[], float] = now_ms,
+        run_disk_write: Callable[..., Awaitable[None]] = trio.to_thread.run_sync,
     ):
         self.machine = Machine()
         self.replica = replica
@@ -95,6 +99,9 @@
         self._counters = counters
         self._snapshot_entries = snapshot_entries
         self._say = say
+        self._report = report or ReplicaReport(counters)
+        self._clock = clock
+        self._run_disk_write = run_disk_write
         self._send, self._receive = trio.open_memory_channel[Any](math.inf)
         self._pending: dict[int, tuple[int, Pending]] = {}
         self._changed = trio.Event()
@@ -196,7 +203,7 @@
         """
         while True:
             events = await self._next_events()
-            now = now_ms()
+            now = self._clock()
             # Time goes before messages: a replica that was frozen must first notice that its
             # leadership has lapsed, and only then look at what has queued up.
             self.replica.tick(now)
@@ -217,6 +224,8 @@
                         self.replica.receive(event, now)
             await self._carry_out(self.replica.take_output())
             self._answer_reads()
+            ended = self._clock()
+            self._report.record_duration("turn", ended - now, ended)
 
     def _take_forward(self, forward: Forward, now: float) -> None:
         """Carry out what a follower's caller wants, and answer the follower."""
@@ -252,7 +261,7 @@
     async def _next_events(self) -> list[Any]:
         """Return all events that are there, waiting until the next tick at most."""
         events: list[Any] = []
-        with trio.move_on_after(max(0.0, self.replica.next_wake() - now_ms()) / 1000):
+        with trio.move_on_after(max(0.0, self.replica.next_wake() - self._clock()) / 1000):
             events.append(await self._receive.receive())
         while len(events) < MAX_EVENTS:
             try:
@@ -269,13 +278,21 @@
             return
         self._pending[index] = (self.replica.term, proposal.answer)
 
+    async def _write_to_disk(self, write: Callable[..., None], *args: Any) -> None:
+        began = self._clock()
+        await self._run_disk_write(write, *args)
+        ended = self._clock()
+        self._report.record_duration("sync", ended - began, ended)
+
     async def _carry_out(self, out: Output) -> None:
+        for election in out.lost_elections:
+            self._report.record_lost_election(election)
         if out.identity is not None:
             self._say("identity: incarnation {}", out.identity.incarnation)
             self._store.save_identity(out.identity)
         if out.snapshot is not None:
             records = self.replica.persistent_records()
-            await trio.to_thread.run_sync(self._store.save_snapshot, out.snapshot, records)
+            await self._write_to_disk(self._store.save_snapshot, out.snapshot, records)
             self.machine.load(out.snapshot.document)
             self._applied = out.snapshot.index
             self._counters.count("snapshot.installed")
@@ -287,7 +304,7 @@
                 # it has elected a leader, about a second in which nobody is served.
                 out.records.append(Committed(self._applied))
                 self._unsaved_commit = False
-            await trio.to_thread.run_sync(self._store.append, out.records)
+            await self._write_to_disk(self._store.append, out.records)
             self._counters.count("journal.syncs")
             self._counters.count("journal.records", len(out.records))
         for peer, item in out.sends:
@@ -339,5 +356,5 @@
             return
         snapshot = replica.compact(replica.commit, self.machine.to_document())
         records = replica.persistent_records()
-        await trio.to_thread.run_sync(self._store.save_snapshot, snapshot, records)
+        await self._write_to_disk(self._store.save_snapshot, snapshot, records)
         self._counters.count("snapshot.written")
--- a/siskinspoke/coordination/replica/__init__.py
+++ b/siskinspoke/coordination/replica/__init__.py
@@ -69,6 +69,7 @@
             case Role.LEADER:
                 self._lead(now)
             case _ if now >= self._election_at:
+                self._report_lost_election()
                 self._stand(now, trial=True)
 
     def receive(self, item: Any, now: float) -> None:
--- a/siskinspoke/coordination/replica/core.py
+++ b/siskinspoke/coordination/replica/core.py
@@ -43,6 +43,7 @@
         self._rng = rng
         self._followers: Followers | None = None
         self._votes: set[str] = set()
+        self._refusals: dict[str, str] = {}
         self._trial = False
         self._founding = Founding(name, [item for item in members if item != name], rng, now)
         self._heartbeat_at = now
@@ -80,6 +81,11 @@
         """
         self._contacts = names
 
+    @property
+    def leader_heard_at(self) -> float:
+        """Return when a leader was last heard from; initially the start time of this replica."""
+        return self._leader_heard_at
+
     @property
     def admitted(self) -> bool:
         """Tell whether this replica's votes and acknowledgements count."""
--- a/siskinspoke/coordination/replica/elections.py
+++ b/siskinspoke/coordination/replica/elections.py
@@ -1,7 +1,7 @@
 """How replicas elect a leader: a trial vote first, and only disks that count."""
 
 from siskinspoke.coordination.replica.core import ReplicaCore
-from siskinspoke.coordination.replica_types import Role
+from siskinspoke.coordination.replica_types import LostElection, Refusal, Role
 from siskinspoke.protocol.replication import VoteReply, VoteRequest
 
 
@@ -19,6 +19,7 @@
         if not trial:
             self._set_term(self.term + 1, self.name)
         self._votes = {self.name}
+        self._refusals.clear()
         request = VoteRequest(
             self.name,
             self.identity.incarnation,
@@ -33,6 +34,20 @@
             self._out.sends.append((peer, request))
         self._count_votes(now)
 
+    def _report_lost_election(self) -> None:
+        """Add the current election to the output if this replica is a candidate."""
+        if self.role is not Role.CANDIDATE:
+            return
+        answered = self._votes | self._refusals.keys()
+        election = LostElection(
+            self.term + self._trial,
+            self._trial,
+            sorted(self._votes),
+            dict(self._refusals),
+            [peer for peer in self._peers if peer not in answered],
+        )
+        self._out.lost_elections.append(election)
+
     def _count_votes(self, now: float) -> None:
         if not self._is_majority(len(self._votes)):
             return
@@ -56,6 +71,7 @@
             self._set_term(request.term)
             self._step_down(now)
         granted = self._would_grant(request, now)
+        refusal = None if granted else self._refusal_reason(request, now)
         if granted and not request.trial:
             self._set_term(request.term, request.sender)
             self._rearm(now)
@@ -68,6 +84,7 @@
             request.trial,
             self.commit,
             self.log.term_at(self.commit),
+            refusal or "",
         )
         self._out.sends.append((request.sender, reply))
 
@@ -77,26 +94,40 @@
         A candidate stands only if its own disk counts, and counts only votes of disks whose
         admission it knows to be committed.
         """
+        return self._refusal_reason(request, now) is None
+
+    def _refusal_reason(self, request: VoteRequest, now: float) -> Refusal | None:
+        """Return why a vote is refused, or None if it is granted."""
         mine = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < mine:
-            return False
+            return Refusal.LOG
         if request.trial:
+            if request.term <= self.term:
+                return Refusal.TERM
             quiet = now - self._leader_heard_at >= self._times.election_ms
-            return request.term > self.term and quiet and self.role is not Role.LEADER
-        return request.term == self.term and self._voted_for in ("", request.sender)
+            return None if quiet and self.role is not Role.LEADER else Refusal.LEADER
+        if request.term != self.term:
+            return Refusal.TERM
+        return None if self._voted_for in ("", request.sender) else Refusal.VOTED
 
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         self._learn_commit(reply.commit, reply.commit_term)
         if reply.own_term > self.term:
             # Otherwise a replica with the longer log and the lower term would be refused for
             # its term, the other one for its log, and neither would ever lead.
+            self._refusals[reply.sender] = Refusal.TERM
+            self._report_lost_election()
             self._set_term(reply.own_term)
             self._step_down(now)
             return
         if self.role is not Role.CANDIDATE or reply.trial != self._trial:
             return
-        if reply.term != self.term + self._trial or not reply.granted:
+        if reply.term != self.term + self._trial:
             return
-        if self._counts(reply.sender, reply.incarnation):
+        if not reply.granted:
+            self._refusals[reply.sender] = reply.refusal
+        elif not self._counts(reply.sender, reply.incarnation):
+            self._refusals[reply.sender] = Refusal.DISK
+        else:
             self._votes.add(reply.sender)
             self._count_votes(now)
--- a/siskinspoke/coordination/replica_types.py
+++ b/siskinspoke/coordination/replica_types.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, StrEnum
 from typing import Any, NamedTuple
 
 from siskinspoke.protocol.replication import (
@@ -24,6 +24,30 @@
     LEADER = "leader"
 
 
+class Refusal(StrEnum):
+    """Reason why a vote is refused or not counted."""
+
+    TERM = "term"
+    LOG = "log"
+    LEADER = "leader"
+    VOTED = "voted"
+    DISK = "disk"
+
+
+class LostElection(NamedTuple):
+    """An election in which this replica was a candidate and got no majority.
+
+    ``refused`` maps each refusing voter to its ``Refusal`` value; ``silent`` lists the voters
+    that did not answer.
+    """
+
+    term: int
+    trial: bool
+    granted: list[str]
+    refused: dict[str, str]
+    silent: list[str]
+
+
 class Times(NamedTuple):
     """Timing in milliseconds."""
 
@@ -89,3 +113,4 @@
         self.snapshot: Snapshot | None = None
         self.sends: list[tuple[str, Any]] = []
         self.committed: list[Entry] = []
+        self.lost_elections: list[LostElection] = []
--- a/siskinspoke/protocol/replication.py
+++ b/siskinspoke/protocol/replication.py
@@ -97,7 +97,7 @@
 
 @message
 class VoteReply(NamedTuple):
-    """Answer a vote request; ``own_term`` is the voter's."""
+    """Answer a vote request; ``own_term`` is the voter's, ``refusal`` the reason if refused."""
 
     sender: str
     incarnation: int
@@ -107,6 +107,7 @@
     trial: bool
     commit: int
     commit_term: int
+    refusal: str = ""
 
 
 @message
--- a/siskinspoke/transport/links.py
+++ b/siskinspoke/transport/links.py
@@ -5,8 +5,9 @@
 """
 
 import contextlib
+import math
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 import trio
 
@@ -26,6 +27,14 @@
 Handler = Callable[[Any], Awaitable[None]]
 
 
+class LinkState(NamedTuple):
+    """Connection state of a link, the time of its last change, and the length of the queue."""
+
+    connected: bool
+    since: float
+    queued: int
+
+
 class LinkSender:
     """Own the connection to one peer; messages that cannot leave are dropped and counted.
 
@@ -41,6 +50,14 @@
         self._key = key
         self._counters = counters
         self._send, self._receive = trio.open_memory_channel[Any](OUTBOX_MESSAGES)
+        self._connected = False
+        self._since = -math.inf
+
+    @property
+    def state(self) -> LinkState:
+        """Return the current state; ``since`` is on trio's clock."""
+        queued = self._receive.statistics().current_buffer_used
+        return LinkState(self._connected, self._since, queued)
 
     def send(self, item: Any) -> None:
         """Queue a message."""
@@ -57,14 +74,20 @@
                     stream = await trio.open_tcp_stream(
                         *self._address, local_address=self._local_host
                     )
+                self._set_connected(True)
                 async with stream, trio.open_nursery() as nursery:
                     nursery.start_soon(self._watch, stream, nursery.cancel_scope)
                     nursery.start_soon(self._pump, stream, nursery.cancel_scope)
             except (OSError, trio.TooSlowError):
                 self._counters.count("link.broken")
+            self._set_connected(False)
             self._drain()
             await trio.sleep(PAUSE_SECONDS)
 
+    def _set_connected(self, connected: bool) -> None:
+        if connected != self._connected:
+            self._connected, self._since = connected, trio.current_time()
+
     async def _watch(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
         """End the connection when the peer does.
 
@@ -127,6 +150,10 @@
         with scope:
             await link.run()
 
+    def states(self) -> dict[str, LinkState]:
+        """Return the state of each link by peer name."""
+        return {name: link.state for name, (link, _) in self._links.items()}
+
     def keep(self, names: Iterable[str]) -> None:
         """Close the links to all peers but these."""
         for name in self._links.keys() - set(names):
