Write replica records in a separate task

The replica's task synced the disk between reading and sending messages. While a leader was writing, it sent no heartbeats and processed no replies; while a follower was writing, it did not hear the leader. A vote waited for two syncs, and the leader's first message for a third. With syncs of 0.4 s on all VMs, elections and gaps between a leader's messages exceeded the election timeout of 0.6 s. The class of fault: work that does not depend on a slow resource waits behind it.

A separate task (control/replica_writer.py) now writes to disk in the order of outputs; writes queued during a sync share the next one. Votes and requests for votes are sent after the sync that covers them. Heartbeats, entries, trial votes and the confirmation that a leader is followed are sent immediately. An acknowledgement states how far the log matches (received) and how much of it is on disk (match). Only match counts towards a commit. The same holds for the leader's own disk, whose progress Replica.synced reports. Entries are applied as soon as they are committed, without waiting for this replica's own sync.

--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -10,11 +10,12 @@
 import trio
 
 from siskinspoke.control.replica_report import ReplicaReport
+from siskinspoke.control.replica_writer import ReplicaWriter, Synced, Write
 from siskinspoke.coordination.machine import Machine
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import Output, Role
 from siskinspoke.core.counters import Counters
-from siskinspoke.protocol.replication import Committed, Entry, Forward, Forwarded
+from siskinspoke.protocol.replication import Committed, Entry, Forward, Forwarded, Snapshot
 from siskinspoke.state.replica_store import ReplicaStore
 from siskinspoke.transport.links import LinkSender, LinkSet
 
@@ -94,15 +95,17 @@
     ):
         self.machine = Machine()
         self.replica = replica
-        self._store = store
         self._links = links
         self._counters = counters
         self._snapshot_entries = snapshot_entries
         self._say = say
         self._report = report or ReplicaReport(counters)
         self._clock = clock
-        self._run_disk_write = run_disk_write
         self._send, self._receive = trio.open_memory_channel[Any](math.inf)
+        self._writer = ReplicaWriter(
+            store, counters, self._report, clock, run_disk_write, self._send.send_nowait
+        )
+        self._unsynced_writes = 0
         self._pending: dict[int, tuple[int, Pending]] = {}
         self._changed = trio.Event()
         self._progress = trio.Event()
@@ -196,11 +199,16 @@
                 await self._changed.wait()
 
     async def run(self) -> None:
-        """Decide, sync, send and apply, forever.
+        """Process events until cancelled, while a separate task writes to the disk.
 
         A disk that refuses a write raises through here and ends the process: a replica that
         cannot keep its word must not give it.
         """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._writer.run)
+            await self._process_events()
+
+    async def _process_events(self) -> None:
         while True:
             events = await self._next_events()
             now = self._clock()
@@ -220,9 +228,12 @@
                         self._take_forward(event, now)
                     case Forwarded():
                         self._take_forwarded(event)
+                    case Synced():
+                        self._take_synced(event, now)
                     case _:
                         self.replica.receive(event, now)
-            await self._carry_out(self.replica.take_output())
+            self._carry_out(self.replica.take_output())
+            self._compact_if_due()
             self._answer_reads()
             ended = self._clock()
             self._report.record_duration("turn", ended - now, ended)
@@ -278,44 +289,55 @@
             return
         self._pending[index] = (self.replica.term, proposal.answer)
 
-    async def _write_to_disk(self, write: Callable[..., None], *args: Any) -> None:
-        began = self._clock()
-        await self._run_disk_write(write, *args)
-        ended = self._clock()
-        self._report.record_duration("sync", ended - began, ended)
+    def _take_synced(self, synced: Synced, now: float) -> None:
+        """Report a completed sync to the replica and send the messages that depended on it."""
+        self._unsynced_writes -= len(synced.writes)
+        self.replica.synced(synced.writes[-1].mark, now)
+        for write in synced.writes:
+            self._send_all(write.sends_after_sync)
+
+    def _send_all(self, sends: list[tuple[str, Any]]) -> None:
+        for peer, item in sends:
+            self._links[peer].send(item)
 
-    async def _carry_out(self, out: Output) -> None:
+    def _carry_out(self, out: Output) -> None:
         for election in out.lost_elections:
             self._report.record_lost_election(election)
         if out.identity is not None:
             self._say("identity: incarnation {}", out.identity.incarnation)
-            self._store.save_identity(out.identity)
+        self._send_all(out.sends)
         if out.snapshot is not None:
-            records = self.replica.persistent_records()
-            await self._write_to_disk(self._store.save_snapshot, out.snapshot, records)
-            self.machine.load(out.snapshot.document)
-            self._applied = out.snapshot.index
-            self._counters.count("snapshot.installed")
-            self._note_change()
-            self._unsaved_commit = False
-        elif out.records or self._unsaved_commit:
-            if self._unsaved_commit:
-                # Otherwise a group that was killed as a whole would know no configuration until
-                # it has elected a leader, about a second in which nobody is served.
-                out.records.append(Committed(self._applied))
-                self._unsaved_commit = False
-            await self._write_to_disk(self._store.append, out.records)
-            self._counters.count("journal.syncs")
-            self._counters.count("journal.records", len(out.records))
-        for peer, item in out.sends:
-            self._links[peer].send(item)
+            self._install(out.snapshot)
+            out.records = self.replica.persistent_records()
         for entry in out.committed:
             self._apply(entry)
+        self._write(out)
         if out.committed or out.snapshot is not None:
             progress, self._progress = self._progress, trio.Event()
             progress.set()
         self._note_role()
-        await self._compact_if_due()
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self.machine.load(snapshot.document)
+        self._applied = snapshot.index
+        self._counters.count("snapshot.installed")
+        self._note_change()
+        self._unsaved_commit = False
+
+    def _write(self, out: Output) -> None:
+        """Queue the writes of an output, with the messages to send after their sync."""
+        if self._unsaved_commit:
+            # Without this record, a group whose replicas were all killed would have no
+            # configuration to serve until it has elected a leader.
+            out.records.append(Committed(self._applied))
+            self._unsaved_commit = False
+        if out.has_writes or (out.sends_after_sync and self._unsynced_writes):
+            self._unsynced_writes += 1
+            self._writer.put(
+                Write(out.mark, out.identity, out.snapshot, out.records, out.sends_after_sync)
+            )
+        else:
+            self._send_all(out.sends_after_sync)
 
     def _apply(self, entry: Entry) -> None:
         version = self.machine.version
@@ -350,11 +372,12 @@
                 pending.resolve(None)
             self._pending.clear()
 
-    async def _compact_if_due(self) -> None:
+    def _compact_if_due(self) -> None:
         replica = self.replica
         if replica.commit - replica.log.base_index < self._snapshot_entries:
             return
         snapshot = replica.compact(replica.commit, self.machine.to_document())
-        records = replica.persistent_records()
-        await self._write_to_disk(self._store.save_snapshot, snapshot, records)
+        out = replica.take_output()
+        out.snapshot, out.records = snapshot, replica.persistent_records()
+        self._write(out)
         self._counters.count("snapshot.written")
--- a/siskinspoke/coordination/replica/__init__.py
+++ b/siskinspoke/coordination/replica/__init__.py
@@ -27,7 +27,7 @@
 from siskinspoke.coordination.replica.following import Following
 from siskinspoke.coordination.replica.leading import Leading
 from siskinspoke.coordination.replica.members import MembershipChanges
-from siskinspoke.coordination.replica_types import Role
+from siskinspoke.coordination.replica_types import Role, SyncMark
 from siskinspoke.protocol.replication import (
     Append,
     AppendReply,
@@ -72,6 +72,15 @@
                 self._report_lost_election()
                 self._stand(now, trial=True)
 
+    def synced(self, mark: SyncMark, now: float) -> None:
+        """Act on the completed sync of all outputs up to ``mark``."""
+        self._advance_durable(mark)
+        match self.role:
+            case Role.LEADER:
+                self._advance_commit(now)
+            case Role.FOLLOWER:
+                self._acknowledge_durable()
+
     def receive(self, item: Any, now: float) -> None:
         """Act on one message."""
         match item:
--- a/siskinspoke/coordination/replica/core.py
+++ b/siskinspoke/coordination/replica/core.py
@@ -5,7 +5,15 @@
 from siskinspoke.coordination.followers import Followers
 from siskinspoke.coordination.founding import FOUNDER, Founding
 from siskinspoke.coordination.membership import ADMIT, Learners, Membership
-from siskinspoke.coordination.replica_types import AskPeers, Output, Restored, Role, Start, Times
+from siskinspoke.coordination.replica_types import (
+    AskPeers,
+    Output,
+    Restored,
+    Role,
+    Start,
+    SyncMark,
+    Times,
+)
 from siskinspoke.coordination.replicated_log import ReplicatedLog
 from siskinspoke.protocol.replication import Admitted, Committed, Entry, HardState, Snapshot
 
@@ -49,7 +57,9 @@
         self._heartbeat_at = now
         self._leader_heard_at = now
         self._out = Output()
+        self._output_count = 0
         self._restore(restored)
+        self._durable_index = self.log.last_index
         self._rearm(now)
 
     def _restore(self, restored: Restored) -> None:
@@ -109,8 +119,21 @@
     def take_output(self) -> Output:
         """Return what has to be done since the last call."""
         out, self._out = self._out, Output()
+        self._output_count += 1
+        out.mark = SyncMark(self._output_count, self.log.last_index, self.log.last_term)
         return out
 
+    def _advance_durable(self, mark: SyncMark) -> None:
+        """Treat entries up to ``mark`` as durable unless they have been replaced since."""
+        if self.log.term_at(mark.index) == mark.term:
+            self._durable_index = max(self._durable_index, mark.index)
+
+    def _put_entry(self, entry: Entry) -> None:
+        """Put an entry into the log and queue its record for writing."""
+        self._durable_index = min(self._durable_index, entry.index - 1)
+        self.log.put(entry)
+        self._out.records.append(entry)
+
     def _set_term(self, term: int, voted_for: str = "") -> None:
         self.term = term
         self._voted_for = voted_for
--- a/siskinspoke/coordination/replica/elections.py
+++ b/siskinspoke/coordination/replica/elections.py
@@ -30,8 +30,10 @@
             self.commit,
             self.log.term_at(self.commit),
         )
-        for peer in self._peers:
-            self._out.sends.append((peer, request))
+        # The candidate's vote for itself must be durable before it requests others. Otherwise
+        # it could vote for another candidate in the same term after a crash.
+        sends = self._out.sends if trial else self._out.sends_after_sync
+        sends.extend((peer, request) for peer in self._peers)
         self._count_votes(now)
 
     def _report_lost_election(self) -> None:
@@ -86,7 +88,9 @@
             self.log.term_at(self.commit),
             refusal or "",
         )
-        self._out.sends.append((request.sender, reply))
+        needs_sync = granted and not request.trial
+        sends = self._out.sends_after_sync if needs_sync else self._out.sends
+        sends.append((request.sender, reply))
 
     def _would_grant(self, request: VoteRequest, now: float) -> bool:
         """Tell whether a vote is due; whether it counts is for the candidate to know.
--- a/siskinspoke/coordination/replica/following.py
+++ b/siskinspoke/coordination/replica/following.py
@@ -1,13 +1,26 @@
 """What a replica does with a leader's word: append, commit, take a snapshot."""
 
+from typing import NamedTuple
+
 from siskinspoke.coordination.replica.core import ReplicaCore
 from siskinspoke.coordination.replica_types import Role
 from siskinspoke.protocol.replication import Append, AppendReply, Install, Snapshot
 
 
+class MatchedPrefix(NamedTuple):
+    """The last index at which the log matches a leader's, and when the leader sent its message."""
+
+    leader: str
+    term: int
+    index: int
+    sent_at: float
+
+
 class Following(ReplicaCore):
     """Follow the leader of the current term."""
 
+    _matched: MatchedPrefix | None = None
+
     def _hear_leader(self, sender: str, term: int, now: float) -> bool:
         """Follow the sender if its term is current; False if it is an old leader's word."""
         if term < self.term:
@@ -21,38 +34,55 @@
         self._rearm(now)
         return True
 
-    def _reply(self, to: Append | Install, accepted: bool, match: int) -> None:
+    def _refuse(self, to: Append | Install, next_match: int) -> None:
+        self._reply(to.sender, False, next_match, to.sent_at, 0)
+
+    def _accept(self, to: Append | Install, index: int) -> None:
+        """Acknowledge that the log matches up to ``index``, and how much of it is durable.
+
+        Sent without waiting for a sync, so that a slow disk does not depose the leader.
+        """
+        self._matched = MatchedPrefix(to.sender, to.term, index, to.sent_at)
+        self._reply(to.sender, True, min(index, self._durable_index), to.sent_at, index)
+
+    def _acknowledge_durable(self) -> None:
+        """Acknowledge to the current leader the entries that a sync has made durable."""
+        matched = self._matched
+        if matched is not None and (matched.leader, matched.term) == (self.leader, self.term):
+            match = min(matched.index, self._durable_index)
+            self._reply(matched.leader, True, match, matched.sent_at, matched.index)
+
+    def _reply(self, to: str, accepted: bool, match: int, sent_at: float, received: int) -> None:
         incarnation = self.identity.incarnation
-        reply = AppendReply(self.name, incarnation, self.term, accepted, match, to.sent_at)
-        self._out.sends.append((to.sender, reply))
+        reply = AppendReply(self.name, incarnation, self.term, accepted, match, sent_at, received)
+        self._out.sends.append((to, reply))
 
     def _on_append(self, append: Append, now: float) -> None:
         if not self._hear_leader(append.sender, append.term, now):
-            self._reply(append, False, self.log.last_index)
+            self._refuse(append, self.log.last_index)
             return
         if append.prev_index < self.log.base_index:
-            self._reply(append, True, self.commit)
+            self._accept(append, self.commit)
             return
         if self.log.term_at(append.prev_index) != append.prev_term:
-            self._reply(append, False, min(append.prev_index - 1, self.log.last_index))
+            self._refuse(append, min(append.prev_index - 1, self.log.last_index))
             return
         for entry in append.entries:
             if self.log.term_at(entry.index) != entry.term:
-                self.log.put(entry)
-                self._out.records.append(entry)
+                self._put_entry(entry)
         self._membership.follow(self.log)
         match = append.prev_index + len(append.entries)
         self._commit_to(min(append.commit, match))
-        self._reply(append, True, match)
+        self._accept(append, match)
 
     def _on_install(self, install: Install, now: float) -> None:
         if not self._hear_leader(install.sender, install.term, now):
-            self._reply(install, False, self.log.last_index)
+            self._refuse(install, self.log.last_index)
             return
         snapshot = install.snapshot
         if snapshot.index > self.commit:
             self._take_snapshot(snapshot)
-        self._reply(install, True, self.commit)
+        self._accept(install, self.commit)
 
     def _take_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the log up to the snapshot's end; keep what follows it, if it agrees.
@@ -63,6 +93,7 @@
         if self.log.term_at(snapshot.index) == snapshot.term:
             self.log.compact(snapshot.index)
         else:
+            self._durable_index = min(self._durable_index, self.commit)
             self.log.reset(snapshot.index, snapshot.term)
         self.commit = snapshot.index
         self._membership.reset(snapshot.members)
--- a/siskinspoke/coordination/replica/leading.py
+++ b/siskinspoke/coordination/replica/leading.py
@@ -33,8 +33,7 @@
         if self.role is not Role.LEADER:
             return None
         entry = Entry(self.log.last_index + 1, self.term, kind, body)
-        self.log.put(entry)
-        self._out.records.append(entry)
+        self._put_entry(entry)
         if kind in (ADD, REMOVE):
             self._membership.follow(self.log)
             self._follow_all(now)
@@ -114,7 +113,8 @@
             self._send_entries(reply.sender, item, now)
             return
         item.match = max(item.match, reply.match)
-        item.next_index = max(item.next_index, item.match + 1)
+        # Do not resend entries that the follower has received but not yet synced.
+        item.next_index = max(item.next_index, item.match + 1, reply.received + 1)
         self._advance_commit(now)
         self._admit_if_caught_up(reply.sender, item, now)
         if item.next_index <= self.log.last_index:
@@ -122,7 +122,7 @@
 
     def _advance_commit(self, now: float) -> None:
         """Commit what a majority holds, counting only this term's entries and known disks."""
-        own = self.log.last_index if self.admitted else None
+        own = self._durable_index if self.admitted else None
         reached = self._followers.held_by(len(self.members) // 2, own)
         if reached > self.commit and self.log.term_at(reached) == self.term:
             self._commit_to(reached)
--- a/siskinspoke/coordination/replica_types.py
+++ b/siskinspoke/coordination/replica_types.py
@@ -104,13 +104,33 @@
     return Restored(identity, hard, snapshot, tuple(admitted), tuple(entries), commit)
 
 
+class SyncMark(NamedTuple):
+    """Identifies an output by number and by the last log entry when it was taken."""
+
+    number: int
+    index: int
+    term: int
+
+
 class Output:
-    """What the owner must do, in this order: sync, then send and apply."""
+    """Actions for the owner of a replica.
 
-    def __init__(self) -> None:
+    Send ``sends`` and apply ``committed`` entries immediately. Write identity, snapshot and
+    records in the order of outputs. After the sync that covers an output, call
+    ``Replica.synced`` with its mark and send ``sends_after_sync``.
+    """
+
+    def __init__(self, mark: SyncMark = SyncMark(0, 0, 0)) -> None:  # noqa: B008  (immutable)
+        self.mark = mark
         self.identity: Identity | None = None
         self.records: list[HardState | Admitted | Committed | Entry] = []
         self.snapshot: Snapshot | None = None
         self.sends: list[tuple[str, Any]] = []
+        self.sends_after_sync: list[tuple[str, Any]] = []
         self.committed: list[Entry] = []
         self.lost_elections: list[LostElection] = []
+
+    @property
+    def has_writes(self) -> bool:
+        """Tell whether the output has anything to write to disk."""
+        return bool(self.records) or self.identity is not None or self.snapshot is not None
--- a/siskinspoke/protocol/replication.py
+++ b/siskinspoke/protocol/replication.py
@@ -129,9 +129,10 @@
 
 @message
 class AppendReply(NamedTuple):
-    """``match`` is the last index known to agree, or where to try next on a refusal.
+    """``match`` is the last matching index that is on disk, or where to try next on a refusal.
 
-    ``sent_at`` is that of the message answered.
+    ``received`` is the last matching index, whether or not it is on disk. ``sent_at`` is that of
+    the message answered.
     """
 
     sender: str
@@ -140,6 +141,7 @@
     accepted: bool
     match: int
     sent_at: float
+    received: int = 0
 
 
 @message
--- a/siskinspoke/testing/elastic_group.py
+++ b/siskinspoke/testing/elastic_group.py
@@ -23,6 +23,7 @@
     def start(self, name: str) -> None:
         """Start a replica from its disk; an emptied founder may not found again."""
         disk = self.disks[name]
+        self.unsynced[name] = []
         found = name in self.contacts and self.now == 0.0
         self.replicas[name] = self._kind(
             name,
@@ -54,7 +55,7 @@
         self.crash(name)
         self.names.remove(name)
         self.names.append(self.successor)
-        for table in (self.replicas, self.disks, self.applied):
+        for table in (self.replicas, self.disks, self.applied, self.unsynced):
             del table[name]
         self.in_flight = [item for item in self.in_flight if name not in item[:2]]
         if name in self.contacts:
--- a/siskinspoke/testing/replica_group.py
+++ b/siskinspoke/testing/replica_group.py
@@ -26,6 +26,8 @@
 COMMAND = "command"
 # Share of commits that reach the disk before the next record does.
 SAVED_COMMITS = 0.3
+# Probabilities that a replica syncs directly after an output, and after a tick.
+SYNCED_AFTER_OUTPUT, SYNCED_AFTER_TICK = 0.5, 0.8
 
 
 class InvariantError(AssertionError):
@@ -40,6 +42,15 @@
         self.snapshot: Snapshot | None = None
         self.records: list[HardState | Admitted | Committed | Entry] = []
 
+    def write(self, out: Output) -> None:
+        """Write the persistent part of an output."""
+        if out.identity is not None:
+            self.identity = out.identity
+        if out.snapshot is not None:
+            self.snapshot, self.records = out.snapshot, list(out.records)
+        else:
+            self.records.extend(out.records)
+
     def restored(self) -> Restored:
         """Return what a restarted replica finds."""
         return restored_from(self.identity, self.snapshot, self.records)
@@ -55,6 +66,7 @@
         self.disks = {name: Disk() for name in self.names}
         self.replicas: dict[str, Replica | None] = {}
         self.in_flight: list[tuple[str, str, Any]] = []
+        self.unsynced: dict[str, list[Output]] = {name: [] for name in self.names}
         self.frozen: set[str] = set()
         self.cuts: set[tuple[str, str]] = set()
         self.applied: dict[str, list[Any]] = {name: [] for name in self.names}
@@ -68,6 +80,7 @@
 
     def start(self, name: str) -> None:
         """Start a replica from its disk."""
+        self.unsynced[name] = []
         self.replicas[name] = self._kind(
             name,
             self.names,
@@ -82,6 +95,7 @@
     def crash(self, name: str) -> None:
         """Kill a replica; what it had not synced is gone."""
         self.replicas[name] = None
+        self.unsynced[name] = []
         self.frozen.discard(name)
 
     def empty_disk(self, name: str) -> None:
@@ -165,6 +179,8 @@
             if replica is not None and name not in self.frozen:
                 replica.tick(self.now)
                 self._carry_out(name, replica.take_output())
+                if self.rng.random() < SYNCED_AFTER_TICK:
+                    self.sync(name)
 
     def propose(self) -> None:
         """Give every replica that believes to lead a command."""
@@ -176,26 +192,48 @@
             self._carry_out(name, replica.take_output())
 
     def _carry_out(self, name: str, out: Output) -> None:
-        """Sync, send and apply, as the owner of a replica does."""
-        disk, replica = self.disks[name], self.replicas[name]
-        if out.identity is not None:
-            disk.identity = out.identity
+        """Send, apply and write, as the owner of a replica does."""
+        replica, unsynced = self.replicas[name], self.unsynced[name]
         if out.snapshot is not None:
-            disk.snapshot = out.snapshot
-            disk.records = replica.persistent_records()
             self.applied[name] = list(out.snapshot.document["applied"])
-        disk.records.extend([] if out.snapshot else out.records)
-        for to, item in out.sends:
-            if len(self.in_flight) < MAX_IN_FLIGHT:
-                self.in_flight.append((name, to, item))
+            out.records = replica.persistent_records()
+        self._send_all(name, out.sends)
         for entry in out.committed:
             self._apply(name, entry)
         if out.committed and self.rng.random() < SAVED_COMMITS:
-            disk.records.append(Committed(out.committed[-1].index))
+            out.records.append(Committed(out.committed[-1].index))
+        unsynced.append(out)
         if replica.commit - replica.log.base_index >= COMPACT_EVERY:
+            compacted = Output(out.mark)
             document = {"applied": list(self.applied[name])}
-            disk.snapshot = replica.compact(replica.commit, document)
-            disk.records = replica.persistent_records()
+            compacted.snapshot = replica.compact(replica.commit, document)
+            compacted.records = replica.persistent_records()
+            unsynced.append(compacted)
+        if self.rng.random() < SYNCED_AFTER_OUTPUT:
+            self.sync(name)
+
+    def sync(self, name: str) -> None:
+        """Write all unsynced outputs to disk, then send the messages that depend on them."""
+        replica, disk = self.replicas[name], self.disks[name]
+        while replica is not None and self.unsynced[name]:
+            waiting = self.unsynced[name]
+            self.unsynced[name] = []
+            for out in waiting:
+                disk.write(out)
+            replica.synced(waiting[-1].mark, self.now)
+            for out in waiting:
+                self._send_all(name, out.sends_after_sync)
+            after = replica.take_output()
+            self._send_all(name, after.sends)
+            for entry in after.committed:
+                self._apply(name, entry)
+            if after.has_writes or after.sends_after_sync:
+                self.unsynced[name].append(after)
+
+    def _send_all(self, name: str, sends: list[tuple[str, Any]]) -> None:
+        for to, item in sends:
+            if len(self.in_flight) < MAX_IN_FLIGHT:
+                self.in_flight.append((name, to, item))
 
     def _apply(self, name: str, entry: Entry) -> None:
         self.applied[name].append((entry.index, entry.kind, entry.body))
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -123,6 +123,7 @@
         committed = leader.commit
         leader.receive(Join("r8", 77), group.now)
         leader.propose("command", 1, group.now)
+        leader.synced(leader.take_output().mark, group.now)
         last = leader.log.last_index
         leader.receive(AppendReply("r8", 77, leader.term, True, last, group.now), group.now)
         return leader.commit > committed
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -10,6 +10,8 @@
 from siskinspoke.coordination.replica_types import Restored, Role
 from siskinspoke.protocol.replication import (
     Admitted,
+    Append,
+    AppendReply,
     Entry,
     HardState,
     Identity,
@@ -151,6 +153,64 @@
         assert not reply.granted
 
 
+class TestSyncs:
+    """Messages and acknowledgements that depend on a sync."""
+
+    def test_vote_waits_for_its_sync(self):
+        """A vote lost in a crash could let two candidates lead in the same term."""
+        replica = follower()
+        replica.receive(VoteRequest("r1", 1, 5, 0, 0, False, 0, 0), 1.0)
+        out = replica.take_output()
+        assert out.sends == []
+        ((to, reply),) = out.sends_after_sync
+        assert to == "r1"
+        assert reply.granted
+
+    def test_request_for_votes_waits_for_its_sync(self):
+        """A candidate that loses its own vote in a crash could vote again in the same term."""
+        replica = follower()
+        replica.tick(10_000)
+        replica.receive(VoteReply("r1", 1, 2, 1, True, True, 0, 0), 10_001)
+        out = replica.take_output()
+        assert {item.trial for _, item in out.sends} == {True}
+        assert {item.trial for _, item in out.sends_after_sync} == {False}
+
+    def test_entry_is_acknowledged_after_its_sync(self):
+        """An acknowledged entry lost in a crash could revert an accepted change."""
+        replica = follower()
+        replica.receive(Append("r1", 1, 0, 0, [Entry(1, 1, "noop", None)], 0, 5.0), 6.0)
+        out = replica.take_output()
+        ((_, early),) = out.sends
+        assert (early.accepted, early.match, early.received) == (True, 0, 1)
+        replica.synced(out.mark, 7.0)
+        ((_, late),) = replica.take_output().sends
+        assert (late.accepted, late.match, late.sent_at) == (True, 1, 5.0)
+
+    def test_replaced_entry_is_not_acknowledged(self):
+        """A sync that completes after a new leader replaced the entry must not acknowledge it."""
+        replica = follower()
+        replica.receive(Append("r1", 1, 0, 0, [Entry(1, 1, "noop", None)], 0, 5.0), 6.0)
+        out = replica.take_output()
+        replica.receive(Append("r2", 2, 0, 0, [Entry(1, 2, "noop", None)], 0, 7.0), 8.0)
+        replica.take_output()
+        replica.synced(out.mark, 9.0)
+        ((_, reply),) = replica.take_output().sends
+        assert reply.match == 0
+
+    def test_leader_counts_its_own_entry_after_its_sync(self):
+        """An entry that only one of three replicas has on disk must not be committed."""
+        group = ReplicaGroup(3, 1)
+        group.heal(3_000)
+        leader = next(r for r in group.replicas.values() if r.role is Role.LEADER)
+        committed, last = leader.commit, leader.propose("command", 1, group.now)
+        reply = AppendReply("r1" if leader.name != "r1" else "r2", 1, leader.term, True, last, 0.0)
+        out = leader.take_output()
+        leader.receive(reply, group.now)
+        assert leader.commit == committed
+        leader.synced(out.mark, group.now)
+        assert leader.commit == last
+
+
 class TestLease:
     """The time in which no other replica can have been elected."""
 
