Adapt election timeouts to measured disk and processor delays

The election timeout was fixed at 0.6 to 1.2 s: it neither increased after a failed election nor depended on how long a sync or a turn of the event loop takes. Where an election takes longer, as with syncs of 0.6 s and more (the candidate's and a voter's sync run in series), each election was ended by the next. In addition, a slow follower checked its timeout before its queued messages, and stood for election although its leader had sent a message. The class of fault is a fixed timeout applied to a duration that depends on the machine.

The configured timeout is now the minimum (coordination/election_timer.py):

- The second longest timer delay of the last 10 s, sampled every 0.1 s, lengthens the timeouts of followers and leaders; round trips lengthen that of leaders, and the longest sync that of elections.
- A lost election that a majority had agreed to hold doubles the timeout of the next one, up to eight times, until a leader is heard.
- A replica starts no election while its own vote is being written to disk.
A vote stays valid throughout its term.
A replica that has voted refuses trial votes for one election timeout.
- Followers process their messages before they check the timeout.
Leaders still check the time first.

Leases depend on the configured timeout, for which trial votes are refused as before, so the timeouts of members may differ.

The histogram replica_turn and the field turn_ms now hold the delay of a timer instead of the duration of a turn.

--- a/siskinspoke/control/replica_report.py
+++ b/siskinspoke/control/replica_report.py
@@ -11,7 +11,7 @@
 from siskinspoke.core.latencies import Latencies
 from siskinspoke.transport.links import LinkState
 
-# A sync or turn of at least this duration is logged, at most once per SLOW_LOG_INTERVAL_MS.
+# A sync or delay of at least this duration is logged, at most once per SLOW_LOG_INTERVAL_MS.
 SLOW_THRESHOLD_MS = 100.0
 SLOW_LOG_INTERVAL_MS = 1_000.0
 
@@ -40,7 +40,7 @@
         self._longest_ms = {"sync": 0.0, "turn": 0.0}
 
     def record_duration(self, kind: str, milliseconds: float, now: float) -> None:
-        """Record the duration of a ``sync`` or of a ``turn`` of the replica's loop."""
+        """Record the duration of a ``sync``, or the delay of a timer by the process's ``turn``."""
         self._latencies.record(f"replica_{kind}", milliseconds)
         self._longest_ms[kind] = max(self._longest_ms[kind], milliseconds)
         if milliseconds < SLOW_THRESHOLD_MS:
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -22,6 +22,7 @@
 READ = "read"
 MAX_EVENTS = 512
 HAND_OVER_SECONDS = 1.0
+TURN_SAMPLE_SECONDS = 0.1
 
 
 class Proposal(NamedTuple):
@@ -206,15 +207,30 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._writer.run)
+            nursery.start_soon(self._sample_turn_delays)
             await self._process_events()
 
+    async def _sample_turn_delays(self) -> None:
+        """Sample the wake-up delay of timers, which shows how long a turn of the loop takes."""
+        while True:
+            began = self._clock()
+            await self._sleep(TURN_SAMPLE_SECONDS)
+            now = self._clock()
+            delay = max(0.0, now - began - TURN_SAMPLE_SECONDS * 1000)
+            self.replica.timer.turn_delays.add(delay, now)
+            self._report.record_duration("turn", delay, now)
+
+    async def _sleep(self, seconds: float) -> None:
+        await trio.sleep(seconds)
+
     async def _process_events(self) -> None:
         while True:
             events = await self._next_events()
             now = self._clock()
-            # Time goes before messages: a replica that was frozen must first notice that its
-            # leadership has lapsed, and only then look at what has queued up.
-            self.replica.tick(now)
+            if self.leads:
+                # A leader that was suspended must detect that its leadership has lapsed before
+                # it processes queued messages.
+                self.replica.tick(now)
             for event in events:
                 match event:
                     case Proposal():
@@ -232,11 +248,12 @@
                         self._take_synced(event, now)
                     case _:
                         self.replica.receive(event, now)
+            # A delayed follower processes queued messages from its leader before it checks its
+            # election timeout.
+            self.replica.tick(now)
             self._carry_out(self.replica.take_output())
             self._compact_if_due()
             self._answer_reads()
-            ended = self._clock()
-            self._report.record_duration("turn", ended - now, ended)
 
     def _take_forward(self, forward: Forward, now: float) -> None:
         """Carry out what a follower's caller wants, and answer the follower."""
@@ -291,6 +308,7 @@
 
     def _take_synced(self, synced: Synced, now: float) -> None:
         """Report a completed sync to the replica and send the messages that depended on it."""
+        self.replica.timer.sync_durations.add(synced.duration_ms, now)
         self._unsynced_writes -= len(synced.writes)
         self.replica.synced(synced.writes[-1].mark, now)
         for write in synced.writes:
--- a/siskinspoke/control/replica_writer.py
+++ b/siskinspoke/control/replica_writer.py
@@ -27,9 +27,10 @@
 
 
 class Synced(NamedTuple):
-    """Writes that have reached the disk, in the order in which they were queued."""
+    """Writes that one sync made durable, in queue order, and the duration of that sync."""
 
     writes: list[Write]
+    duration_ms: float
 
 
 def merge_writes(writes: list[Write]) -> Write:
@@ -83,7 +84,7 @@
             self._report.record_duration("sync", ended - began, ended)
             self._counters.count("journal.syncs")
             self._counters.count("journal.records", len(merged.records))
-            self._on_synced(Synced(writes))
+            self._on_synced(Synced(writes, ended - began))
 
     def _write(self, write: Write) -> None:
         """Write identity, snapshot and records; blocks, so it runs in a thread."""
--- a/siskinspoke/coordination/replica/__init__.py
+++ b/siskinspoke/coordination/replica/__init__.py
@@ -70,11 +70,14 @@
                 self._lead(now)
             case _ if now >= self._election_at:
                 self._report_lost_election()
+                if self.role is Role.CANDIDATE and not self._trial:
+                    self.timer.increase_backoff()
                 self._stand(now, trial=True)
 
     def synced(self, mark: SyncMark, now: float) -> None:
         """Act on the completed sync of all outputs up to ``mark``."""
         self._advance_durable(mark)
+        self._resume_elections_if_vote_durable(mark, now)
         match self.role:
             case Role.LEADER:
                 self._advance_commit(now)
--- a/siskinspoke/coordination/replica/core.py
+++ b/siskinspoke/coordination/replica/core.py
@@ -1,7 +1,9 @@
 """What one control replica holds, whatever its role: identity, term, log, commit, members."""
 
+import math
 import random
 
+from siskinspoke.coordination.election_timer import ElectionTimer
 from siskinspoke.coordination.followers import Followers
 from siskinspoke.coordination.founding import FOUNDER, Founding
 from siskinspoke.coordination.membership import ADMIT, Learners, Membership
@@ -49,8 +51,13 @@
         self._voted_for = restored.hard.voted_for
         self._times = times
         self._rng = rng
+        self.timer = ElectionTimer(times, rng)
         self._followers: Followers | None = None
         self._votes: set[str] = set()
+        self._trial_votes: set[str] = set()
+        self._candidate_term = -1
+        self._pending_vote_output = 0
+        self._vote_durable_at = -math.inf
         self._refusals: dict[str, str] = {}
         self._trial = False
         self._founding = Founding(name, [item for item in members if item != name], rng, now)
@@ -114,7 +121,21 @@
         return 2 * count > len(self.members)
 
     def _rearm(self, now: float) -> None:
-        self._election_at = now + self._times.election_ms * self._rng.uniform(1, 2)
+        self._pending_vote_output = 0
+        self._election_at = now + self.timer.follower_timeout(now)
+
+    def _suspend_elections_until_vote_durable(self) -> None:
+        """Start no election until the vote in the next output is durable."""
+        self._pending_vote_output = self._output_count + 1
+        self._election_at = math.inf
+
+    def _resume_elections_if_vote_durable(self, mark: SyncMark, now: float) -> None:
+        """Start the election timeout if the sync up to ``mark`` covers the last vote."""
+        if self._pending_vote_output and mark.number >= self._pending_vote_output:
+            self._pending_vote_output = 0
+            self._election_at = now + self.timer.vote_timeout(now)
+            if self.role is Role.FOLLOWER:
+                self._vote_durable_at = now
 
     def take_output(self) -> Output:
         """Return what has to be done since the last call."""
@@ -143,6 +164,8 @@
         self.role = Role.FOLLOWER
         self.leader = None
         self._votes.clear()
+        self._trial_votes.clear()
+        self._candidate_term = -1
         self._rearm(now)
 
     def _commit_to(self, index: int) -> None:
--- a/siskinspoke/coordination/replica/elections.py
+++ b/siskinspoke/coordination/replica/elections.py
@@ -16,10 +16,14 @@
         self.role = Role.CANDIDATE
         self.leader = None
         self._trial = trial
-        if not trial:
-            self._set_term(self.term + 1, self.name)
-        self._votes = {self.name}
         self._refusals.clear()
+        if trial:
+            self._trial_votes = {self.name}
+        else:
+            self._set_term(self.term + 1, self.name)
+            self._candidate_term = self.term
+            self._votes = {self.name}
+            self._suspend_elections_until_vote_durable()
         request = VoteRequest(
             self.name,
             self.identity.incarnation,
@@ -40,23 +44,22 @@
         """Add the current election to the output if this replica is a candidate."""
         if self.role is not Role.CANDIDATE:
             return
-        answered = self._votes | self._refusals.keys()
+        votes = self._trial_votes if self._trial else self._votes
+        answered = votes | self._refusals.keys()
         election = LostElection(
             self.term + self._trial,
             self._trial,
-            sorted(self._votes),
+            sorted(votes),
             dict(self._refusals),
             [peer for peer in self._peers if peer not in answered],
         )
         self._out.lost_elections.append(election)
 
     def _count_votes(self, now: float) -> None:
-        if not self._is_majority(len(self._votes)):
-            return
-        if self._trial:
-            self._stand(now, trial=False)
-        else:
+        if self._candidate_term == self.term and self._is_majority(len(self._votes)):
             self._become_leader(now)
+        elif self._trial and self._is_majority(len(self._trial_votes)):
+            self._stand(now, trial=False)
 
     def _learn_commit(self, index: int, term: int) -> None:
         """Take over what another replica knows to be committed, where the logs agree there.
@@ -76,7 +79,7 @@
         refusal = None if granted else self._refusal_reason(request, now)
         if granted and not request.trial:
             self._set_term(request.term, request.sender)
-            self._rearm(now)
+            self._suspend_elections_until_vote_durable()
         reply = VoteReply(
             self.name,
             self.identity.incarnation,
@@ -108,12 +111,20 @@
         if request.trial:
             if request.term <= self.term:
                 return Refusal.TERM
-            quiet = now - self._leader_heard_at >= self._times.election_ms
-            return None if quiet and self.role is not Role.LEADER else Refusal.LEADER
+            return None if self._has_no_recent_leader_or_vote(now) else Refusal.LEADER
         if request.term != self.term:
             return Refusal.TERM
         return None if self._voted_for in ("", request.sender) else Refusal.VOTED
 
+    def _has_no_recent_leader_or_vote(self, now: float) -> bool:
+        """Return whether this replica has neither heard a leader nor voted recently.
+
+        This uses the configured timeout instead of the adaptive one because leases depend on it.
+        """
+        if self.role is Role.LEADER or (self.role is Role.FOLLOWER and self._pending_vote_output):
+            return False
+        return now - max(self._leader_heard_at, self._vote_durable_at) >= self._times.election_ms
+
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         self._learn_commit(reply.commit, reply.commit_term)
         if reply.own_term > self.term:
@@ -124,14 +135,12 @@
             self._set_term(reply.own_term)
             self._step_down(now)
             return
-        if self.role is not Role.CANDIDATE or reply.trial != self._trial:
-            return
-        if reply.term != self.term + self._trial:
+        if self.role is not Role.CANDIDATE or reply.term != self.term + reply.trial:
             return
-        if not reply.granted:
-            self._refusals[reply.sender] = reply.refusal
-        elif not self._counts(reply.sender, reply.incarnation):
-            self._refusals[reply.sender] = Refusal.DISK
-        else:
-            self._votes.add(reply.sender)
+        counts = self._counts(reply.sender, reply.incarnation)
+        if reply.granted and counts:
+            # A vote stays valid throughout its term, even after the next trial has started.
+            (self._trial_votes if reply.trial else self._votes).add(reply.sender)
             self._count_votes(now)
+        elif reply.trial == self._trial:
+            self._refusals[reply.sender] = Refusal.DISK if reply.granted else reply.refusal
--- a/siskinspoke/coordination/replica/following.py
+++ b/siskinspoke/coordination/replica/following.py
@@ -31,6 +31,7 @@
             self._step_down(now)
         self.leader = sender
         self._leader_heard_at = now
+        self.timer.reset_backoff()
         self._rearm(now)
         return True
 
--- a/siskinspoke/coordination/replica/leading.py
+++ b/siskinspoke/coordination/replica/leading.py
@@ -20,6 +20,8 @@
     def _become_leader(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.name
+        self._pending_vote_output = 0
+        self.timer.reset_backoff()
         self._learners = Learners()
         self._followers = Followers(self._peers, self.log.last_index + 1, now, self._counts)
         if self.log.last_index:
@@ -59,7 +61,7 @@
         An isolated leader would otherwise go on believing; so would one that was frozen and
         thaws: its first tick finds that it has heard nobody for too long.
         """
-        heard = self._followers.heard_since(now - self._times.election_ms)
+        heard = self._followers.heard_since(now - self.timer.leader_timeout(now))
         if not self._is_majority(heard + 1):
             self._step_down(now)
             return
@@ -105,6 +107,8 @@
         item.incarnation = reply.incarnation
         item.heard_at = now
         item.in_flight_until = 0.0
+        if reply.sent_at > item.leased_from:
+            self.timer.round_trips.add(now - reply.sent_at, now)
         # The follower heard the message that it answers at that message's time or later.  The
         # time of any later message would be too late: it may not have arrived.
         item.leased_from = max(item.leased_from, reply.sent_at)
--- a/tests/control/slow_group.py
+++ b/tests/control/slow_group.py
@@ -57,6 +57,9 @@
 
     turn_delay: Callable[[], float]
 
+    async def _sleep(self, seconds: float) -> None:
+        await trio.sleep(seconds + self.turn_delay())
+
     async def _next_events(self) -> list[Any]:
         events = await super()._next_events()
         await trio.sleep(self.turn_delay())
--- a/tests/control/test_slow_disks.py
+++ b/tests/control/test_slow_disks.py
@@ -33,6 +33,47 @@
 
         assert len(run_slow_group(seed, scenario, sync_seconds=0.4)) == 1
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_group_elects_a_leader_after_all_were_killed(self, seed):
+        """Guards against endless elections after a simultaneous restart, with syncs of 0.4 s."""
+
+        async def scenario(group: SlowGroup) -> float:
+            await start_with_configuration(group)
+            group.kill()
+            group.start()
+            return await group.read(10)
+
+        assert run_slow_group(seed, scenario, sync_seconds=0.4) < 5
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("sync_seconds", [0.6, 0.8])
+    def test_elections_outlast_syncs_longer_than_the_timeout(self, seed, sync_seconds):
+        """Guards against a timeout that ends each election before the votes are durable."""
+
+        async def scenario(group: SlowGroup) -> float:
+            await start_with_configuration(group)
+            group.kill()
+            group.start()
+            return await group.read(30)
+
+        assert run_slow_group(seed, scenario, sync_seconds=sync_seconds) < 10
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_disks_become_slow_while_all_start(self, seed):
+        """Guards against timeouts that do not keep up as syncs slow down during elections."""
+
+        async def scenario(group: SlowGroup) -> float:
+            await start_with_configuration(group)
+            group.kill()
+            group.sync_seconds = 0.1
+            group.start()
+            for _ in range(6):
+                await trio.sleep(0.5)
+                group.sync_seconds += 0.15
+            return await group.read(30)
+
+        assert run_slow_group(seed, scenario, sync_seconds=0.1) < 10
+
     def test_reads_do_not_wait_for_the_disk(self):
         """Guards against reads that wait for a sync, with all disks effectively stalled."""
 
@@ -43,3 +84,30 @@
             return await group.read(10)
 
         assert run_slow_group(1, scenario, sync_seconds=60) < 0.1
+
+
+class TestSlowTurns:
+    """Groups whose processes handle events late, as on an overloaded machine."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_leader_is_not_deposed_while_turns_are_slow(self, seed):
+        """Guards against a timeout that expires before replies arrive, with turns of 0.3 s."""
+
+        async def scenario(group: SlowGroup) -> tuple[float, int]:
+            await start_with_configuration(group)
+            group.kill()
+            group.turn_seconds = 0.3
+            group.start()
+            began = trio.current_time()
+            with trio.move_on_after(60):
+                while not any(task.replica.may_read() for task in group.tasks.values()):
+                    await trio.sleep(0.1)
+            elected = trio.current_time() - began
+            await trio.sleep(5)
+            before = max(task.replica.term for task in group.tasks.values())
+            await trio.sleep(30)
+            return elected, max(task.replica.term for task in group.tasks.values()) - before
+
+        elected, terms = run_slow_group(seed, scenario)
+        assert elected < 20
+        assert terms == 0
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -153,6 +153,58 @@
         assert not reply.granted
 
 
+class TestSlowElections:
+    """Elections that take longer than the election timeout."""
+
+    def candidate(self) -> Replica:
+        """Return a candidate of term 2 whose own vote is durable."""
+        replica = follower()
+        replica.tick(10_000)
+        replica.receive(VoteReply("r1", 1, 2, 1, True, True, 0, 0), 10_001)
+        replica.synced(replica.take_output().mark, 10_002)
+        assert replica.term == 2
+        return replica
+
+    def test_vote_counts_after_the_next_trial_has_begun(self):
+        """Guards against repeated elections that discard votes arriving after the timeout."""
+        replica = self.candidate()
+        replica.tick(20_000)
+        replica.receive(VoteReply("r1", 1, 2, 2, True, False, 0, 0), 20_001)
+        assert replica.role is Role.LEADER
+
+    def test_vote_of_an_earlier_term_does_not_count(self):
+        replica = self.candidate()
+        replica.receive(VoteReply("r2", 1, 3, 3, False, True, 0, 0), 10_003)
+        replica.tick(20_000)
+        replica.receive(VoteReply("r1", 1, 2, 2, True, False, 0, 0), 20_001)
+        assert replica.role is not Role.LEADER
+
+    def test_candidate_waits_for_its_own_sync(self):
+        """Guards against a candidate that starts a new election while its own vote is syncing."""
+        replica = follower()
+        replica.tick(10_000)
+        replica.receive(VoteReply("r1", 1, 2, 1, True, True, 0, 0), 10_001)
+        mark = replica.take_output().mark
+        replica.tick(60_000)
+        assert replica.term == 2
+        assert replica.take_output().sends == []
+        replica.synced(mark, 60_001)
+        replica.tick(70_000)
+        assert replica.take_output().sends
+
+    def test_voter_refuses_trials_for_an_election_timeout_after_its_vote(self):
+        """Guards against a trial that deposes a new leader before its first message arrives."""
+        replica = follower()
+        replica.receive(VoteRequest("r1", 1, 5, 0, 0, False, 0, 0), 10_000)
+        replica.synced(replica.take_output().mark, 11_000)
+        trial = VoteRequest("r2", 1, 6, 0, 0, True, 0, 0)
+        replica.receive(trial, 11_000 + TIMES.election_ms / 2)
+        replica.receive(trial, 11_000 + TIMES.election_ms * 1.1)
+        early, late = [item for _, item in replica.take_output().sends]
+        assert (early.granted, early.refusal) == (False, "leader")
+        assert late.granted
+
+
 class TestSyncs:
     """Messages and acknowledgements that depend on a sync."""
 
