--- a/siskinspoke/coordination/replica_types.py
+++ b/siskinspoke/coordination/replica_types.py
@@ -7,6 +7,7 @@
 
 from siskinspoke.protocol.replication import (
     Admitted,
+    Checkpoint,
     Committed,
     Entry,
     HardState,
@@ -87,12 +88,17 @@
 def restored_from(
     identity: Identity | None,
     snapshot: Snapshot | None,
-    records: Iterable[HardState | Admitted | Committed | Entry],
+    records: Iterable[HardState | Admitted | Committed | Entry | Checkpoint],
 ) -> Restored:
-    """Return what a replica finds, from its journal's records in the order of writing."""
+    """Return what a replica finds, from its journal's records in the order of writing.
+
+    A snapshot in the journal takes precedence over the ``snapshot`` argument.
+    """
     hard, admitted, entries, commit = HardState(0, ""), [], [], 0
     for record in records:
         match record:
+            case Checkpoint():
+                snapshot = record.snapshot
             case HardState():
                 hard = record
             case Admitted():
--- a/siskinspoke/protocol/replication.py
+++ b/siskinspoke/protocol/replication.py
@@ -33,6 +33,16 @@
     document: dict
 
 
+@message
+class Checkpoint(NamedTuple):
+    """The first record of a journal: the snapshot on which the records after it build.
+
+    Versions that keep the snapshot in a file of its own refuse a journal with this record.
+    """
+
+    snapshot: Snapshot
+
+
 @message
 class Admitted(NamedTuple):
     """A record on disk: a replaced disk counts as a member's, as committed at an index."""
--- a/siskinspoke/state/replica_store.py
+++ b/siskinspoke/state/replica_store.py
@@ -1,4 +1,8 @@
-"""What a control replica keeps in its data folder: identity, snapshot and journal."""
+"""What a control replica keeps in its data folder: identity and journal.
+
+The snapshot, if any, is the first record of the journal. Earlier versions stored it in a separate
+file, which is still read if the journal contains no snapshot.
+"""
 
 from pathlib import Path
 
@@ -10,6 +14,7 @@
 from siskinspoke.protocol import decode_message, encode_message
 from siskinspoke.protocol.replication import (
     Admitted,
+    Checkpoint,
     Committed,
     Entry,
     HardState,
@@ -40,13 +45,12 @@
         self._journal.append(encode_message(record) for record in records)
 
     def save_snapshot(self, snapshot: Snapshot, records: list[Record]) -> None:
-        """Replace snapshot and journal.
+        """Atomically replace the journal with a snapshot followed by the given records.
 
-        The snapshot goes first: after a crash in between, the old journal's entries that it
-        covers are passed over.
+        Storing both in one file prevents a crash from pairing a new snapshot with an old journal,
+        which could restore superseded members or log entries.
         """
-        write_atomically(self._folder / SNAPSHOT_FILE, encode_message(snapshot))
-        self._journal.rewrite(encode_message(record) for record in records)
+        self._journal.rewrite(encode_message(record) for record in (Checkpoint(snapshot), *records))
 
     def close(self) -> None:
         """Close the journal."""
@@ -79,11 +83,13 @@
 
 def _restore(folder: Path, name: str, bodies: list[bytes]) -> Restored:
     identity = _read_identity(folder, name)
-    body = _must(read_checked(folder / SNAPSHOT_FILE))
-    snapshot = None if body is None else _decode(body, folder / SNAPSHOT_FILE)
     records = [_decode(item, folder / JOURNAL_FILE) for item in bodies]
+    snapshot = None
+    if not any(isinstance(record, Checkpoint) for record in records):
+        body = _must(read_checked(folder / SNAPSHOT_FILE))
+        snapshot = None if body is None else _decode(body, folder / SNAPSHOT_FILE)
     restored = restored_from(identity, snapshot, records)
-    if identity is None and (restored.entries or snapshot is not None):
+    if identity is None and (restored.entries or restored.snapshot is not None):
         message = f"{folder}: a log without an identity; empty the folder to start anew"
         raise FailureError(Failure(ResultCode.JOURNAL_CORRUPT, message))
     return restored
