Answer a repeated configuration from the log instead of appending it

A control VM waits 0.9 s for a change to be committed, because callers try another VM after one second. It then answers "unknown", and the operator sends the same change again. Each repeat was appended to the log as a new entry with the whole configuration, and waited for its own syncs behind those of all earlier repeats. Where a sync took longer than 0.9 s, no repeat was ever answered. This is a fixed client timeout that is shorter than an operation can take on the machine, combined with retries that add load to the slow resource.

The leader now answers a repeat of a committed change without a sync, once a majority has confirmed its leadership; as before, a configuration whose version is not higher than the committed one changes nothing. A repeat of a change that is in its log but not yet committed is answered together with that change. A different configuration with the same version that is not yet committed is appended as before.

--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -11,7 +11,7 @@
 
 from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_writer import ReplicaWriter, Synced, Write
-from siskinspoke.coordination.machine import Machine
+from siskinspoke.coordination.machine import PUBLISH, Machine, PublishAnswer, PublishRequest
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import Output, Role
 from siskinspoke.core.counters import Counters
@@ -39,6 +39,21 @@
     answer: "Pending"
 
 
+class PendingRead(NamedTuple):
+    """A request answered with ``result()`` once a majority has confirmed the leader."""
+
+    asked_at: float
+    pending: "Pending"
+    result: Callable[[], Any]
+
+
+class UncommittedPublish(NamedTuple):
+    """A configuration that is in the log but not yet committed, and its log index."""
+
+    request: PublishRequest
+    index: int
+
+
 class HandOver(NamedTuple):
     """The owner is about to stop."""
 
@@ -107,10 +122,11 @@
             store, counters, self._report, clock, run_disk_write, self._send.send_nowait
         )
         self._unsynced_writes = 0
-        self._pending: dict[int, tuple[int, Pending]] = {}
+        self._pending: dict[int, tuple[int, list[Pending]]] = {}
+        self._uncommitted_publishes: dict[int, UncommittedPublish] = {}
         self._changed = trio.Event()
         self._progress = trio.Event()
-        self._reads: list[tuple[float, Pending]] = []
+        self._reads: list[PendingRead] = []
         self._forwarded: dict[int, Pending] = {}
         self._next_forward = 0
         self._applied = 0
@@ -238,8 +254,7 @@
                     case HandOver():
                         self.replica.hand_over(now)
                     case Read():
-                        self._reads.append((now, event.answer))
-                        self.replica.beat_now(now)
+                        self._answer_when_confirmed(event.answer, now, lambda: self.replica.commit)
                     case Forward():
                         self._take_forward(event, now)
                     case Forwarded():
@@ -264,8 +279,7 @@
 
         pending = Pending(then=answer)
         if forward.kind == READ:
-            self._reads.append((now, pending))
-            self.replica.beat_now(now)
+            self._answer_when_confirmed(pending, now, lambda: self.replica.commit)
         else:
             self._propose(Proposal(forward.kind, forward.request, pending), now)
 
@@ -274,16 +288,23 @@
         if pending is not None:
             pending.resolve(answer.answer if answer.known else None)
 
+    def _answer_when_confirmed(
+        self, pending: Pending, now: float, result: Callable[[], Any]
+    ) -> None:
+        """Resolve with ``result()`` once a majority has confirmed this leader."""
+        self._reads.append(PendingRead(now, pending, result))
+        self.replica.beat_now(now)
+
     def _answer_reads(self) -> None:
         """Answer readers for whom a majority has confirmed this leader since they asked."""
         waiting = []
-        for asked_at, pending in self._reads:
+        for read in self._reads:
             if not self.replica.may_read():
-                pending.resolve(None, leader=self.leads)
-            elif self.replica.heard_since(asked_at):
-                pending.resolve(self.replica.commit)
-            elif not pending.done.is_set():
-                waiting.append((asked_at, pending))
+                read.pending.resolve(None, leader=self.leads)
+            elif self.replica.heard_since(read.asked_at):
+                read.pending.resolve(read.result())
+            elif not read.pending.done.is_set():
+                waiting.append(read)
         self._reads = waiting
 
     async def _next_events(self) -> list[Any]:
@@ -299,12 +320,42 @@
         return events
 
     def _propose(self, proposal: Proposal, now: float) -> None:
+        if proposal.kind == PUBLISH and self.leads:
+            request = msgspec.convert(proposal.request, PublishRequest)
+            if not self._answer_repeated_publish(request, proposal.answer, now):
+                index = self._append(proposal, now)
+                self._uncommitted_publishes[request.version] = UncommittedPublish(request, index)
+            return
+        self._append(proposal, now)
+
+    def _answer_repeated_publish(
+        self, request: PublishRequest, pending: Pending, now: float
+    ) -> bool:
+        """Answer a repeated configuration without appending it; return False if it is new.
+
+        Clients repeat a configuration until it is accepted. Appending each repeat would queue
+        more syncs on a disk that is already slow.
+        """
+        if self.replica.may_read() and self.machine.version >= request.version:
+            self._answer_when_confirmed(
+                pending, now, lambda: PublishAnswer(self.machine.version, False)
+            )
+            return True
+        uncommitted = self._uncommitted_publishes.get(request.version)
+        if uncommitted is None or uncommitted.request != request:
+            return False
+        self._pending[uncommitted.index][1].append(pending)
+        return True
+
+    def _append(self, proposal: Proposal, now: float) -> int | None:
+        """Append a command to the log and return its index, or None if this is not the leader."""
         body = {"now_ms": wall_ms(), "request": msgspec.to_builtins(proposal.request)}
         index = self.replica.propose(proposal.kind, body, now)
         if index is None:
             proposal.answer.resolve(None, leader=False)
-            return
-        self._pending[index] = (self.replica.term, proposal.answer)
+            return None
+        self._pending[index] = (self.replica.term, [proposal.answer])
+        return index
 
     def _take_synced(self, synced: Synced, now: float) -> None:
         """Report a completed sync to the replica and send the messages that depended on it."""
@@ -362,9 +413,14 @@
         answer = self.machine.apply(entry)
         self._applied = entry.index
         self._counters.count(f"applied.{entry.kind}")
-        term, pending = self._pending.pop(entry.index, (0, None))
-        if pending is not None:
+        term, waiting = self._pending.pop(entry.index, (0, []))
+        for pending in waiting:
             pending.resolve(answer if term == entry.term else None)
+        self._uncommitted_publishes = {
+            number: publish
+            for number, publish in self._uncommitted_publishes.items()
+            if publish.index > entry.index
+        }
         if self.machine.version != version:
             self._say("configuration accepted: version {}", self.machine.version)
             self._unsaved_commit = True
@@ -386,9 +442,11 @@
         self._seen_role = role
         self._since_ms = wall_ms()
         if not became_leader:
-            for _, pending in self._pending.values():
-                pending.resolve(None)
+            for _, waiting in self._pending.values():
+                for pending in waiting:
+                    pending.resolve(None)
             self._pending.clear()
+            self._uncommitted_publishes.clear()
 
     def _compact_if_due(self) -> None:
         replica = self.replica
--- a/tests/control/test_slow_disks.py
+++ b/tests/control/test_slow_disks.py
@@ -74,6 +74,21 @@
 
         assert run_slow_group(seed, scenario, sync_seconds=0.1) < 10
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_publish_is_confirmed_when_syncs_exceed_the_request_timeout(self, seed):
+        """Guards against appending every repeat of a change, with syncs of 1.5 s."""
+
+        async def scenario(group: SlowGroup) -> tuple[float, int]:
+            await start_with_configuration(group)
+            group.sync_seconds = 1.5
+            last_index = group.leader().replica.log.last_index
+            elapsed = await group.publish(2, 30)
+            return elapsed, group.leader().replica.log.last_index - last_index
+
+        elapsed, appended = run_slow_group(seed, scenario)
+        assert elapsed < 6
+        assert appended == 1
+
     def test_reads_do_not_wait_for_the_disk(self):
         """Guards against reads that wait for a sync, with all disks effectively stalled."""
 
