Detect dead connections between control VMs

Unlike feeds and callers' connections, links between control VMs had no TCP_USER_TIMEOUT and no keepalive probes. When a connection went silent without a reset, heartbeats and votes were written to it until its buffers were full, and the peer received nothing, although a new connection would have worked. Bug class: a lost peer is treated as an idle one.

Both ends of a link now set the same socket options as feeds and callers' connections: a connection is dropped when data stays unacknowledged for 1 s, and idle connections are probed every second.

A silent connection itself was not reproduced.

--- a/siskinspoke/transport/links.py
+++ b/siskinspoke/transport/links.py
@@ -19,6 +19,7 @@
     send_frames,
     take_frame,
 )
+from siskinspoke.transport.sockets import tune
 
 OUTBOX_MESSAGES = 512
 CONNECT_SECONDS = 0.5
@@ -74,6 +75,7 @@
                     stream = await trio.open_tcp_stream(
                         *self._address, local_address=self._local_host
                     )
+                tune(stream.socket)
                 self._set_connected(True)
                 async with stream, trio.open_nursery() as nursery:
                     nursery.start_soon(self._watch, stream, nursery.cancel_scope)
@@ -173,6 +175,7 @@
         await trio.serve_tcp(self._read, port, host=host, task_status=task_status)
 
     async def _read(self, stream: trio.SocketStream) -> None:
+        tune(stream.socket)
         buffered = bytearray()
         try:
             while data := await stream.receive_some(READ_BYTES):
