Refuse votes while the current leader may hold a lease

Two control VMs could execute orders to engines at the same time.

A leader holds a lease for 0.9 of the election timeout after a majority has heard it. For an election timeout after hearing a leader, a replica refused trial votes but not real ones. Between the trial and the real vote, a candidate syncs its term. A leader that was cut off briefly, and that steps down later than before because its timeout adapts to delays, may be heard again in that interval. The voter then confirmed the leader's lease and elected its successor. The general fault is a condition that is checked before a slow step and not again after it.

Real votes are now also refused for an election timeout after a leader was heard, without adopting the candidate's term, unless the leader itself asked the candidate to stand (`handover` in VoteRequest).

--- a/siskinspoke/coordination/replica/__init__.py
+++ b/siskinspoke/coordination/replica/__init__.py
@@ -108,4 +108,4 @@
                 self._on_join(item, now)
             case Handover(sender=sender, term=term):
                 if term == self.term and sender == self.leader:
-                    self._stand(now, trial=False)
+                    self._stand(now, trial=False, handover=True)
--- a/siskinspoke/coordination/replica/elections.py
+++ b/siskinspoke/coordination/replica/elections.py
@@ -8,7 +8,7 @@
 class Electing(ReplicaCore):
     """Stand, vote, and count votes."""
 
-    def _stand(self, now: float, trial: bool) -> None:
+    def _stand(self, now: float, trial: bool, handover: bool = False) -> None:
         """Ask for votes, first on trial."""
         self._rearm(now)
         if not self.admitted:
@@ -33,6 +33,7 @@
             trial,
             self.commit,
             self.log.term_at(self.commit),
+            handover,
         )
         # The candidate's vote for itself must be durable before it requests others. Otherwise
         # it could vote for another candidate in the same term after a crash.
@@ -72,7 +73,8 @@
 
     def _on_vote_request(self, request: VoteRequest, now: float) -> None:
         self._learn_commit(request.commit, request.commit_term)
-        if request.term > self.term and not request.trial:
+        may_violate_lease = self._may_violate_lease(request, now)
+        if request.term > self.term and not request.trial and not may_violate_lease:
             self._set_term(request.term)
             self._step_down(now)
         granted = self._would_grant(request, now)
@@ -112,10 +114,22 @@
             if request.term <= self.term:
                 return Refusal.TERM
             return None if self._has_no_recent_leader_or_vote(now) else Refusal.LEADER
+        if self._may_violate_lease(request, now):
+            return Refusal.LEADER
         if request.term != self.term:
             return Refusal.TERM
         return None if self._voted_for in ("", request.sender) else Refusal.VOTED
 
+    def _may_violate_lease(self, request: VoteRequest, now: float) -> bool:
+        """Return whether a vote could elect a new leader while the current one holds a lease.
+
+        The trial vote does not rule this out: this replica may hear the leader again while the
+        candidate syncs its own vote.
+        """
+        if request.trial or request.handover or self.role is Role.LEADER:
+            return False
+        return now - self._leader_heard_at < self._times.election_ms
+
     def _has_no_recent_leader_or_vote(self, now: float) -> bool:
         """Return whether this replica has neither heard a leader nor voted recently.
 
--- a/siskinspoke/protocol/replication.py
+++ b/siskinspoke/protocol/replication.py
@@ -93,6 +93,7 @@
     """Ask for a vote; ``trial`` asks only whether it would be given, without a new term.
 
     ``commit`` and ``commit_term`` name the last entry that the sender knows to be committed.
+    ``handover`` is true if the leader asked the sender to succeed it.
     """
 
     sender: str
@@ -103,6 +104,7 @@
     trial: bool
     commit: int
     commit_term: int
+    handover: bool = False
 
 
 @message
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -147,7 +147,7 @@
         replica = follower(hard=HardState(5, "r1"))
         group_request = {"incarnation": 1, "term": 5, "last_index": 9, "last_term": 5}
         replica.receive(
-            VoteRequest("r2", **group_request, trial=False, commit=0, commit_term=0), 1.0
+            VoteRequest("r2", **group_request, trial=False, commit=0, commit_term=0), 10_000
         )
         ((_, reply),) = replica.take_output().sends
         assert not reply.granted
@@ -211,7 +211,7 @@
     def test_vote_waits_for_its_sync(self):
         """A vote lost in a crash could let two candidates lead in the same term."""
         replica = follower()
-        replica.receive(VoteRequest("r1", 1, 5, 0, 0, False, 0, 0), 1.0)
+        replica.receive(VoteRequest("r1", 1, 5, 0, 0, False, 0, 0), 10_000)
         out = replica.take_output()
         assert out.sends == []
         ((to, reply),) = out.sends_after_sync
@@ -266,6 +266,26 @@
 class TestLease:
     """The time in which no other replica can have been elected."""
 
+    def test_vote_is_refused_after_leader_is_heard_again(self):
+        """A vote granted here could elect a new leader while the old one holds a lease."""
+        replica = follower()
+        replica.receive(Append("r1", 1, 0, 0, [], 0, 10_000.0), 10_000)
+        request = VoteRequest("r2", 1, 2, 0, 0, False, 0, 0)
+        replica.receive(request, 10_000 + TIMES.election_ms / 2)
+        assert replica.term == 1
+        _, (_, reply) = replica.take_output().sends
+        assert (reply.granted, reply.refusal) == (False, "leader")
+        replica.receive(request, 10_000 + TIMES.election_ms)
+        ((_, reply),) = replica.take_output().sends_after_sync
+        assert reply.granted
+
+    def test_handover_vote_is_granted_while_leader_is_heard(self):
+        replica = follower()
+        replica.receive(Append("r1", 1, 0, 0, [], 0, 10_000.0), 10_000)
+        replica.receive(VoteRequest("r2", 1, 2, 0, 0, False, 0, 0, True), 10_001)
+        ((_, reply),) = replica.take_output().sends_after_sync
+        assert reply.granted
+
     def test_lease_ends_before_a_successor_can_lead(self):
         """In every schedule of faults, nobody leads while another one holds a lease."""
         for seed in range(150):
