Answer a repeat of an accepted configuration at any replica

Bug class: asking other replicas for a result that is known locally and cannot change.

A replica now answers a configuration whose version is not higher than its committed version without a leader or a majority. Committed versions never decrease, so the answer is the one that the log would give. The leader no longer asks a majority for this either.

--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -40,11 +40,10 @@
 
 
 class PendingRead(NamedTuple):
-    """A request answered with ``result()`` once a majority has confirmed the leader."""
+    """A read that is answered once a majority has confirmed the leader."""
 
     asked_at: float
     pending: "Pending"
-    result: Callable[[], Any]
 
 
 class UncommittedPublish(NamedTuple):
@@ -165,6 +164,8 @@
     async def ask(self, kind: str, request: Any, seconds: float) -> Pending:
         """Have the leader, wherever it is, carry out a command or a read (READ), and wait."""
         pending = Pending()
+        if kind == PUBLISH and self._answer_accepted_publish(request, pending):
+            return pending
         if self.leads:
             event = Read(pending) if kind == READ else Proposal(kind, request, pending)
             self._send.send_nowait(event)
@@ -254,7 +255,7 @@
                     case HandOver():
                         self.replica.hand_over(now)
                     case Read():
-                        self._answer_when_confirmed(event.answer, now, lambda: self.replica.commit)
+                        self._queue_read(event.answer, now)
                     case Forward():
                         self._take_forward(event, now)
                     case Forwarded():
@@ -279,7 +280,7 @@
 
         pending = Pending(then=answer)
         if forward.kind == READ:
-            self._answer_when_confirmed(pending, now, lambda: self.replica.commit)
+            self._queue_read(pending, now)
         else:
             self._propose(Proposal(forward.kind, forward.request, pending), now)
 
@@ -288,11 +289,8 @@
         if pending is not None:
             pending.resolve(answer.answer if answer.known else None)
 
-    def _answer_when_confirmed(
-        self, pending: Pending, now: float, result: Callable[[], Any]
-    ) -> None:
-        """Resolve with ``result()`` once a majority has confirmed this leader."""
-        self._reads.append(PendingRead(now, pending, result))
+    def _queue_read(self, pending: Pending, now: float) -> None:
+        self._reads.append(PendingRead(now, pending))
         self.replica.beat_now(now)
 
     def _answer_reads(self) -> None:
@@ -302,7 +300,7 @@
             if not self.replica.may_read():
                 read.pending.resolve(None, leader=self.leads)
             elif self.replica.heard_since(read.asked_at):
-                read.pending.resolve(read.result())
+                read.pending.resolve(self.replica.commit)
             elif not read.pending.done.is_set():
                 waiting.append(read)
         self._reads = waiting
@@ -322,24 +320,19 @@
     def _propose(self, proposal: Proposal, now: float) -> None:
         if proposal.kind == PUBLISH and self.leads:
             request = msgspec.convert(proposal.request, PublishRequest)
-            if not self._answer_repeated_publish(request, proposal.answer, now):
+            if not self._answer_repeated_publish(request, proposal.answer):
                 index = self._append(proposal, now)
                 self._uncommitted_publishes[request.version] = UncommittedPublish(request, index)
             return
         self._append(proposal, now)
 
-    def _answer_repeated_publish(
-        self, request: PublishRequest, pending: Pending, now: float
-    ) -> bool:
+    def _answer_repeated_publish(self, request: PublishRequest, pending: Pending) -> bool:
         """Answer a repeated configuration without appending it; return False if it is new.
 
         Clients repeat a configuration until it is accepted. Appending each repeat would queue
         more syncs on a disk that is already slow.
         """
-        if self.replica.may_read() and self.machine.version >= request.version:
-            self._answer_when_confirmed(
-                pending, now, lambda: PublishAnswer(self.machine.version, False)
-            )
+        if self._answer_accepted_publish(request, pending):
             return True
         uncommitted = self._uncommitted_publishes.get(request.version)
         if uncommitted is None or uncommitted.request != request:
@@ -347,6 +340,16 @@
         self._pending[uncommitted.index][1].append(pending)
         return True
 
+    def _answer_accepted_publish(self, request: PublishRequest, pending: Pending) -> bool:
+        """Answer a configuration not newer than the committed one; return False if it is newer.
+
+        This needs neither a leader nor a majority, because committed versions never decrease.
+        """
+        if self.machine.version < request.version:
+            return False
+        pending.resolve(PublishAnswer(self.machine.version, False))
+        return True
+
     def _append(self, proposal: Proposal, now: float) -> int | None:
         """Append a command to the log and return its index, or None if this is not the leader."""
         body = {"now_ms": wall_ms(), "request": msgspec.to_builtins(proposal.request)}
--- a/tests/control/test_publishes.py
+++ b/tests/control/test_publishes.py
@@ -30,6 +30,21 @@
         assert waited < 1
         assert recorded == committed
 
+    def test_repeat_of_an_accepted_publish_needs_no_leader(self):
+        """Guards against refusing an already accepted configuration when no leader is known."""
+
+        async def scenario(group: SlowGroup) -> list[bool]:
+            group.start()
+            await group.publish(2, 10)
+            await trio.sleep(0.5)
+            group.kill("r0", "r1")
+            await trio.sleep(5)
+            requests = [PublishRequest(version, {"version": version}) for version in (1, 2, 3)]
+            answers = [await group.tasks["r2"].ask(PUBLISH, request, 1) for request in requests]
+            return [answer.value is not None for answer in answers]
+
+        assert run_slow_group(1, scenario) == [True, True, False]
+
     def test_different_document_with_same_version_is_appended(self):
         """Guards against detecting repeated publishes by version alone."""
 
--- a/tests/control/test_slow_disks.py
+++ b/tests/control/test_slow_disks.py
@@ -126,3 +126,15 @@
         elected, terms = run_slow_group(seed, scenario)
         assert elected < 20
         assert terms == 0
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_publish_is_confirmed_when_turns_exceed_the_request_timeout(self, seed):
+        """Guards against publishes that are never confirmed because every answer times out."""
+
+        async def scenario(group: SlowGroup) -> float:
+            await start_with_configuration(group)
+            group.turn_seconds = 0.3
+            await trio.sleep(10)
+            return await group.publish(2, 30)
+
+        assert run_slow_group(seed, scenario) < 20
