Test a replica group's processes on slow disks

Add slow_syncs to the mutants; it runs the program with each sync taking 0.7 s longer. GroupSite can now start any registry or gateway as a mutant.

test_group_elects_a_leader_on_slow_disks kills three registries and restarts them with slow_syncs; a read and a change then succeed within some seconds.

--- a/siskinspoke/testing/group_site.py
+++ b/siskinspoke/testing/group_site.py
@@ -35,8 +35,8 @@
         offset = 0 if name.startswith("c") else 100
         return f"{self._net}.{offset + int(name[1:])}"
 
-    def start(self, name: str, found: bool = False) -> None:
-        """Start a registry or a gateway."""
+    def start(self, name: str, found: bool = False, mutant: str | None = None) -> None:
+        """Start a registry or gateway, optionally with one of ``siskinspoke.testing.mutants``."""
         host = self.host_of(name)
         document = {
             "name": name,
@@ -55,11 +55,12 @@
             command = "gateway"
             document["public"] = f"{host}:{PUBLIC_PORT}"
             document["ready"] = f"{host}:{READY_PORT}"
+        program = ["siskinspoke"] if mutant is None else ["siskinspoke.testing.mutants", mutant]
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(document))
         with (self.folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "siskinspoke", command, f"--vm_file={path}"],
+                [sys.executable, "-m", *program, command, f"--vm_file={path}"],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
--- a/siskinspoke/testing/mutants.py
+++ b/siskinspoke/testing/mutants.py
@@ -1,9 +1,13 @@
 """Run the program with one guard switched off, to show that its proof then fails.
 
+``slow_syncs`` leaves all guards on and simulates a slow disk.
+
 Usage: python -m siskinspoke.testing.mutants NAME COMMAND [FLAGS]
 """
 
+import os
 import sys
+import time
 from collections.abc import Callable
 
 from expression import Ok
@@ -17,6 +21,8 @@
 from siskinspoke.management import execute
 from siskinspoke.standins.engine_model import EngineModel
 
+SYNC_DELAY_SECONDS = 0.7
+
 
 def no_claims() -> None:
     """Grant every claim without asking the control replicas."""
@@ -88,6 +94,19 @@
     EntryContext.is_alive = lambda self, target: True
 
 
+def slow_syncs() -> None:
+    """Delay the return of every file sync, as on a slow disk."""
+
+    def add_delay(sync: Callable[[int], None]) -> Callable[[int], None]:
+        def delayed_sync(descriptor: int) -> None:
+            sync(descriptor)
+            time.sleep(SYNC_DELAY_SECONDS)
+
+        return delayed_sync
+
+    os.fsync, os.fdatasync = add_delay(os.fsync), add_delay(os.fdatasync)
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     mutate.__name__: mutate
     for mutate in (
@@ -99,6 +118,7 @@
         leaving_unheard,
         no_engine_lease,
         frozen_is_busy,
+        slow_syncs,
     )
 }
 
--- a/tests/integration/test_group.py
+++ b/tests/integration/test_group.py
@@ -246,6 +246,16 @@
         )
         assert set(answers) <= {0, 503}
 
+    def test_group_elects_a_leader_on_slow_disks(self, site):
+        """Guards against elections that never complete when each sync takes 0.7 s longer."""
+        site.until("c1", "POST", "/config/replace", configuration(1, "/a/"))
+        for name in ("c1", "c2", "c3"):
+            site.kill(name)
+        for name in ("c1", "c2", "c3"):
+            site.start(name, mutant="slow_syncs")
+        assert site.until("c2", "GET", "/config/get")["version"] == 1
+        site.until("c3", "POST", "/config/replace", configuration(2, "/b/"))
+
     def test_servers_are_known_before_they_speak_again(self, site):
         """All processes are killed; the servers are well but speak only once a second.
 
