Let a forwarded read confirm the leader

A read at a follower took two round trips in series, from the follower to the leader and from the leader to a majority, and a control VM waits 0.7 s, since callers give up after one second. Class: a fixed time against a duration of the machine.

The message that forwards a read to the leader now carries the follower's term and the incarnation of its disk. It is sent after the read was requested, so a counted member whose term equals the leader's had elected no other leader by then, and the message counts as that member's confirmation for this read. With three members that is a majority, and no heartbeats are sent for the read.

--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -40,10 +40,14 @@
 
 
 class PendingRead(NamedTuple):
-    """A read that is answered once a majority has confirmed the leader."""
+    """A read that is answered once a majority has confirmed the leader.
+
+    ``confirmed_by`` is the follower that forwarded the read, if that confirms the leader.
+    """
 
     asked_at: float
     pending: "Pending"
+    confirmed_by: str | None = None
 
 
 class UncommittedPublish(NamedTuple):
@@ -175,7 +179,11 @@
             self._next_forward += 1
             self._forwarded[self._next_forward] = pending
             body = msgspec.to_builtins(request)
-            forward = Forward(self.replica.name, self._next_forward, kind, body)
+            replica = self.replica
+            incarnation = replica.identity.incarnation
+            forward = Forward(
+                replica.name, self._next_forward, kind, body, replica.term, incarnation
+            )
             self._links[self.replica.leader].send(forward)
         number = self._next_forward
         with trio.move_on_after(seconds):
@@ -280,7 +288,9 @@
 
         pending = Pending(then=answer)
         if forward.kind == READ:
-            self._queue_read(pending, now)
+            sender = forward.sender
+            confirms = self.replica.is_followed_by(sender, forward.term, forward.incarnation)
+            self._queue_read(pending, now, sender if confirms else None)
         else:
             self._propose(Proposal(forward.kind, forward.request, pending), now)
 
@@ -289,9 +299,10 @@
         if pending is not None:
             pending.resolve(answer.answer if answer.known else None)
 
-    def _queue_read(self, pending: Pending, now: float) -> None:
-        self._reads.append(PendingRead(now, pending))
-        self.replica.beat_now(now)
+    def _queue_read(self, pending: Pending, now: float, confirmed_by: str | None = None) -> None:
+        self._reads.append(PendingRead(now, pending, confirmed_by))
+        if self.leads and not self.replica.heard_since(now, confirmed_by):
+            self.replica.beat_now(now)
 
     def _answer_reads(self) -> None:
         """Answer readers for whom a majority has confirmed this leader since they asked."""
@@ -299,7 +310,7 @@
         for read in self._reads:
             if not self.replica.may_read():
                 read.pending.resolve(None, leader=self.leads)
-            elif self.replica.heard_since(read.asked_at):
+            elif self.replica.heard_since(read.asked_at, read.confirmed_by):
                 read.pending.resolve(self.replica.commit)
             elif not read.pending.done.is_set():
                 waiting.append(read)
--- a/siskinspoke/coordination/followers.py
+++ b/siskinspoke/coordination/followers.py
@@ -71,6 +71,16 @@
         times = sorted((item.leased_from for _, item in self._counted()), reverse=True)
         return times[needed - 1] if len(times) >= needed else -math.inf
 
+    def confirmed_since(self, since: float, needed: int, confirmed_by: str | None) -> bool:
+        """Tell whether at least ``needed`` counted followers have confirmed the leader.
+
+        A follower counts if its lease starts at ``since`` or later, or if it is ``confirmed_by``.
+        """
+        confirmed = (
+            name == confirmed_by or item.leased_from >= since for name, item in self._counted()
+        )
+        return sum(confirmed) >= needed
+
     def best(self) -> str | None:
         """Return the counted follower that holds most."""
         ranked = [(item.match, name) for name, item in self._counted()]
--- a/siskinspoke/coordination/replica/leading.py
+++ b/siskinspoke/coordination/replica/leading.py
@@ -159,14 +159,20 @@
         """Tell whether this leader's commit covers all that earlier leaders have committed."""
         return self.role is Role.LEADER and self.log.term_at(self.commit) == self.term
 
-    def heard_since(self, asked_at: float) -> bool:
+    def heard_since(self, asked_at: float, confirmed_by: str | None = None) -> bool:
         """Tell whether a majority has followed this leader since a time of its own clock.
 
         Then no other leader had committed anything newer by that time, so what this one holds
-        is the newest that anybody was told.
+        is the newest that anybody was told.  ``confirmed_by`` is a follower that counts as having
+        followed this leader since then.
         """
-        needed = len(self.members) // 2
-        return not needed or self._followers.leased_from(needed) >= asked_at
+        return self._followers.confirmed_since(asked_at, len(self.members) // 2, confirmed_by)
+
+    def is_followed_by(self, name: str, term: int, incarnation: int) -> bool:
+        """Tell whether a counted member with this term and incarnation follows this leader."""
+        if self.role is not Role.LEADER or term != self.term:
+            return False
+        return self._counts(name, incarnation)
 
     def beat_now(self, now: float) -> None:
         """Send heartbeats at once, for a reader that waits to hear of a majority."""
--- a/siskinspoke/protocol/replication.py
+++ b/siskinspoke/protocol/replication.py
@@ -184,12 +184,17 @@
 
 @message
 class Forward(NamedTuple):
-    """A follower hands a command, or the wish to read, to the leader; ``number`` is its own."""
+    """A follower forwards a command or a read to the leader; ``number`` is its own.
+
+    ``term`` and ``incarnation`` are the follower's at the time of sending.
+    """
 
     sender: str
     number: int
     kind: str
     request: Any
+    term: int = 0
+    incarnation: int = 0
 
 
 @message
--- a/tests/control/test_slow_disks.py
+++ b/tests/control/test_slow_disks.py
@@ -138,3 +138,15 @@
             return await group.publish(2, 30)
 
         assert run_slow_group(seed, scenario) < 20
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_reads_are_answered_while_turns_are_slow(self, seed):
+        """Guards against reads that need more round trips than fit into the request timeout."""
+
+        async def scenario(group: SlowGroup) -> list[float]:
+            await start_with_configuration(group)
+            group.turn_seconds = 0.2
+            await trio.sleep(15)
+            return [await group.read(20) for _ in range(5)]
+
+        assert max(run_slow_group(seed, scenario)) < 10
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -205,6 +205,35 @@
         assert late.granted
 
 
+class TestConfirmation:
+    """Confirmation of a leader by a majority before it answers a read."""
+
+    def leader_of(self, count: int) -> tuple[Replica, str, float]:
+        """Return a leader, a follower's name, and a time after the leader's last message."""
+        group = ReplicaGroup(count, 1)
+        group.heal(3_000)
+        leader = next(r for r in group.replicas.values() if r.role is Role.LEADER)
+        return leader, next(name for name in group.names if name != leader.name), group.now + 1
+
+    def test_read_forwarded_by_a_follower_confirms_a_leader_of_three(self):
+        leader, name, now = self.leader_of(3)
+        assert leader.is_followed_by(name, leader.term, 1)
+        assert leader.heard_since(now, name)
+        assert not leader.heard_since(now)
+
+    def test_read_forwarded_by_one_follower_does_not_confirm_a_leader_of_five(self):
+        """Guards against stale reads from a leader that has lost its majority."""
+        leader, name, now = self.leader_of(5)
+        assert not leader.heard_since(now, name)
+
+    def test_read_forwarded_from_another_term_or_disk_confirms_nothing(self):
+        """Guards against counting a follower that has elected another leader or lost its disk."""
+        leader, name, _ = self.leader_of(3)
+        assert not leader.is_followed_by(name, leader.term + 1, 1)
+        assert not leader.is_followed_by(name, leader.term, 77)
+        assert not leader.is_followed_by("r9", leader.term, 1)
+
+
 class TestSyncs:
     """Messages and acknowledgements that depend on a sync."""
 
