--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -1,14 +1,21 @@
-"""The task that owns a replica: it feeds it, makes its records last, sends and applies."""
+"""Runs a replica: processes events, queues disk writes, sends messages and applies entries."""
 
 import math
 import time
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 import msgspec
 import trio
 
+from siskinspoke.control.replica_events import (
+    HandOver,
+    Pending,
+    PendingRead,
+    Proposal,
+    Read,
+    UncommittedPublish,
+)
 from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_writer import ReplicaWriter, Synced, Write
 from siskinspoke.coordination.machine import PUBLISH, Machine, PublishAnswer, PublishRequest
@@ -25,60 +32,6 @@
 TURN_SAMPLE_SECONDS = 0.1
 
 
-class Proposal(NamedTuple):
-    """A command for the log, and where its answer goes."""
-
-    kind: str
-    request: NamedTuple
-    answer: "Pending"
-
-
-class Read(NamedTuple):
-    """The wish to know the newest that is committed; the answer is its index."""
-
-    answer: "Pending"
-
-
-class PendingRead(NamedTuple):
-    """A read that is answered once a majority has confirmed the leader.
-
-    ``confirmed_by`` is the follower that forwarded the read, if that confirms the leader.
-    """
-
-    asked_at: float
-    pending: "Pending"
-    confirmed_by: str | None = None
-
-
-class UncommittedPublish(NamedTuple):
-    """A configuration that is in the log but not yet committed, and its log index."""
-
-    request: PublishRequest
-    index: int
-
-
-class HandOver(NamedTuple):
-    """The owner is about to stop."""
-
-
-@dataclass
-class Pending:
-    """An answer to come; None means that its fate is not known here."""
-
-    done: trio.Event = field(default_factory=trio.Event)
-    value: Any = None
-    leader: bool = True
-    then: Callable[["Pending"], None] | None = None
-
-    def resolve(self, value: Any, leader: bool = True) -> None:
-        """Give the answer once."""
-        if not self.done.is_set():
-            self.value, self.leader = value, leader
-            self.done.set()
-            if self.then is not None:
-                self.then(self)
-
-
 def now_ms() -> float:
     """Return the clock since boot in milliseconds, the time of a suspension included.
 
@@ -98,7 +51,7 @@
 
 
 class ReplicaTask:
-    """Own the replica, its store and the replicated state."""
+    """Owns the replica and its replicated state machine."""
 
     def __init__(
         self,
--- a/tests/control/test_reads.py
+++ b/tests/control/test_reads.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from siskinspoke.control.replica_task import Pending, ReplicaTask
+from siskinspoke.control.replica_events import Pending
+from siskinspoke.control.replica_task import ReplicaTask
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import JoinGroup, Restored, Times
 from siskinspoke.core.counters import Counters
