Compute the adaptive leader timeout only when needed

A leader computed its adaptive timeout on every turn of its loop, from some 300 samples. The adaptive timeout is never shorter than the configured one, so no other check is needed if a majority was heard within the configured timeout.

No change of behaviour.

--- a/siskinspoke/coordination/replica/leading.py
+++ b/siskinspoke/coordination/replica/leading.py
@@ -61,8 +61,7 @@
         An isolated leader would otherwise go on believing; so would one that was frozen and
         thaws: its first tick finds that it has heard nobody for too long.
         """
-        heard = self._followers.heard_since(now - self.timer.leader_timeout(now))
-        if not self._is_majority(heard + 1):
+        if not self._has_heard_majority(now):
             self._step_down(now)
             return
         self._change_members(now)
@@ -72,6 +71,17 @@
                 item.in_flight_until = 0.0
             self._replicate(now, heartbeat=True)
 
+    def _has_heard_majority(self, now: float) -> bool:
+        """Tell whether a majority, counting this leader, was heard within the leader timeout.
+
+        Checks the configured election timeout first: the adaptive timeout is never shorter,
+        and is more expensive to compute.
+        """
+        if self._is_majority(1 + self._followers.heard_since(now - self._times.election_ms)):
+            return True
+        since = now - self.timer.leader_timeout(now)
+        return self._is_majority(1 + self._followers.heard_since(since))
+
     def _replicate(self, now: float, heartbeat: bool = False) -> None:
         for peer, item in self._followers:
             behind = item.next_index <= self.log.last_index
