--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -11,6 +11,7 @@
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.known_entries import KnownEntries
 from siskinspoke.coordination.watchers import rendezvous_order
+from siskinspoke.core.channels import receive_queued
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
@@ -174,12 +175,7 @@
     async def _write(self, session: Session, stream: trio.SocketStream) -> None:
         try:
             async for frame in session.pending:
-                frames = [frame]
-                while len(frames) < OUTBOX_FRAMES:
-                    try:
-                        frames.append(session.pending.receive_nowait())
-                    except trio.WouldBlock:
-                        break
+                frames = [frame, *receive_queued(session.pending, OUTBOX_FRAMES - 1)]
                 sent = await send_frames(stream, frames)
                 self._counters.count("feed.bytes_sent", sent)
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -21,6 +21,7 @@
 from siskinspoke.coordination.machine import PUBLISH, Machine, PublishAnswer, PublishRequest
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import Output, Role
+from siskinspoke.core.channels import receive_queued
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.replication import Committed, Entry, Forward, Forwarded, Snapshot
 from siskinspoke.state.replica_store import ReplicaStore
@@ -274,12 +275,7 @@
         events: list[Any] = []
         with trio.move_on_after(max(0.0, self.replica.next_wake() - self._clock()) / 1000):
             events.append(await self._receive.receive())
-        while len(events) < MAX_EVENTS:
-            try:
-                events.append(self._receive.receive_nowait())
-            except trio.WouldBlock:
-                break
-        return events
+        return events + receive_queued(self._receive, MAX_EVENTS - len(events))
 
     def _propose(self, proposal: Proposal, now: float) -> None:
         if proposal.kind == PUBLISH and self.leads:
--- a/siskinspoke/control/replica_writer.py
+++ b/siskinspoke/control/replica_writer.py
@@ -8,6 +8,7 @@
 
 from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.coordination.replica_types import SyncMark
+from siskinspoke.core.channels import receive_queued
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.replication import Identity, Snapshot
 from siskinspoke.state.replica_store import Record, ReplicaStore
@@ -71,12 +72,7 @@
     async def run(self) -> None:
         """Write until cancelled; raise FailureError if a write fails."""
         async for first in self._receive:
-            writes = [first]
-            while True:
-                try:
-                    writes.append(self._receive.receive_nowait())
-                except trio.WouldBlock:
-                    break
+            writes = [first, *receive_queued(self._receive, math.inf)]
             began = self._clock()
             merged = merge_writes(writes)
             await self._run_disk_write(self._write, merged)
--- a/siskinspoke/transport/links.py
+++ b/siskinspoke/transport/links.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from siskinspoke.core.channels import receive_queued
 from siskinspoke.core.counters import Counters
 from siskinspoke.transport.frames import (
     READ_BYTES,
@@ -110,12 +111,8 @@
 
     async def _send_forever(self, stream: trio.SocketStream) -> None:
         async for item in self._receive:
-            frames = [self._frame(item)]
-            while len(frames) < OUTBOX_MESSAGES:
-                try:
-                    frames.append(self._frame(self._receive.receive_nowait()))
-                except trio.WouldBlock:
-                    break
+            items = [item, *receive_queued(self._receive, OUTBOX_MESSAGES - 1)]
+            frames = [self._frame(item) for item in items]
             sent = await send_frames(stream, frames)
             self._counters.count("link.messages_sent", len(frames))
             self._counters.count("link.bytes_sent", sent)
@@ -125,11 +122,7 @@
 
     def _drain(self) -> None:
         """Drop what has queued up for a peer that cannot be reached."""
-        while True:
-            try:
-                self._receive.receive_nowait()
-            except trio.WouldBlock:
-                return
+        for _ in receive_queued(self._receive, math.inf):
             self._counters.count("link.dropped")
 
 
