Find a repeated configuration among the pending entries

The leader kept its uncommitted configurations in a dict of their own, beside the entries that wait for their commit, and rebuilt it at every applied entry, claims included. A pending entry now holds its proposal, so a repeat is looked up there and the dict, its type and its two clean-ups are gone. Where two configurations of one version wait, a repeat of the first is now answered with the first; it was appended anew before. Merging queued writes copies each record once instead of once per write.

--- a/siskinspoke/control/replica_events.py
+++ b/siskinspoke/control/replica_events.py
@@ -6,8 +6,6 @@
 
 import trio
 
-from siskinspoke.coordination.machine import PublishRequest
-
 
 @dataclass
 class Pending:
@@ -52,11 +50,12 @@
     confirmed_by: str | None = None
 
 
-class UncommittedPublish(NamedTuple):
-    """A configuration that is in the log but not yet committed, and its log index."""
+class PendingEntry(NamedTuple):
+    """An entry that this leader has appended, its proposal, and all who wait for its commit."""
 
-    request: PublishRequest
-    index: int
+    term: int
+    proposal: Proposal
+    waiting: list[Pending]
 
 
 class HandOver(NamedTuple):
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -11,10 +11,10 @@
 from siskinspoke.control.replica_events import (
     HandOver,
     Pending,
+    PendingEntry,
     PendingRead,
     Proposal,
     Read,
-    UncommittedPublish,
 )
 from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_writer import ReplicaWriter, Synced, Write
@@ -79,8 +79,7 @@
             store, counters, self._report, clock, run_disk_write, self._send.send_nowait
         )
         self._unsynced_writes = 0
-        self._pending: dict[int, tuple[int, list[Pending]]] = {}
-        self._uncommitted_publishes: dict[int, UncommittedPublish] = {}
+        self._pending: dict[int, PendingEntry] = {}
         self._changed = trio.Event()
         self._progress = trio.Event()
         self._reads: list[PendingRead] = []
@@ -120,7 +119,10 @@
         return pending
 
     async def ask(self, kind: str, request: Any, seconds: float) -> Pending:
-        """Have the leader, wherever it is, carry out a command or a read (READ), and wait."""
+        """Have the leader, wherever it is, carry out a command or a read (READ), and wait.
+
+        A configuration that is already accepted here is answered without the leader.
+        """
         pending = Pending()
         if kind == PUBLISH and self._answer_accepted_publish(request, pending):
             return pending
@@ -156,8 +158,8 @@
             pending = await self.ask(READ, None, seconds)
             if pending.value is None:
                 return False
-            # What is committed is applied only after its sync; on a disk that stalls that is
-            # seconds later, and until then the state here is an older one.
+            # This replica may not have received all that is committed, and until it has, the
+            # state here is an older one.
             while self._applied < pending.value:
                 await self._progress.wait()
             return True
@@ -280,25 +282,30 @@
     def _propose(self, proposal: Proposal, now: float) -> None:
         if proposal.kind == PUBLISH and self.leads:
             request = msgspec.convert(proposal.request, PublishRequest)
-            if not self._answer_repeated_publish(request, proposal.answer):
-                index = self._append(proposal, now)
-                self._uncommitted_publishes[request.version] = UncommittedPublish(request, index)
+            proposal = proposal._replace(request=request)
+            if self._answer_repeated_publish(proposal):
+                return
+        body = {"now_ms": wall_ms(), "request": msgspec.to_builtins(proposal.request)}
+        index = self.replica.propose(proposal.kind, body, now)
+        if index is None:
+            proposal.answer.resolve(None, leader=False)
             return
-        self._append(proposal, now)
+        self._pending[index] = PendingEntry(self.replica.term, proposal, [proposal.answer])
 
-    def _answer_repeated_publish(self, request: PublishRequest, pending: Pending) -> bool:
+    def _answer_repeated_publish(self, repeat: Proposal) -> bool:
         """Answer a repeated configuration without appending it; return False if it is new.
 
         Clients repeat a configuration until it is accepted. Appending each repeat would queue
         more syncs on a disk that is already slow.
         """
-        if self._answer_accepted_publish(request, pending):
+        if self._answer_accepted_publish(repeat.request, repeat.answer):
             return True
-        uncommitted = self._uncommitted_publishes.get(request.version)
-        if uncommitted is None or uncommitted.request != request:
-            return False
-        self._pending[uncommitted.index][1].append(pending)
-        return True
+        for entry in self._pending.values():
+            proposal = entry.proposal
+            if proposal.kind == PUBLISH and proposal.request == repeat.request:
+                entry.waiting.append(repeat.answer)
+                return True
+        return False
 
     def _answer_accepted_publish(self, request: PublishRequest, pending: Pending) -> bool:
         """Answer a configuration not newer than the committed one; return False if it is newer.
@@ -310,16 +317,6 @@
         pending.resolve(PublishAnswer(self.machine.version, False))
         return True
 
-    def _append(self, proposal: Proposal, now: float) -> int | None:
-        """Append a command to the log and return its index, or None if this is not the leader."""
-        body = {"now_ms": wall_ms(), "request": msgspec.to_builtins(proposal.request)}
-        index = self.replica.propose(proposal.kind, body, now)
-        if index is None:
-            proposal.answer.resolve(None, leader=False)
-            return None
-        self._pending[index] = (self.replica.term, [proposal.answer])
-        return index
-
     def _take_synced(self, synced: Synced, now: float) -> None:
         """Report a completed sync to the replica and send the messages that depended on it."""
         self.replica.timer.sync_durations.add(synced.duration_ms, now)
@@ -376,14 +373,10 @@
         answer = self.machine.apply(entry)
         self._applied = entry.index
         self._counters.count(f"applied.{entry.kind}")
-        term, waiting = self._pending.pop(entry.index, (0, []))
-        for pending in waiting:
-            pending.resolve(answer if term == entry.term else None)
-        self._uncommitted_publishes = {
-            number: publish
-            for number, publish in self._uncommitted_publishes.items()
-            if publish.index > entry.index
-        }
+        proposed = self._pending.pop(entry.index, None)
+        if proposed is not None:
+            for pending in proposed.waiting:
+                pending.resolve(answer if proposed.term == entry.term else None)
         if self.machine.version != version:
             self._say("configuration accepted: version {}", self.machine.version)
             self._unsaved_commit = True
@@ -405,11 +398,10 @@
         self._seen_role = role
         self._since_ms = wall_ms()
         if not became_leader:
-            for _, waiting in self._pending.values():
-                for pending in waiting:
+            for entry in self._pending.values():
+                for pending in entry.waiting:
                     pending.resolve(None)
             self._pending.clear()
-            self._uncommitted_publishes.clear()
 
     def _compact_if_due(self) -> None:
         replica = self.replica
--- a/siskinspoke/control/replica_writer.py
+++ b/siskinspoke/control/replica_writer.py
@@ -41,7 +41,7 @@
         identity = write.identity or identity
         if write.snapshot is not None:
             snapshot, records = write.snapshot, []
-        records = [*records, *write.records]
+        records.extend(write.records)
     return Write(writes[-1].mark, identity, snapshot, records, [])
 
 
