--- a/siskinspoke/coordination/replica/elections.py
+++ b/siskinspoke/coordination/replica/elections.py
@@ -77,8 +77,8 @@
         if request.term > self.term and not request.trial and not may_violate_lease:
             self._set_term(request.term)
             self._step_down(now)
-        granted = self._would_grant(request, now)
-        refusal = None if granted else self._refusal_reason(request, now)
+        refusal = self._refusal_reason(request, now)
+        granted = refusal is None
         if granted and not request.trial:
             self._set_term(request.term, request.sender)
             self._suspend_elections_until_vote_durable()
@@ -97,16 +97,12 @@
         sends = self._out.sends_after_sync if needs_sync else self._out.sends
         sends.append((request.sender, reply))
 
-    def _would_grant(self, request: VoteRequest, now: float) -> bool:
-        """Tell whether a vote is due; whether it counts is for the candidate to know.
+    def _refusal_reason(self, request: VoteRequest, now: float) -> Refusal | None:
+        """Return why a vote is refused, or None if it is granted.
 
-        A candidate stands only if its own disk counts, and counts only votes of disks whose
-        admission it knows to be committed.
+        Whether a granted vote counts is for the candidate to know: it stands only if its own disk
+        counts, and counts only votes of disks whose admission it knows to be committed.
         """
-        return self._refusal_reason(request, now) is None
-
-    def _refusal_reason(self, request: VoteRequest, now: float) -> Refusal | None:
-        """Return why a vote is refused, or None if it is granted."""
         mine = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < mine:
             return Refusal.LOG
--- a/tests/control/slow_group.py
+++ b/tests/control/slow_group.py
@@ -1,7 +1,7 @@
 """Replica tasks that run in virtual time with simulated slow disks and processors."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
@@ -158,22 +158,25 @@
 
     async def publish(self, version: int, seconds: float) -> float:
         """Publish to the VMs in turn until one accepts; return the seconds taken or inf."""
-        began = trio.current_time()
-        while trio.current_time() - began < seconds:
-            for task in list(self.tasks.values()):
-                request = PublishRequest(version, {"version": version})
-                answer = await task.ask(PUBLISH, request, ASK_TIMEOUT_SECONDS)
-                if answer.value is not None:
-                    return trio.current_time() - began
-                await trio.sleep(0.1)
-        return float("inf")
+        request = PublishRequest(version, {"version": version})
+
+        async def accepts(task: ReplicaTask) -> bool:
+            return (await task.ask(PUBLISH, request, ASK_TIMEOUT_SECONDS)).value is not None
+
+        return await self._until_any(accepts, seconds)
 
     async def read(self, seconds: float) -> float:
         """Read from the VMs in turn until one answers; return the seconds taken or inf."""
+        return await self._until_any(lambda task: task.read_newest(0.7), seconds)
+
+    async def _until_any(
+        self, ask: Callable[[ReplicaTask], Awaitable[bool]], seconds: float
+    ) -> float:
+        """Ask the VMs in turn until one succeeds; return the elapsed time, inf at the timeout."""
         began = trio.current_time()
         while trio.current_time() - began < seconds:
             for task in list(self.tasks.values()):
-                if await task.read_newest(0.7):
+                if await ask(task):
                     return trio.current_time() - began
                 await trio.sleep(0.1)
         return float("inf")
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from siskinspoke.coordination.replica import Replica
-from siskinspoke.coordination.replica_types import Restored, Role
+from siskinspoke.coordination.replica_types import Refusal, Restored, Role
 from siskinspoke.protocol.replication import (
     Admitted,
     Append,
@@ -67,10 +67,11 @@
 class VotesForShorterLogs(Replica):
     """Mutant: a vote is given whatever log the candidate has."""
 
-    def _would_grant(self, request, now):
-        return request.trial or (
+    def _refusal_reason(self, request, now):
+        granted = request.trial or (
             request.term == self.term and self._voted_for in ("", request.sender)
         )
+        return None if granted else Refusal.VOTED
 
 
 class FoundsAgain(Replica):
