Log the rate limits that servers name in their answers

Cause: no line says what a server's answer asked for, so nobody can tell from the logs which VM was told of a limit, when, and by which request. The limit is now read in the adapter and kept by the server's start; server.rate_limit has each change, with what was known before and its age. Nothing is decided by it yet. Values that are no decimal number change nothing and are counted.

--- /dev/null
+++ b/siskinspoke/gateway/asked.py
@@ -0,0 +1,49 @@
+"""Take in what backend servers ask of this VM in their answers."""
+
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.wire import Answer, Dispatch
+
+# From this status on an answer may come from whatever stands in for a server that fails, so it
+# takes nothing back.
+FAILED = 500
+
+
+def hear_answer(gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer) -> None:
+    """Take in what the answer to a dispatch asks for; one to another request is too old for it."""
+    if answer.misdirected or answer.request_id not in (None, dispatch.call.id):
+        return
+    for field in answer.asked.unreadable:
+        gateway.counters.count(f"asked.unreadable.{field}")
+    _hear_rate_limit(gateway, dispatch, server, answer)
+
+
+def _is_sound(answer: Answer) -> bool:
+    """Tell whether what an answer leaves out means that the server no longer asks for it."""
+    return answer.status < FAILED and answer.request_id is not None and not answer.asked.unreadable
+
+
+def _hear_rate_limit(
+    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer
+) -> None:
+    rate, now = answer.asked.rate_limit, now_ms()
+    known = gateway.rate_limits.find(server.start)
+    if rate is not None:
+        is_news = gateway.rate_limits.name(server.start, rate, now)
+    elif _is_sound(answer):
+        is_news = gateway.rate_limits.lift(server.start, now)
+    else:
+        return
+    if not is_news:
+        return
+    name, incarnation = server.start
+    gateway.counters.count("rate_limit.lifted" if rate is None else "rate_limit.named")
+    gateway.log.note(
+        "server.rate_limit",
+        server=name,
+        start=incarnation,
+        request=dispatch.call.id,
+        rate=rate,
+        former=None if known is None else known.rate,
+        age=None if known is None else round(now - known.heard_at),
+    )
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -18,6 +18,7 @@
 from siskinspoke.coordination.fullness import Fullness
 from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
+from siskinspoke.coordination.rate_limits import RateLimits
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.routes import CallKind, ClientLimits, Customer, Route, RouteTable
 from siskinspoke.coordination.standing import Standing
@@ -67,6 +68,7 @@
     rng: random.Random
     fullness: Fullness = field(default_factory=Fullness)
     foresight: Foresight = field(default_factory=Foresight)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     chores: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since: float | None = None
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -250,11 +250,13 @@
             names = [item.announcement.server for item in gateway.directory.all_known()]
             gateway.standing.forget(names)
             gateway.books.forget(now, names)
+            gateway.rate_limits.forget(names)
             gateway.peers.forget_silent(now)
             gateway.crashes.forget(now)
             gateway.pool.prune(now)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected)
+            gateway.counters.gauge("rate_limits.in_force", len(gateway.rate_limits))
             gateway.counters.gauge("log.dropped", self._log.dropped)
 
     async def _reload_forever(self) -> None:
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -6,6 +6,7 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.standing import Trouble
+from siskinspoke.gateway.asked import hear_answer
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.reaching import connect_to
@@ -87,7 +88,9 @@
     finished = False
     try:
         head = gateway.wire.encode_dispatch(dispatch)
-        outcome = await _exchange(gateway, dispatch, connection, head, attempt, patience_seconds)
+        outcome = await _exchange(
+            gateway, dispatch, server, connection, head, attempt, patience_seconds
+        )
         finished = isinstance(outcome, Begun)
         return outcome
     finally:
@@ -99,6 +102,7 @@
 async def _exchange(
     gateway: Gateway,
     dispatch: Dispatch,
+    server: ServerRecord,
     connection: ServerConnection,
     head: RequestHead,
     attempt: Attempt,
@@ -114,6 +118,7 @@
             found.append(broken(error))
         else:
             answer = gateway.wire.decode_answer(answer_head)
+            hear_answer(gateway, dispatch, server, answer)
             found.append(_judge(dispatch, answer, connection))
         nursery.cancel_scope.cancel()
 
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -60,6 +60,17 @@
     resume_after: str | None = None
 
 
+class Asked(NamedTuple):
+    """What a server asks of its callers in an answer.
+
+    ``rate_limit`` is in requests a second from all VMs together, None where none is named.
+    ``unreadable`` names the fields whose values mean nothing; such a field changes nothing.
+    """
+
+    rate_limit: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
 class Answer(NamedTuple):
     """What a server's first words mean.
 
@@ -77,6 +88,7 @@
     closes: bool
     idle_seconds: float | None
     framed: bool
+    asked: Asked = Asked()
 
 
 class EngineReport(NamedTuple):
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -1,17 +1,21 @@
 """Decode callers' requests and servers' answers, and encode what is sent to both."""
 
+import re
+
 import msgspec
 from expression import Error, Ok, Result
 
 from siskinspoke.coordination.routes import RouteTable
 from siskinspoke.core.codes import FACTS, Failure, ResultCode
-from siskinspoke.gateway.wire import Answer, Call, Dispatch, EngineReport, Helper, Prompt
+from siskinspoke.gateway.wire import Answer, Asked, Call, Dispatch, EngineReport, Helper, Prompt
 from siskinspoke.platform import configuration, names, orders
 from siskinspoke.transport.http1 import AnswerHead, Headers, RequestHead
 
 NEVER_RAN_STATUSES = frozenset({421})
 MISDIRECTED = 421
 MOST_RANK = 9
+# A number of a server's that is longer is none: it would round to infinity, or take long to read.
+DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?")
 
 
 def _first(headers: Headers, name: bytes) -> str | None:
@@ -116,6 +120,7 @@
             closes="close" in connection,
             idle_seconds=_idle_seconds(_first(head.headers, b"Keep-Alive")),
             framed=head.framed,
+            asked=_asked(head.headers),
         )
 
     def own_answer(self, call_id: str, failure: Failure) -> tuple[int, Headers, bytes]:
@@ -151,6 +156,16 @@
         return configuration.table_from(document)
 
 
+def _asked(headers: Headers) -> Asked:
+    """Return what a server asks of its callers."""
+    rate_limit = _first(headers, names.RATE_LIMIT)
+    if rate_limit is None:
+        return Asked()
+    if not DECIMAL.fullmatch(rate_limit):
+        return Asked(unreadable=("rate_limit",))
+    return Asked(rate_limit=float(rate_limit))
+
+
 def _idle_seconds(text: str | None) -> float | None:
     """Return how long a kept connection lasts, from a Keep-Alive header."""
     for part in (text or "").split(","):
--- a/siskinspoke/platform/names.py
+++ b/siskinspoke/platform/names.py
@@ -22,6 +22,8 @@
 STAMP = b"Server-Stamp"
 # Running requests, waiting requests and slots.
 LOAD = b"Server-Load"
+# The requests a second that a server takes from all VMs together, while its answers name it.
+RATE_LIMIT = b"Server-Limit"
 # The incarnation that does have the address, on a 421.
 ANSWERED_BY = b"Instance-Id"
 # The address of the server at fault, where a helper and not the addressed server failed.
--- /dev/null
+++ b/tests/coordination/test_rate_limits.py
@@ -0,0 +1,44 @@
+"""Rate limits that servers name."""
+
+from siskinspoke.coordination.rate_limits import RateLimits
+
+START = ("i-1", 7)
+
+
+class TestRateLimits:
+    """What one VM knows of servers' limits."""
+
+    def test_limit_is_news_once(self):
+        limits = RateLimits()
+        assert limits.name(START, 2.0, 100)
+        assert not limits.name(START, 2.0, 200)
+        assert limits.name(START, 1.0, 300)
+        assert limits.find(START).rate == 1.0
+        assert limits.find(START).since == 100
+
+    def test_answer_without_a_limit_ends_it(self):
+        limits = RateLimits()
+        assert not limits.lift(START, 50)
+        limits.name(START, 2.0, 100)
+        assert limits.lift(START, 200)
+        assert limits.find(START) is None
+
+    def test_older_answers_change_nothing(self):
+        """Answers on two connections overtake each other; the older one must not undo the newer."""
+        limits = RateLimits()
+        limits.name(START, 2.0, 100)
+        assert not limits.lift(START, 90)
+        assert limits.lift(START, 110)
+        assert not limits.name(START, 2.0, 105)
+        assert limits.find(START) is None
+
+    def test_limit_concerns_one_start(self):
+        limits = RateLimits()
+        limits.name(START, 2.0, 100)
+        assert limits.find(("i-1", 8)) is None
+
+    def test_forgotten_with_its_server(self):
+        limits = RateLimits()
+        limits.name(START, 2.0, 100)
+        limits.forget(["i-2"])
+        assert len(limits) == 0
--- /dev/null
+++ b/tests/platform/test_asked.py
@@ -0,0 +1,33 @@
+"""What the adapter reads of the things that servers ask for."""
+
+import pytest
+
+from siskinspoke.platform.calls import PlatformWire
+from siskinspoke.transport.http1 import AnswerHead
+
+
+def asked(*headers: tuple[bytes, bytes], status: int = 200):
+    """Return what an answer with these headers asks for."""
+    return PlatformWire().decode_answer(AnswerHead(status, list(headers), True)).asked
+
+
+class TestRateLimit:
+    """A limit is a decimal number; anything else changes nothing."""
+
+    @pytest.mark.parametrize(
+        ("value", "rate"), [(b"1", 1.0), (b"0.5", 0.5), (b"12.25", 12.25), (b"0", 0.0)]
+    )
+    def test_decimal_number(self, value, rate):
+        assert asked((b"Server-Limit", value)).rate_limit == rate
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"many", b"-1", b"nan", b"inf", b"1e9", b"1_0", b"1,5", b"9" * 400, b"\xff"]
+    )
+    def test_anything_else_is_unreadable(self, value):
+        found = asked((b"Server-Limit", value))
+        assert found.rate_limit is None
+        assert found.unreadable == ("rate_limit",)
+
+    def test_none_named(self):
+        assert asked().rate_limit is None
+        assert not asked().unreadable
