Test that servers get no more than their rate limit, summed over VMs

The stand-in servers keep account of what they have asked for and what they get; every test checks the accounts at its end.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from tests.platform.standin_server import StandinServer
+
 FAILURES = Path("run/failures")
 # The end of a log says how its process came to stand where it did.
 TAIL_BYTES = 20_000
@@ -40,3 +42,12 @@
     parts += [f"--- {title}\n{text}" for title, text in report.sections]
     FAILURES.mkdir(parents=True, exist_ok=True)
     (FAILURES / f"{name}.txt").write_text("\n\n".join(parts))
+
+
+@pytest.fixture(autouse=True)
+def keep_to_what_servers_ask():
+    """Fail each test in which a stand-in server got more than it had asked for."""
+    StandinServer.started.clear()
+    yield
+    broken = [line for server in StandinServer.started for line in server.account.broken]
+    assert not broken, broken[:5]
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -35,6 +35,7 @@
         self.controls = [f"{self._net}.{number}" for number in (1, 2)]
         self.sites: list[Site] = []
         self.servers: list[StandinServer] = []
+        self.service = "engines"
 
     async def start_controls(self) -> None:
         """Start the hubs of two control VMs."""
@@ -65,7 +66,7 @@
         self.sites.append(site)
         await self.connect(site)
         for server in self.servers:
-            site.announce(server, "engines", seq=server.starts)
+            site.announce(server, self.service, seq=server.starts)
         return site
 
     async def connect(self, site: Site) -> None:
@@ -97,10 +98,10 @@
     def announce(self, server: StandinServer) -> None:
         """Tell all entry VMs of a server."""
         for site in self.sites:
-            site.announce(server, "engines", seq=server.starts)
+            site.announce(server, self.service, seq=server.starts)
 
     async def start_servers(self, service_scripts: Iterable, **traits) -> list[StandinServer]:
-        """Start one engine for each script; those that end are back under other names."""
+        """Start one server for each script; those that end are back under other names."""
         for number, script in enumerate(service_scripts):
             server = StandinServer(f"i-{number}", on_back=self._back(number), **traits)
             server.script.extend(script)
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -3,9 +3,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 import trio
 
+from siskinspoke.testing.server_account import ServerAccount
+
 STAMP = b"3e1b.07.5a2"
 
 
@@ -86,6 +89,9 @@
 class StandinServer:
     """Serve one request after the other as the script says, the last entry again and again.
 
+    All answers name ``rate_limit``, in requests a second, unless it is None.  ``account`` tells
+    whether VMs keep to it; every test checks the accounts of all its servers at its end.
+
     A body in ``deadly`` ends the whole process ``dies_after`` seconds later, with all that is
     open there.  It is back ``back_after`` seconds after that, and ``on_back`` is told.
     """
@@ -103,6 +109,15 @@
     starts: int = 1
     on_back: Callable[["StandinServer"], None] = lambda server: None
     life: trio.CancelScope | None = None
+    rate_limit: float | None = None
+    account: ServerAccount = field(init=False)
+
+    # The servers of the running test.
+    started: ClassVar[list["StandinServer"]] = []
+
+    def __post_init__(self) -> None:
+        self.account = ServerAccount(self.name)
+        self.started.append(self)
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen on a free port, and on the same one again after each end."""
@@ -118,6 +133,7 @@
                     await trio.serve_listeners(self._serve_one, listeners)
                 await trio.sleep(self.back_after)
                 self.starts += 1
+                self.account.restarted()
 
     @property
     def ends(self) -> int:
@@ -132,6 +148,7 @@
     async def _serve_one(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         number = self.connections
+        vm = stream.socket.getpeername()[0]
         buffered = b""
         try:
             while True:
@@ -150,9 +167,11 @@
                 behaviour = self._next()
                 ran = not isinstance(behaviour, Refuse)
                 self.seen.append(Seen(lines[0], body, headers, number, ran))
+                if "Request-Id" in headers:
+                    self.account.arrived(vm, trio.current_time())
                 if body in self.deadly:
                     self._nursery.start_soon(self._end_soon)
-                if not await self._answer(stream, headers, behaviour):
+                if not await self._answer(stream, vm, headers, behaviour):
                     return
         except trio.BrokenResourceError:
             return
@@ -163,17 +182,22 @@
     def _next(self) -> Behaviour:
         return self.script.popleft() if len(self.script) > 1 else self.script[0]
 
+    def _asks(self, vm: str) -> list[bytes]:
+        """Return the header lines by which an answer to a VM asks for something."""
+        self.account.answered(vm, trio.current_time(), self.rate_limit)
+        return [] if self.rate_limit is None else [b"Server-Limit: %g" % self.rate_limit]
+
     async def _answer(
-        self, stream: trio.SocketStream, headers: dict[str, str], behaviour: Behaviour
+        self, stream: trio.SocketStream, vm: str, headers: dict[str, str], behaviour: Behaviour
     ) -> bool:
         request_id = headers.get("Request-Id", "").encode()
         match behaviour:
             case Whole() as whole:
                 await trio.sleep(whole.begin_after)
-                await stream.send_all(_whole(whole, request_id) + whole.after)
+                await stream.send_all(_whole(whole, request_id, self._asks(vm)) + whole.after)
                 return True
             case Refuse(status=status, headers=more):
-                lines = [b"HTTP/1.1 %d No" % status, b"Content-Length: 0", *more]
+                lines = [b"HTTP/1.1 %d No" % status, b"Content-Length: 0", *more, *self._asks(vm)]
                 await stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n")
                 return True
             case Unframed(body=body):
@@ -181,7 +205,8 @@
                 await stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n" + body)
                 return False
             case Events() as events:
-                return await _events(stream, events, request_id, headers)
+                await trio.sleep(events.begin_after)
+                return await _events(stream, events, request_id, headers, self._asks(vm))
             case Silent():
                 await stream.receive_some()
                 return False
@@ -189,7 +214,7 @@
                 return False
 
 
-def _whole(whole: Whole, request_id: bytes) -> bytes:
+def _whole(whole: Whole, request_id: bytes, asks: list[bytes]) -> bytes:
     body = request_id if whole.body is None else whole.body
     lines = [
         b"HTTP/1.1 %d OK" % whole.status,
@@ -197,6 +222,7 @@
         b"Server-Stamp: " + STAMP,
         b"Content-Length: %d" % len(body),
         *whole.headers,
+        *asks,
     ]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
@@ -211,15 +237,19 @@
 
 
 async def _events(
-    stream: trio.SocketStream, events: Events, request_id: bytes, headers: dict[str, str]
+    stream: trio.SocketStream,
+    events: Events,
+    request_id: bytes,
+    headers: dict[str, str],
+    asks: list[bytes],
 ) -> bool:
-    await trio.sleep(events.begin_after)
     lines = [
         b"HTTP/1.1 200 OK",
         b"Request-Id: " + request_id,
         b"Server-Stamp: " + STAMP,
         b"Content-Type: text/event-stream",
         b"Transfer-Encoding: chunked",
+        *asks,
     ]
     await stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n")
     first = int(headers.get("Last-Event-Id", events.first - 1)) + 1
--- /dev/null
+++ b/tests/testing/test_server_account.py
@@ -0,0 +1,58 @@
+"""The account by which stand-in servers know whether VMs keep to what they ask for."""
+
+from siskinspoke.testing.server_account import ServerAccount
+
+
+def limited(rate: float = 1.0) -> ServerAccount:
+    """Return the account of a server that has told VMs a and b its limit at 0 s."""
+    account = ServerAccount("i-1")
+    for vm in ("a", "b"):
+        account.answered(vm, 0.0, rate)
+    return account
+
+
+class TestRateLimit:
+    """One and a half times the limit and five requests, in any 4 s, over all VMs."""
+
+    def test_allowed(self):
+        account = limited()
+        for number in range(11):
+            account.arrived("ab"[number % 2], 1.0 + number / 10)
+        assert not account.broken
+
+    def test_one_too_many_over_two_vms(self):
+        account = limited()
+        for number in range(12):
+            account.arrived("ab"[number % 2], 1.0 + number / 10)
+        assert len(account.broken) == 1
+
+    def test_window_slides(self):
+        account = limited()
+        for number in range(60):
+            account.arrived("a", 1.0 + number * 0.4)
+        assert not account.broken
+
+    def test_vm_that_was_not_told_is_not_counted(self):
+        account = limited()
+        for number in range(30):
+            account.arrived("c", 1.0 + number / 10)
+            account.arrived("a", 0.4)
+        assert not account.broken
+
+    def test_disturbed_vm_is_excused_until_it_is_told_again(self):
+        account = limited()
+        account.disturbed("a")
+        for number in range(30):
+            account.arrived("a", 1.0 + number / 10)
+        assert not account.broken
+        account.answered("a", 10.0, 1.0)
+        for number in range(12):
+            account.arrived("a", 11.0 + number / 10)
+        assert account.broken
+
+    def test_answer_without_a_limit_ends_it(self):
+        account = limited()
+        account.answered("a", 0.5, None)
+        for number in range(30):
+            account.arrived("a", 1.0 + number / 10)
+        assert not account.broken
