--- a/siskinspoke/coordination/rate_limits.py
+++ b/siskinspoke/coordination/rate_limits.py
@@ -4,6 +4,7 @@
 without one ends it.  Times are in milliseconds.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self._limits: dict[Start, RateLimit] = {}
         self._lifted_at: dict[Start, float] = {}
+        self._closed_until: dict[Start, float] = {}
 
     def find(self, start: Start) -> RateLimit | None:
         """Return the limit of a server, None where it has named none."""
@@ -40,19 +42,31 @@
         self._limits[start] = RateLimit(rate, since, now)
         return is_news
 
-    def lift(self, start: Start, now: float) -> bool:
-        """Take in that a server answers without a limit; return whether that is news."""
+    def lift(self, start: Start, sent_at: float, now: float) -> bool:
+        """Take in that a request of a time was answered without a limit; return whether it is news.
+
+        An answer to a request that was sent before the limit was heard of may be older than that.
+        """
         known = self._limits.get(start)
-        if known is None or now < known.heard_at:
+        if known is None or sent_at < known.heard_at:
             return False
         del self._limits[start]
+        self._closed_until.pop(start, None)
         self._lifted_at[start] = now
         return True
 
+    def close(self, start: Start, until: float) -> None:
+        """Note that no request may be sent to a server for a while."""
+        self._closed_until[start] = until
+
+    def closed_until(self, start: Start) -> float:
+        """Return until when no request may be sent to a server; the past where one may be."""
+        return self._closed_until.get(start, -math.inf)
+
     def forget(self, servers: Iterable[str]) -> None:
         """Keep the limits of these servers only."""
         kept = set(servers)
-        for records in (self._limits, self._lifted_at):
+        for records in (self._limits, self._lifted_at, self._closed_until):
             for start in [start for start in records if start[0] not in kept]:
                 del records[start]
 
--- a/siskinspoke/coordination/standing.py
+++ b/siskinspoke/coordination/standing.py
@@ -30,6 +30,7 @@
     BROKEN = "broken"
     ERROR = "error"
     BUSY = "busy"
+    HELD = "held"
 
 
 @dataclass(slots=True)
@@ -83,6 +84,9 @@
         """Note a failure and set the server aside if it is the kind or the share for that."""
         record = self._record(server)
         match trouble:
+            case Trouble.HELD:
+                # This VM has sent it nothing.
+                return
             case Trouble.BUSY:
                 record.aside_until = max(record.aside_until, now + FIRST_ASIDE_MS / 4)
                 return
--- a/siskinspoke/gateway/asked.py
+++ b/siskinspoke/gateway/asked.py
@@ -3,19 +3,22 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.wire import Answer, Dispatch
+from siskinspoke.protocol.peers import RateLimitNews
 
 # From this status on an answer may come from whatever stands in for a server that fails, so it
 # takes nothing back.
 FAILED = 500
 
 
-def hear_answer(gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer) -> None:
+def hear_answer(
+    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer, sent_at: float
+) -> None:
     """Take in what the answer to a dispatch asks for; one to another request is too old for it."""
     if answer.misdirected or answer.request_id not in (None, dispatch.call.id):
         return
     for field in answer.asked.unreadable:
         gateway.counters.count(f"asked.unreadable.{field}")
-    _hear_rate_limit(gateway, dispatch, server, answer)
+    _hear_rate_limit(gateway, dispatch, server, answer, sent_at)
 
 
 def _is_sound(answer: Answer) -> bool:
@@ -24,18 +27,19 @@
 
 
 def _hear_rate_limit(
-    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer
+    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer, sent_at: float
 ) -> None:
     rate, now = answer.asked.rate_limit, now_ms()
     known = gateway.rate_limits.find(server.start)
     if rate is not None:
         is_news = gateway.rate_limits.name(server.start, rate, now)
     elif _is_sound(answer):
-        is_news = gateway.rate_limits.lift(server.start, now)
+        is_news = gateway.rate_limits.lift(server.start, sent_at, now)
     else:
         return
     if not is_news:
         return
+    gateway.peers.rate_limit(server.start, rate, now)
     name, incarnation = server.start
     gateway.counters.count("rate_limit.lifted" if rate is None else "rate_limit.named")
     gateway.log.note(
@@ -47,3 +51,13 @@
         former=None if known is None else known.rate,
         age=None if known is None else round(now - known.heard_at),
     )
+
+
+def hear_rate_limit(gateway: Gateway, news: RateLimitNews) -> None:
+    """Take in what another VM has been told of a server's limit."""
+    start, at = (news.server, news.incarnation), now_ms() - news.age_ms
+    if news.rate is None:
+        is_news = gateway.rate_limits.lift(start, at, at)
+    else:
+        is_news = gateway.rate_limits.name(start, news.rate, at)
+    gateway.counters.count("rate_limit.told", is_news)
--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -10,6 +10,7 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.liveness import OVERDUE_AGAIN_MS
+from siskinspoke.gateway.permits import Permit
 
 STARTED_AGAIN = "the server has started anew"
 UNREACHABLE = "the server cannot be reached any more"
@@ -27,7 +28,8 @@
     ``reconsider`` is to be asked why to end it; it may put the moment off and return nothing.
     ``writes`` tells that its stream has begun.
     ``move_on`` takes the request's next step, and tells whether there is one.  ``sent`` is False
-    until there is a connection.
+    until there is a connection.  ``permit`` is leave to send to a server that has named a rate
+    limit, and ``patience_ms`` how long the attempt may wait for one.
     """
 
     def __init__(self, servers: Iterable[ServerRecord], move_on: Callable[[], bool]):
@@ -42,6 +44,8 @@
         self.reconsider: Callable[[Attempt, float], str] | None = None
         self.lost = ""
         self.gone = False
+        self.permit: Permit | None = None
+        self.patience_ms = 0.0
 
     @property
     def servers(self) -> list[ServerRecord]:
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -281,6 +281,7 @@
             events=request.events,
             longest_pause=round(request.longest_pause_ms),
             tried=[list(item) for item in request.tried],
+            held=request.held,
             reason=result.message if isinstance(result, Failure) else None,
             fingerprint=request.subject.fingerprint if suspect else None,
             works=gateway.books.open_works,
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -28,6 +28,7 @@
 from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.peers import Peers
+from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.questions import Questions
 from siskinspoke.gateway.wire import Call, Wire
@@ -53,6 +54,7 @@
     placement: Placement
     standing: Standing
     domains: Domains
+    rate_limits: RateLimits
     budget: CommonBudget
     pool: Pool
     attempts: OpenAttempts
@@ -60,6 +62,7 @@
     connects: ConnectTimer
     cells: CellView
     questions: Questions
+    permits: Permits
     peers: Peers
     crashes: CrashWatch
     counters: Counters
@@ -68,7 +71,6 @@
     rng: random.Random
     fullness: Fullness = field(default_factory=Fullness)
     foresight: Foresight = field(default_factory=Foresight)
-    rate_limits: RateLimits = field(default_factory=RateLimits)
     chores: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since: float | None = None
@@ -133,6 +135,8 @@
     version: int
     service: str = ""
     tried: list[Tried] = field(default_factory=list)
+    # Servers that were chosen, and asked not to get it before it was sent.
+    held: list[str] = field(default_factory=list)
     first_ms: float | None = None
     expected_ms: float | None = None
     engines: int = 0
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -15,6 +15,7 @@
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.liveness import ConnectTimer, Looks
 from siskinspoke.coordination.placement import Placement
+from siskinspoke.coordination.rate_limits import RateLimits
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.standing import Standing
 from siskinspoke.core.counters import Counters
@@ -22,12 +23,14 @@
 from siskinspoke.core.latencies import Latencies
 from siskinspoke.core.supervise import keep_running
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
+from siskinspoke.gateway.asked import hear_rate_limit
 from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.clients import ClientServer
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.lives import hear
 from siskinspoke.gateway.peers import Peers
+from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.placing import offer
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.questions import Questions
@@ -94,7 +97,9 @@
             settings.peer_port,
             lambda question: offer(self.gateway, question),
             counters,
+            lambda question: self.gateway.permits.answer(question),
         )
+        rate_limits = RateLimits()
         self.gateway = Gateway(
             settings=settings,
             wire=wire,
@@ -102,6 +107,7 @@
             placement=Placement(books),
             standing=Standing(),
             domains=domains,
+            rate_limits=rate_limits,
             budget=budget,
             pool=Pool(),
             attempts=OpenAttempts(),
@@ -109,6 +115,15 @@
             connects=ConnectTimer(),
             cells=cells,
             questions=questions,
+            permits=Permits(
+                EntryPeer(settings.host, settings.peer_port, settings.failure_domain),
+                lambda: self._feeds.peers,
+                lambda: self._feeds.peer_changes,
+                self._has_quorum,
+                lambda host, ms: self.gateway.peers.heard_within(host, ms, now_ms()),
+                rate_limits,
+                counters,
+            ),
             peers=Peers(
                 settings.host,
                 settings.failure_domain,
@@ -123,6 +138,7 @@
                 self._on_crashes,
                 self._feeds.hear_control,
                 lambda work: think_of_streams(self.gateway, work),
+                lambda news: hear_rate_limit(self.gateway, news),
             ),
             crashes=CrashWatch(self._tell_crashes, counters, log),
             counters=counters,
@@ -131,6 +147,14 @@
             rng=random.Random(),
         )
 
+    def _has_quorum(self) -> bool:
+        """Tell whether this VM hears most control VMs, or most entry VMs of its cell."""
+        feeds, cells = self._feeds, self.gateway.cells
+        if 2 * feeds.connected > len(feeds.controls):
+            return True
+        vms = 1 + len(cells.addresses(cells.mine))
+        return 2 * (1 + self.gateway.peers.heard(now_ms())) > vms
+
     def _on_publication(self, version: int, document: dict) -> None:
         """Put a newer configuration in force; the version never goes back.
 
@@ -251,6 +275,7 @@
             gateway.standing.forget(names)
             gateway.books.forget(now, names)
             gateway.rate_limits.forget(names)
+            gateway.permits.tick(names)
             gateway.peers.forget_silent(now)
             gateway.crashes.forget(now)
             gateway.pool.prune(now)
--- a/siskinspoke/gateway/onward.py
+++ b/siskinspoke/gateway/onward.py
@@ -13,6 +13,7 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.left_out import LeftOut
+from siskinspoke.coordination.standing import Trouble
 from siskinspoke.gateway.attempts import SLOW, STARTED_AGAIN
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.placing import Placed
@@ -74,6 +75,8 @@
     refused: int = 0
     paid: bool = False
     next: Step | None = None
+    # Whether the last sending was paid for with a repeat.
+    spent: bool = False
 
     def has_tries(self, tried: int) -> bool:
         """Tell whether so many tries, those that reached nobody among them, allow one more."""
@@ -82,6 +85,8 @@
     def count(self, gateway: Gateway, server: ServerRecord, outcome: object) -> None:
         """Count what became of a sending: any outcome but ``NotRun`` and ``Broke`` is an answer."""
         match outcome:
+            case NotRun(trouble=Trouble.HELD):
+                self.hold_back()
             case NotRun(arrived=arrived):
                 self.arrivals += arrived
             case Broke(gone=gone):
@@ -94,11 +99,18 @@
 
     def pay(self, gateway: Gateway, request: Request) -> bool:
         """Pay for the next sending with a repeat of the budget, unless it is the first, or paid."""
+        self.spent = self.paid
         if not self.paid and self.arrivals:
-            return gateway.budget.take(request.service, now_ms())
+            self.spent = gateway.budget.take(request.service, now_ms())
+            return self.spent
         self.paid = False
         return True
 
+    def hold_back(self) -> None:
+        """Take in that a sending was held back; what was paid for it pays for the next one."""
+        self.paid = self.paid or self.spent
+        self.spent = False
+
     def use_step(self, gateway: Gateway) -> Step | None:
         """Return the step that was taken for the next attempt, if there is one and it is fresh.
 
@@ -109,7 +121,7 @@
             self._give_back_place(gateway)
             return None
         self.next = None
-        self.paid = False
+        self.spent, self.paid = self.paid, False
         return step
 
     def _give_back_place(self, gateway: Gateway) -> None:
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -21,8 +21,11 @@
 from siskinspoke.protocol.feed import ControlUp
 from siskinspoke.protocol.peers import (
     EnginePace,
+    PermitReply,
+    PermitRequest,
     PlaceOffer,
     PlaceQuestion,
+    RateLimitNews,
     WorkBegan,
     WorkNews,
 )
@@ -64,6 +67,7 @@
         heard_crashes: Callable[[CrashNews], None] = lambda news: None,
         heard_control: Callable[[str], None] = lambda host: None,
         work_began: Callable[[Work], None] = lambda work: None,
+        heard_rate_limit: Callable[[RateLimitNews], None] = lambda news: None,
     ):
         self._host = host
         self._domain = domain
@@ -78,7 +82,9 @@
         self._heard_crashes = heard_crashes
         self._heard_control = heard_control
         self._work_began = work_began
+        self._heard_rate_limit = heard_rate_limit
         self._crash_news: list[CrashNews] = []
+        self._rate_limits: dict[tuple[str, int], tuple[float | None, float]] = {}
         self._next = 0
         # Tells this start of the process from earlier ones on the same VM.
         self._start = f"{random.getrandbits(32):x}"
@@ -142,6 +148,12 @@
         self._tell(self._crash_news, news)
         self._urgent.set()
 
+    def rate_limit(self, start: tuple[str, int], rate: float | None, now: float) -> None:
+        """Tell the others of this cell what a server takes from all VMs together."""
+        self._rate_limits[start] = rate, now
+        self._some_news.set()
+        self._urgent.set()
+
     def paced(self, server: str, pace: float) -> None:
         """Note how slow an engine says that it is, and tell the peers where that is news."""
         changed = abs(self._books.engine(server).pace - pace) > PACE_NEWS
@@ -189,6 +201,10 @@
         crash_news, self._crash_news = self._crash_news, []
         for item in crash_news:
             await port.send_to_all(item, self._cells.addresses(self._cells.mine))
+        rate_limits, self._rate_limits = self._rate_limits, {}
+        for (server, incarnation), (rate, at) in rate_limits.items():
+            item = RateLimitNews(server, incarnation, rate, now - at)
+            await port.send_to_all(item, self._cells.addresses(self._cells.mine))
         news, self._news = self._news, {}
         mine = self._cells.mine
         if mine in news or self._budget.has_repeats_to_tell:
@@ -213,6 +229,11 @@
             for host, (_, at) in self._heard.items()
         )
 
+    def heard_within(self, host: str, ms: float, now: float) -> bool:
+        """Tell whether a VM has spoken within a time; ``now`` is in milliseconds."""
+        known = self._heard.get(host)
+        return known is not None and now - known[1] < ms
+
     def forget_silent(self, now: float) -> None:
         """Strike the work of VMs that have fallen silent; ``now`` is in milliseconds."""
         for host, (start, at) in list(self._heard.items()):
@@ -233,10 +254,12 @@
         match item:
             case WorkNews():
                 self._hear_news(item)
-            case PlaceQuestion():
+            case PlaceQuestion() | PermitRequest():
                 await self._questions.answer(item)
-            case PlaceOffer():
+            case PlaceOffer() | PermitReply():
                 self._questions.hear(item)
+            case RateLimitNews():
+                self._heard_rate_limit(item)
             case CrashNews():
                 self._heard_crashes(item)
             case ControlUp(host=host):
--- /dev/null
+++ b/siskinspoke/gateway/permits.py
@@ -0,0 +1,187 @@
+"""Obtain leave to send requests to backend servers that have named a rate limit."""
+
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.limiters import (
+    PERMIT_MS,
+    TAKE_OVER_MS,
+    Ask,
+    Limiter,
+    Outcome,
+    Verdict,
+    limiters_of,
+)
+from siskinspoke.coordination.rate_limits import RateLimit, RateLimits
+from siskinspoke.core.counters import Counters
+from siskinspoke.gateway.questions import Questions
+from siskinspoke.protocol.feed import EntryPeer
+from siskinspoke.protocol.peers import PermitReply, PermitRequest
+
+# A limiter that did not answer is passed over for this long.
+SILENT_MS = 1_000.0
+# When to ask again where no limiter has answered.
+NOBODY_MS = 500.0
+
+
+class Permit(NamedTuple):
+    """Leave to send one request to one start of a server, until a time in milliseconds."""
+
+    start: tuple[str, int]
+    until: float
+
+
+class Denied(NamedTuple):
+    """No request may be sent to a server until a time in milliseconds."""
+
+    until: float
+
+
+class Found(NamedTuple):
+    """What a limiter decided, and which one; no host where none has answered."""
+
+    verdict: Verdict
+    host: str = ""
+
+
+class Permits:
+    """Ask limiters for permits, and be the limiter of some servers.
+
+    ``peers`` returns the other entry VMs that are known and ``changes`` how often they have
+    changed; ``has_quorum`` tells whether this VM reaches most of the fleet, ``heard_within``
+    whether another VM has spoken within some milliseconds.
+    """
+
+    def __init__(
+        self,
+        me: EntryPeer,
+        peers: Callable[[], list[EntryPeer]],
+        changes: Callable[[], int],
+        has_quorum: Callable[[], bool],
+        heard_within: Callable[[str, float], bool],
+        limits: RateLimits,
+        counters: Counters,
+    ):
+        self._me = me
+        self._peers = peers
+        self._changes = changes
+        self._has_quorum = has_quorum
+        self._heard_within = heard_within
+        self._limits = limits
+        self._counters = counters
+        self._limiter: Limiter | None = None
+        self._drawn: dict[str, tuple[str, ...]] = {}
+        self._drawn_at = -1
+        self._silent_since: dict[str, float] = {}
+        self._passed_over: dict[str, float] = {}
+
+    def _my_limiter(self) -> Limiter:
+        if self._limiter is None:
+            self._limiter = Limiter(_now_ms())
+        return self._limiter
+
+    def tick(self, servers: list[str]) -> None:
+        """Note that the process runs, and forget the servers that are not among these."""
+        limiter = self._my_limiter()
+        limiter.tick(_now_ms())
+        limiter.forget(servers)
+        for server in self._drawn.keys() - set(servers):
+            del self._drawn[server]
+
+    def _limiters(self, server: str, domain: str) -> tuple[str, ...]:
+        changes = self._changes()
+        if changes != self._drawn_at:
+            self._drawn_at = changes
+            self._drawn.clear()
+        found = self._drawn.get(server)
+        if found is None:
+            vms = {peer.host: peer.failure_domain for peer in self._peers()}
+            vms[self._me.host] = self._me.failure_domain
+            found = self._drawn[server] = limiters_of(server, domain, vms)
+        return found
+
+    def answer(self, question: PermitRequest) -> PermitReply:
+        """Answer another VM as the limiter of a server."""
+        start = question.server, question.incarnation
+        ask = Ask(question.host, start, question.rate, question.patience_ms, question.silent_ms)
+        verdict = self._decide(ask, question.domain)
+        self._counters.count(f"permit.{verdict.outcome.name.lower()}")
+        return PermitReply(question.number, *verdict)
+
+    def _decide(self, ask: Ask, domain: str) -> Verdict:
+        limiters = self._limiters(ask.start[0], domain)
+        place = limiters.index(self._me.host) if self._me.host in limiters else None
+        before = limiters[:place] if place else ()
+        if any(self._heard_within(host, TAKE_OVER_MS) for host in before):
+            ask = ask._replace(silent_ms=0.0)
+        return self._my_limiter().decide(ask, place, self._has_quorum(), _now_ms())
+
+    async def obtain(
+        self, questions: Questions, server: ServerRecord, limit: RateLimit, patience_ms: float
+    ) -> tuple[Permit | Denied, Found]:
+        """Return a permit once it may be used, or until when there is none."""
+        asked_at = _now_ms()
+        found = await self._ask(questions, server, limit, patience_ms)
+        match found.verdict:
+            case Verdict(Outcome.GRANTED, wait_ms):
+                await trio.sleep(wait_ms / 1000)
+                until = asked_at + wait_ms + PERMIT_MS
+                if _now_ms() < until:
+                    return Permit(server.start, until), found
+                # It came too late, as where this process stood still.
+                denied = Denied(_now_ms())
+            case Verdict(Outcome.LATER, wait_ms):
+                denied = Denied(_now_ms() + wait_ms)
+            case _:
+                denied = Denied(_now_ms() + NOBODY_MS)
+        self._limits.close(server.start, denied.until)
+        return denied, found
+
+    async def _ask(
+        self, questions: Questions, server: ServerRecord, limit: RateLimit, patience_ms: float
+    ) -> Found:
+        """Return what the first limiter says that answers and can tell."""
+        said = server.announcement
+        silent_ms = math.inf
+        for host in self._limiters(said.server, said.failure_domain):
+            silent = 0.0 if silent_ms == math.inf else silent_ms
+            ask = Ask(self._me.host, server.start, limit.rate, patience_ms, silent)
+            if host == self._me.host:
+                verdict = self._decide(ask, said.failure_domain)
+            else:
+                verdict = await self._ask_other(questions, host, ask, said.failure_domain)
+            if verdict is None:
+                silent_ms = min(silent_ms, _now_ms() - self._silent_since[host])
+            elif verdict.outcome is not Outcome.ELSEWHERE:
+                return Found(verdict, host)
+            else:
+                silent_ms = 0.0
+        return Found(Verdict(Outcome.ELSEWHERE))
+
+    async def _ask_other(
+        self, questions: Questions, host: str, ask: Ask, domain: str
+    ) -> Verdict | None:
+        """Return the verdict of another VM, None where it is silent."""
+        now = _now_ms()
+        if self._passed_over.get(host, now) > now:
+            return None
+        question = PermitRequest(
+            "", 0, *ask.start, domain, ask.rate, ask.patience_ms, ask.silent_ms
+        )
+        reply = await questions.ask_permit(question, host)
+        if reply is None:
+            self._silent_since.setdefault(host, now)
+            self._passed_over[host] = _now_ms() + SILENT_MS
+            self._counters.count("permit.unanswered")
+            return None
+        self._silent_since.pop(host, None)
+        self._passed_over.pop(host, None)
+        return Verdict(reply.outcome, reply.wait_ms)
+
+
+def _now_ms() -> float:
+    return trio.current_time() * 1000
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -16,7 +16,16 @@
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import note_end, noted, quarantine_of
 from siskinspoke.gateway.onward import Onward, Progress
-from siskinspoke.gateway.servers import candidates, choose_service, learn, least_loaded, reachable
+from siskinspoke.gateway.sending import opens_in_ms
+from siskinspoke.gateway.servers import (
+    candidates,
+    choose_service,
+    learn,
+    least_loaded,
+    permit_patience_ms,
+    reachable,
+    refuge,
+)
 from siskinspoke.gateway.upstream import (
     Begun,
     Broke,
@@ -127,7 +136,8 @@
                         return result
                     if await self._may_go_on():
                         self._begin()
-        return self._last or _nobody(self._gateway)
+        message = "no backend server can take the request now"
+        return self._last or nobody(self._gateway, self._request, message)
 
     def give_back(self) -> None:
         """Give back what was paid for an attempt that nobody could take."""
@@ -182,8 +192,8 @@
                 if answer.status < 500 or not repeatable:
                     return outcome
                 self._last = outcome
-            case NotRun():
-                self._progress.refused += 1
+            case NotRun(trouble=trouble):
+                self._progress.refused += trouble is not Trouble.HELD
             case Broke(reason=reason):
                 self._last = self._last or Failure(ResultCode.FATE_UNKNOWN, reason)
                 if not repeatable:
@@ -197,9 +207,14 @@
     return candidates(gateway, request.service, left_out)
 
 
-def _nobody(gateway: Gateway) -> Failure:
-    message = "no backend server can take the request now"
-    return Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
+def nobody(gateway: Gateway, request: Request, message: str) -> Failure:
+    """Return the refusal of a request that no server can take; it says when one will."""
+    wait_ms = opens_in_ms(gateway, request.service)
+    if wait_ms is None:
+        return Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
+    message += f": all have asked for fewer requests, the first for {math.ceil(wait_ms)} ms more"
+    least_ms = max(RETRY_AFTER_MS, wait_ms)
+    return Failure(ResultCode.NO_SERVER, message, retry_after(gateway, least_ms))
 
 
 async def _attempt(
@@ -218,7 +233,7 @@
     left = request.left_ms(began)
 
     def has_other() -> bool:
-        return bool(reachable(gateway, _others(gateway, request, progress)))
+        return bool(refuge(gateway, _others(gateway, request, progress)))
 
     onward = Onward(gateway, request, name, progress, has_other)
     told = False
@@ -248,6 +263,7 @@
             noted(gateway, request, server) as run,
             gateway.attempts.attempt(server, move_on=move_on) as attempt,
         ):
+            attempt.patience_ms = permit_patience_ms(gateway, request, server)
             usual_ms = gateway.standing.usual_ms([name], began)
             attempt.expect_within(whole_due_ms(usual_ms), began)
             with attempt.within(left / 1000):
--- a/siskinspoke/gateway/questions.py
+++ b/siskinspoke/gateway/questions.py
@@ -1,4 +1,4 @@
-"""Ask VMs of other cells where they would place a prompt, and answer them."""
+"""Questions of this VM to others, by datagram: where they would place a prompt, and for permits."""
 
 import itertools
 from collections.abc import Callable
@@ -7,18 +7,22 @@
 import trio
 
 from siskinspoke.core.counters import Counters
-from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
+from siskinspoke.protocol.peers import PermitReply, PermitRequest, PlaceOffer, PlaceQuestion
 from siskinspoke.transport.datagrams import DatagramPort
 
 # A question takes two crossings of 1 ms and a millisecond of processor at the VM asked; one that
 # has no answer by then met a VM that is busy, gone or cut off.
 ANSWER_SECONDS = 0.02
 
+# A question for a permit may cross between regions, and its VM may be busy.
+PERMIT_SECONDS = 0.05
+
 Address = tuple[str, int]
+Reply = PlaceOffer | PermitReply
 
 
 class Questions:
-    """Own the questions that wait for an offer; ``offer`` answers those of other VMs."""
+    """Own the questions that wait for a reply; ``offer`` and ``permit`` answer other VMs'."""
 
     def __init__(
         self,
@@ -26,14 +30,16 @@
         peer_port: int,
         offer: Callable[[PlaceQuestion], PlaceOffer],
         counters: Counters,
+        permit: Callable[[PermitRequest], PermitReply | None] = lambda question: None,
     ):
         self._host = host
         self._peer_port = peer_port
         self._offer = offer
+        self._permit = permit
         self._counters = counters
         self._port: DatagramPort | None = None
         self._numbers = itertools.count(1)
-        self._waiting: dict[int, trio.MemorySendChannel[PlaceOffer]] = {}
+        self._waiting: dict[int, trio.MemorySendChannel[Reply]] = {}
 
     def use(self, port: DatagramPort) -> None:
         """Take over the port on which entry VMs hear each other."""
@@ -52,28 +58,47 @@
                     offers.append(await receive.receive())
         return [offer for offer in offers if offer.servers]
 
+    async def ask_permit(self, question: PermitRequest, host: str) -> PermitReply | None:
+        """Ask another VM for a permit; return None where it is silent."""
+        if self._port is None:
+            return None
+        with self._numbered(1) as (number, receive):
+            question = question._replace(host=self._host, number=number)
+            await self._port.send(question, host, self._peer_port)
+            with trio.move_on_after(PERMIT_SECONDS):
+                return await receive.receive()
+        return None
+
     @contextmanager
     def _numbered(self, most: int):
         number = next(self._numbers)
-        self._waiting[number], receive = trio.open_memory_channel[PlaceOffer](most)
+        self._waiting[number], receive = trio.open_memory_channel[Reply](most)
         try:
             yield number, receive
         finally:
             del self._waiting[number]
 
-    def hear(self, offer: PlaceOffer) -> None:
-        """Take in an offer; one that comes too late is of no use any more."""
-        waiting = self._waiting.get(offer.number)
+    def hear(self, reply: Reply) -> None:
+        """Take in a reply; one that comes too late is of no use any more."""
+        late = "cells.late_offers" if isinstance(reply, PlaceOffer) else "permit.late"
+        waiting = self._waiting.get(reply.number)
         if waiting is None:
-            self._counters.count("cells.late_offers")
+            self._counters.count(late)
             return
         try:
-            waiting.send_nowait(offer)
+            waiting.send_nowait(reply)
         except trio.WouldBlock:
             # A doubled datagram: each VM asked has its place in the channel already.
-            self._counters.count("cells.late_offers")
+            self._counters.count(late)
 
-    async def answer(self, question: PlaceQuestion) -> None:
-        """Tell a VM of another cell where this one would place a prompt."""
-        self._counters.count("cells.answered")
-        await self._port.send(self._offer(question), question.host, self._peer_port)
+    async def answer(self, question: PlaceQuestion | PermitRequest) -> None:
+        """Answer another VM."""
+        match question:
+            case PlaceQuestion():
+                self._counters.count("cells.answered")
+                reply = self._offer(question)
+            case PermitRequest():
+                self._counters.count("permit.answered")
+                reply = self._permit(question)
+        if reply is not None:
+            await self._port.send(reply, question.host, self._peer_port)
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -3,10 +3,13 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.sending import not_held, unlimited
 from siskinspoke.gateway.upstream import Broke, NotRun
 
 # A server in another failure domain costs two crossings more, about 3 ms.
 REMOTE_MS = 3.0
+# Part of its target that a request may wait for a permit.
+PERMIT_SHARE = 0.5
 
 
 def choose_service(gateway: Gateway, request: Request) -> str:
@@ -20,13 +23,15 @@
 
 def candidates(gateway: Gateway, service: str, excluded: set[str]) -> list[ServerRecord]:
     """Return the servers that may get a request now, those that stood up best alone."""
-    return _usable(gateway, gateway.directory.believed(service, now_ms()), excluded)
+    known = gateway.directory.believed(service, now_ms())
+    return _usable(gateway, not_held(gateway, known), excluded)
 
 
 def cell_candidates(gateway: Gateway, service: str, excluded: set[str]) -> list[ServerRecord]:
     """Return the servers in this VM's books that may get a request now."""
     mine = gateway.cells.servers(service)
-    return _usable(gateway, gateway.directory.believed_among(mine, now_ms()), excluded)
+    known = gateway.directory.believed_among(mine, now_ms())
+    return _usable(gateway, not_held(gateway, known), excluded)
 
 
 def reachable(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
@@ -44,6 +49,22 @@
     ]
 
 
+def refuge(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
+    """Return the servers for which a request may leave another one."""
+    return reachable(gateway, unlimited(gateway, records))
+
+
+def permit_patience_ms(gateway: Gateway, request: Request, server: ServerRecord) -> float:
+    """Return how long a request may wait for a permit: not at all where another server needs none.
+
+    Beyond a part of its target it is refused instead, and may go to another VM in time.
+    """
+    records = candidates(gateway, request.service, {server.announcement.server})
+    if refuge(gateway, records):
+        return 0.0
+    return max(0.0, PERMIT_SHARE * request.route.target_ms - (now_ms() - request.arrived_ms))
+
+
 def _usable(
     gateway: Gateway, records: list[ServerRecord], excluded: set[str]
 ) -> list[ServerRecord]:
@@ -95,8 +116,11 @@
     """Take in what a failed attempt shows of a server."""
     now = now_ms()
     server, incarnation = record.start
-    request.note(server, outcome.reason, now)
     gateway.counters.count(f"attempt.{outcome.trouble.value}")
+    if outcome.trouble is Trouble.HELD:
+        request.held.append(server)
+        return
+    request.note(server, outcome.reason, now)
     if isinstance(outcome, Broke):
         gateway.log.note(
             "attempt.broke",
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -26,11 +26,17 @@
     pass_ms_at,
     place,
 )
-from siskinspoke.gateway.plain import FRESH_MS, Whole, retry_after, run_end
+from siskinspoke.gateway.plain import FRESH_MS, Whole, nobody, run_end
 from siskinspoke.gateway.relaying import Ended, Flow, Reconsider, Relay, given_up, pass_on
 from siskinspoke.gateway.reservations import Member, Refused, reserved
-from siskinspoke.gateway.servers import cell_candidates, choose_service, learn
-from siskinspoke.gateway.upstream import Begun, Broke, NotRun, send
+from siskinspoke.gateway.sending import hold_back
+from siskinspoke.gateway.servers import (
+    cell_candidates,
+    choose_service,
+    learn,
+    permit_patience_ms,
+)
+from siskinspoke.gateway.upstream import Begun, Broke, NotRun, held_back, send
 from siskinspoke.gateway.wire import Dispatch, Helper
 from siskinspoke.transport.http1 import ClientConnection
 
@@ -101,8 +107,7 @@
     if relay.head_sent:
         _note_cut(gateway, request, relay, why)
         raise StreamCutError(TRUNCATED)
-    message = "no engine can take the prompt now"
-    return last or Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
+    return last or nobody(gateway, request, "no engine can take the prompt now")
 
 
 def _is_final(request: Request, relay: Relay, whole: Whole) -> bool:
@@ -117,6 +122,8 @@
     """Count what an attempt has used up, and leave out who should not get the request again."""
     progress.count(gateway, placed.server, outcome)
     match outcome:
+        case NotRun(trouble=Trouble.HELD):
+            progress.left_out.put_off(placed.name, now_ms())
         case NotRun(member=str(member)):
             # The others of the group may be well, the writing one among them.
             progress.left_out.put_off(member, now_ms())
@@ -221,6 +228,12 @@
             attempt = stack.enter_context(
                 gateway.attempts.attempt(*placed.servers, move_on=onward.move_on)
             )
+            attempt.patience_ms = permit_patience_ms(gateway, request, placed.server)
+            found = await hold_back(gateway, request.call.id, placed.server, attempt)
+            if found is not None:
+                outcome = held_back(found)
+                run.end = RunEnd.NOT_RUN
+                return outcome
             reservation = await stack.enter_async_context(_memory_for(gateway, placed, work))
             if isinstance(reservation, Refused):
                 trouble = Trouble.BUSY if reservation.full else Trouble.UNREACHABLE
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -10,6 +10,7 @@
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.reaching import connect_to
+from siskinspoke.gateway.sending import Held, hold_back
 from siskinspoke.gateway.wire import Answer, Dispatch
 from siskinspoke.transport.http1 import PeerError, RequestHead, ServerConnection
 
@@ -43,6 +44,11 @@
     closed: bool = False
 
 
+def held_back(held: Held) -> NotRun:
+    """Return what it means that a server gets no request now."""
+    return NotRun(Trouble.HELD, held.why, arrived=False)
+
+
 def broken(error: PeerError) -> Broke:
     """Return what a failed connection shows."""
     return Broke(Trouble.BROKEN, str(error), closed=error.closed)
@@ -79,11 +85,19 @@
     as the request was written, nothing shows whether the server has read the request, so one
     that may not be repeated needs a connection that is hardly idle.
     """
+    found = await hold_back(gateway, dispatch.call.id, server, attempt)
+    if found is not None:
+        return held_back(found)
     connection = gateway.pool.take(server, now_ms(), fresh_ms)
     if connection is None:
         connection = await connect_to(gateway, server)
     if connection is None:
         return NotRun(Trouble.UNREACHABLE, "no connection", arrived=False)
+    # A connection may take a second, in which the server asks for something or a permit ends.
+    found = await hold_back(gateway, dispatch.call.id, server, attempt)
+    if found is not None:
+        gateway.pool.put(server, connection)
+        return held_back(found)
     attempt.sent = True
     finished = False
     try:
@@ -110,6 +124,7 @@
 ) -> Outcome:
     """Write the request and read the head at once: a server may answer before it has read all."""
     found: list[Outcome] = []
+    sent_at = now_ms()
 
     async def read() -> None:
         try:
@@ -118,7 +133,7 @@
             found.append(broken(error))
         else:
             answer = gateway.wire.decode_answer(answer_head)
-            hear_answer(gateway, dispatch, server, answer)
+            hear_answer(gateway, dispatch, server, answer, sent_at)
             found.append(_judge(dispatch, answer, connection))
         nursery.cancel_scope.cancel()
 
--- a/siskinspoke/gateway/widening.py
+++ b/siskinspoke/gateway/widening.py
@@ -14,6 +14,7 @@
 from siskinspoke.coordination.placement import Place
 from siskinspoke.coordination.widening import ASKED_CELLS, best_offer
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.sending import held
 from siskinspoke.gateway.servers import REMOTE_MS
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
 
@@ -61,4 +62,5 @@
 def _is_usable(gateway: Gateway, record: ServerRecord) -> bool:
     said, now = record.announcement, now_ms()
     cut = gateway.domains.is_cut(said.failure_domain, now)
-    return not (said.leaving or cut or gateway.standing.is_aside(said.server, now))
+    is_held = held(gateway, record, now) is not None
+    return not (said.leaving or cut or is_held or gateway.standing.is_aside(said.server, now))
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from siskinspoke.coordination.limiters import Outcome
 from siskinspoke.coordination.retries import Calls
 from siskinspoke.protocol.codec import message
 
@@ -76,3 +77,40 @@
     domain: str
     cuts: list[str]
     lost: list[str]
+
+
+@message
+class PermitRequest(NamedTuple):
+    """A VM asks a server's limiter for leave to send it one request.
+
+    ``domain`` is the server's.  ``rate`` is the limit that the server has named, in requests a
+    second; the other fields are those of ``limiters.Ask``.
+    """
+
+    host: str
+    number: int
+    server: str
+    incarnation: int
+    domain: str
+    rate: float
+    patience_ms: float
+    silent_ms: float
+
+
+@message
+class PermitReply(NamedTuple):
+    """What the limiter says, with a ``limiters.Verdict``'s fields."""
+
+    number: int
+    outcome: Outcome
+    wait_ms: float
+
+
+@message
+class RateLimitNews(NamedTuple):
+    """A server has named a limit, or ended it (None), to a VM, so many milliseconds ago."""
+
+    server: str
+    incarnation: int
+    rate: float | None
+    age_ms: float
--- /dev/null
+++ b/tests/coordination/test_limiters.py
@@ -0,0 +1,137 @@
+"""The VMs that grant permits for a limited server."""
+
+import pytest
+
+from siskinspoke.coordination.limiters import (
+    MOST_LIMITERS,
+    QUIET_MS,
+    STILL_MS,
+    TAKE_OVER_MS,
+    Ask,
+    Limiter,
+    Outcome,
+    limiters_of,
+)
+
+START = ("i-1", 7)
+
+
+def ask(host: str = "a", rate: float = 1.0, silent_ms: float = 0.0, patience_ms: float = 0) -> Ask:
+    """Return a question for a permit."""
+    return Ask(host, START, rate, patience_ms, silent_ms)
+
+
+def granted(limiter: Limiter, seconds: float, rate: float, place: int = 0, **more) -> int:
+    """Return how many permits a limiter grants to a VM that asks a hundred times a second."""
+    count = 0
+    for turn in range(int(seconds * 100)):
+        now = 20_000 + turn * 10
+        verdict = limiter.decide(ask(rate=rate, **more), place, True, now)
+        count += verdict.outcome is Outcome.GRANTED
+    return count
+
+
+def running() -> Limiter:
+    """Return a limiter that has run for 20 s."""
+    limiter = Limiter(0)
+    for second in range(21):
+        limiter.tick(second * 1_000)
+    return limiter
+
+
+VMS = {f"10.0.{number}": "ab"[number % 2] for number in range(10)}
+
+
+class TestLimitersOf:
+    """Who may grant permits for a server."""
+
+    def test_few_and_of_the_servers_domain(self):
+        found = limiters_of("i-1", "a", VMS)
+        assert len(found) == MOST_LIMITERS
+        assert {VMS[host] for host in found} == {"a"}
+
+    def test_others_where_the_domain_has_none(self):
+        assert len(limiters_of("i-1", "c", VMS)) == MOST_LIMITERS
+        assert limiters_of("i-1", "a", {"10.0.1": "b"}) == ("10.0.1",)
+
+    def test_all_vms_draw_the_same(self):
+        backwards = dict(reversed(VMS.items()))
+        assert limiters_of("i-1", "a", VMS) == limiters_of("i-1", "a", backwards)
+
+    def test_servers_are_spread(self):
+        firsts = {limiters_of(f"i-{number}", "a", VMS)[0] for number in range(60)}
+        assert len(firsts) == 5
+
+
+class TestLimiter:
+    """What a limiter grants."""
+
+    @pytest.mark.parametrize("rate", [0.5, 1.0, 4.0, 50.0])
+    def test_first_grants_the_whole_rate(self, rate):
+        assert rate * 20 <= granted(running(), 20, rate) <= rate * 20 + 2
+
+    def test_spare_grants_a_small_share(self):
+        assert granted(running(), 20, 10.0, place=1) <= 10.0 * 0.15 * 20 + 1
+
+    def test_spare_takes_over_from_silent_limiters(self):
+        count = granted(running(), 20, 10.0, place=1, silent_ms=TAKE_OVER_MS)
+        assert count >= 200
+
+    def test_vm_without_quorum_grants_a_small_share(self):
+        verdicts = [running().decide(ask(rate=10.0), 0, False, 20_000) for _ in range(1)]
+        assert verdicts[0].outcome is Outcome.GRANTED
+        limiter = running()
+        outcomes = [
+            limiter.decide(ask(rate=10.0), 0, False, 20_000 + turn * 10).outcome
+            for turn in range(2_000)
+        ]
+        assert outcomes.count(Outcome.GRANTED) <= 10.0 * 0.15 * 20 + 1
+
+    def test_vm_that_is_no_limiter_grants_nothing(self):
+        assert running().decide(ask(), None, True, 20_000).outcome is Outcome.ELSEWHERE
+
+    def test_limit_of_zero_is_asked_for_again(self):
+        """A server that names a limit of zero would be left out for good."""
+        assert 1 <= granted(running(), 40, 0.0) <= 6
+
+    def test_started_anew(self):
+        """A limiter that started anew granted its burst again."""
+        limiter = Limiter(0)
+        assert limiter.decide(ask(), 0, True, QUIET_MS / 2).outcome is Outcome.ELSEWHERE
+        assert limiter.decide(ask(), 0, True, QUIET_MS + 1).outcome is Outcome.LATER
+
+    def test_stood_still(self):
+        """A limiter thawed and granted at once, while another had taken its place."""
+        limiter = running()
+        assert limiter.decide(ask(), 0, True, 20_000).outcome is Outcome.GRANTED
+        thawed = 20_000 + STILL_MS + 1
+        assert limiter.decide(ask(), 0, True, thawed).outcome is Outcome.ELSEWHERE
+
+    def test_refusal_says_when_to_come_back(self):
+        limiter = running()
+        for _ in range(2):
+            limiter.decide(ask(), 0, True, 20_000)
+        verdict = limiter.decide(ask(), 0, True, 20_000)
+        assert verdict == (Outcome.LATER, 1_000)
+        assert limiter.decide(ask(patience_ms=1_000), 0, True, 20_000).wait_ms == 1_000
+
+    @pytest.mark.parametrize("vms", [7, 24, 420])
+    def test_questions_do_not_grow_with_the_fleet(self, vms):
+        limiter = running()
+        asks_at = dict.fromkeys(range(vms), 20_000.0)
+        asked = 0
+        for now in range(20_000, 50_000, 10):
+            for vm, at in asks_at.items():
+                if at <= now:
+                    asked += now >= 30_000
+                    verdict = limiter.decide(ask(f"vm-{vm}"), 0, True, now)
+                    asks_at[vm] = now + max(10.0, verdict.wait_ms)
+            if now % 1_000 == 0:
+                limiter.tick(now)
+        assert asked / 20 <= 30
+
+    def test_forgotten_with_its_server(self):
+        limiter = running()
+        limiter.decide(ask(), 0, True, 20_000)
+        limiter.forget(["i-2"])
+        assert not limiter._buckets
--- a/tests/coordination/test_rate_limits.py
+++ b/tests/coordination/test_rate_limits.py
@@ -18,18 +18,20 @@
 
     def test_answer_without_a_limit_ends_it(self):
         limits = RateLimits()
-        assert not limits.lift(START, 50)
+        assert not limits.lift(START, 40, 50)
         limits.name(START, 2.0, 100)
-        assert limits.lift(START, 200)
+        limits.close(START, 900)
+        assert limits.lift(START, 150, 200)
+        assert limits.closed_until(START) < 200
         assert limits.find(START) is None
 
     def test_older_answers_change_nothing(self):
         """Answers on two connections overtake each other; the older one must not undo the newer."""
         limits = RateLimits()
         limits.name(START, 2.0, 100)
-        assert not limits.lift(START, 90)
-        assert limits.lift(START, 110)
-        assert not limits.name(START, 2.0, 105)
+        assert not limits.lift(START, 90, 120)
+        assert limits.lift(START, 105, 110)
+        assert not limits.name(START, 2.0, 107)
         assert limits.find(START) is None
 
     def test_limit_concerns_one_start(self):
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -10,6 +10,7 @@
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
 from siskinspoke.coordination.placement import Place
+from siskinspoke.coordination.rate_limits import RateLimits
 from siskinspoke.coordination.retries import CommonBudget
 from siskinspoke.coordination.standing import Standing, Trouble
 from siskinspoke.coordination.widening import is_short
@@ -154,6 +155,7 @@
         directory=fleet.directory,
         domains=Domains(),
         standing=Standing(),
+        rate_limits=RateLimits(),
         settings=SimpleNamespace(failure_domain="a"),
         questions=SimpleNamespace(ask=ask),
         counters=Counters(),
--- /dev/null
+++ b/tests/gateway/test_permits.py
@@ -0,0 +1,215 @@
+"""Permits for a limited server in virtual time: several VMs, some of them faulty."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.rate_limits import RateLimits
+from siskinspoke.core.counters import Counters
+from siskinspoke.gateway.permits import Permit, Permits
+from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.feed import EntryPeer
+from siskinspoke.protocol.peers import PermitReply, PermitRequest
+from siskinspoke.testing.server_account import ServerAccount
+
+SERVER = Announcement("i-1", 1, 1, "a", "10.9.9.9", 1, "", "m", False, False, 0, 0, 0, [], 0, 0)
+RECORD = ServerRecord(SERVER, 0.0)
+SILENT_SECONDS = 0.05
+WARM_UP_SECONDS = 6.0
+SECONDS = 30.0
+
+
+class World:
+    """VMs that ask each other for permits, and the server that gets what they send."""
+
+    def __init__(self, vms: int, rate: float, demand: float, seed: int):
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.demand = demand
+        self.hosts = [f"10.0.{number // 200}.{number % 200}" for number in range(vms)]
+        self.domains = {host: "abc"[number % 3] for number, host in enumerate(self.hosts)}
+        self.account = ServerAccount("i-1")
+        self.permits = {host: self._start(host) for host in self.hosts}
+        self.frozen: set[str] = set()
+        self.cut: set[str] = set()
+        self.arrived = 0
+        self.asked = 0
+
+    def _start(self, host: str) -> Permits:
+        peers = [EntryPeer(other, 1, self.domains[other]) for other in self.hosts if other != host]
+        limits = RateLimits()
+        limits.name(RECORD.start, self.rate, 0.0)
+        return Permits(
+            EntryPeer(host, 1, self.domains[host]),
+            lambda: peers,
+            lambda: 1,
+            lambda: self._has_quorum(host),
+            lambda other, ms: False,
+            limits,
+            Counters(),
+        )
+
+    def _has_quorum(self, host: str) -> bool:
+        side = len(self.cut) if host in self.cut else len(self.hosts) - len(self.cut)
+        return 2 * side > len(self.hosts)
+
+    def limiter(self) -> str:
+        """Return the first limiter of the server."""
+        return self.permits[self.hosts[0]]._limiters("i-1", "a")[0]
+
+    def restart(self, host: str) -> None:
+        """Start a VM anew; it has forgotten everything but the limit."""
+        self.permits[host] = self._start(host)
+
+    def questions(self, host: str):
+        """Return what carries a VM's questions."""
+        world = self
+
+        class Questions:
+            async def ask_permit(self, question: PermitRequest, other: str) -> PermitReply | None:
+                world.asked += 1
+                await trio.sleep(world.rng.uniform(0.001, 0.004))
+                if other in world.frozen or (other in world.cut) != (host in world.cut):
+                    await trio.sleep(SILENT_SECONDS)
+                    return None
+                return world.permits[other].answer(question._replace(host=host))
+
+        return Questions()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            for host, permits in self.permits.items():
+                if host not in self.frozen:
+                    permits.tick(["i-1"])
+            await trio.sleep(1.0)
+
+    async def _send_forever(self, host: str, share: float) -> None:
+        questions = self.questions(host)
+        while True:
+            await trio.sleep(self.rng.expovariate(self.demand * share))
+            limits = self.permits[host]._limits
+            if host in self.frozen or limits.closed_until(RECORD.start) > _now_ms():
+                continue
+            limit = limits.find(RECORD.start)
+            patience_ms = self.rng.choice((0.0, 150.0))
+            found, _ = await self.permits[host].obtain(questions, RECORD, limit, patience_ms)
+            if isinstance(found, Permit) and host not in self.frozen:
+                await trio.sleep(self.rng.uniform(0.0, 0.02))
+                self.arrived += 1
+                self.account.answered(host, trio.current_time(), self.rate)
+                self.account.arrived(host, trio.current_time())
+
+    async def run(self, faults) -> None:
+        """Let the VMs send for a while, with an uneven share of the callers each."""
+        weights = [self.rng.uniform(0.05, 1.0) ** 3 for _ in self.hosts]
+        for host in self.hosts:
+            self.account.answered(host, -1.0, self.rate)
+        with trio.move_on_after(WARM_UP_SECONDS + SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._tick_forever)
+                for host, weight in zip(self.hosts, weights, strict=True):
+                    nursery.start_soon(self._send_forever, host, weight / sum(weights))
+                await trio.sleep(WARM_UP_SECONDS)
+                self.arrived = self.asked = 0
+                await faults(self)
+
+
+def _now_ms() -> float:
+    return trio.current_time() * 1000
+
+
+async def no_faults(world: World) -> None:
+    """Let all VMs be well."""
+
+
+async def frozen_limiter(world: World) -> None:
+    """Freeze the limiter three times, for longer each time."""
+    for seconds in (0.5, 3.0, 6.0):
+        host = world.limiter()
+        world.frozen.add(host)
+        await trio.sleep(seconds)
+        world.frozen.discard(host)
+        await trio.sleep(4.0)
+
+
+async def restarted_limiter(world: World) -> None:
+    """Start the limiter anew, again and again."""
+    for _ in range(8):
+        world.restart(world.limiter())
+        await trio.sleep(2.0)
+
+
+async def cut_limiter(world: World) -> None:
+    """Cut the limiter off twice, alone and with others."""
+    for count in (1, len(world.hosts) // 3):
+        first = world.limiter()
+        others = [host for host in world.hosts if host != first]
+        world.cut = {first, *world.rng.sample(others, count - 1)}
+        await trio.sleep(8.0)
+        world.cut = set()
+        await trio.sleep(4.0)
+
+
+async def everything(world: World) -> None:
+    """Freeze, cut off and restart VMs over each other."""
+    for _ in range(12):
+        match world.rng.randrange(3):
+            case 0:
+                world.frozen = set(world.rng.sample(world.hosts, 2))
+            case 1:
+                world.cut = set(world.rng.sample(world.hosts, len(world.hosts) // 3))
+            case 2:
+                world.restart(world.rng.choice(world.hosts))
+        await trio.sleep(world.rng.uniform(0.2, 3.0))
+        if world.rng.random() < 0.5:
+            world.frozen, world.cut = set(), set()
+
+
+def play(vms: int, rate: float, faults, seed: int = 1, demand: float | None = None) -> World:
+    """Run one world in virtual time."""
+    world = World(vms, rate, 5 * rate + 5 if demand is None else demand, seed)
+    trio.run(world.run, faults, clock=trio.testing.MockClock(autojump_threshold=0))
+    return world
+
+
+class TestSumOverVms:
+    """The promise to a server holds whatever VMs there are and whatever becomes of them."""
+
+    @pytest.mark.parametrize("vms", [1, 7, 24, 420])
+    @pytest.mark.parametrize("rate", [0.0, 0.5, 1.0, 10.0])
+    def test_well(self, vms, rate):
+        world = play(vms, rate, no_faults)
+        assert not world.account.broken
+        assert world.arrived >= 0.9 * rate * SECONDS - 1
+
+    @pytest.mark.parametrize("vms", [7, 24])
+    @pytest.mark.parametrize("rate", [0.5, 1.0, 10.0])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize(
+        ("faults", "used"),
+        [
+            (frozen_limiter, 0.5),
+            (restarted_limiter, 0.3),
+            (cut_limiter, 0.25),
+            (everything, 0.2),
+        ],
+    )
+    def test_faults(self, faults, used, seed, rate, vms):
+        """A limiter was frozen, cut off or started anew; two VMs granted the whole rate."""
+        world = play(vms, rate, faults, seed)
+        assert not world.account.broken, world.account.broken[:3]
+        assert world.arrived >= used * rate * SECONDS - 2
+
+    def test_one_vm_has_all_callers(self):
+        """Parts of equal size held the one VM that needed them to a seventh of the rate."""
+        world = play(1, 4.0, no_faults)
+        alone = world.arrived
+        assert alone >= 0.9 * 4.0 * SECONDS
+
+    @pytest.mark.parametrize("vms", [7, 24, 420])
+    def test_questions(self, vms):
+        world = play(vms, 1.0, no_faults, demand=100.0)
+        assert world.asked / SECONDS <= 35
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -1,9 +1,12 @@
 """Backend servers that name a rate limit, and several VMs that send to them."""
 
+from functools import partial
+
 import pytest
 import trio
 
 from tests.platform.fleet import Fleet, fleet
+from tests.platform.site import Answer, gateway_site, servers
 from tests.platform.standin_server import Events, Whole
 from tests.platform.test_streams import PROMPT
 
@@ -11,6 +14,12 @@
 EVERY_SECONDS = 0.1
 
 
+def retry_after(answer: Answer) -> float:
+    """Return when a refusal says to come back, in seconds."""
+    lines = answer.raw.decode().split("\r\n")
+    return next(float(line.split(": ")[1]) for line in lines if line.startswith("Retry-After"))
+
+
 async def press(running: Fleet, path: str, seconds: float = SECONDS, **headers) -> list:
     """Let clients ask each VM ten times a second; return their answers."""
     answers = []
@@ -55,3 +64,77 @@
                 assert all(answer.status == 200 for answer in answers)
 
         trio.run(run)
+
+    @pytest.mark.parametrize(
+        ("service", "path", "more", "behaviour"),
+        [("engines", "/stream/x", PROMPT, Events()), ("plain", "/again/x", {}, Whole())],
+    )
+    def test_whole_service(self, service, path, more, behaviour, tmp_path):
+        """A limited service serves what its limits allow; the rest is refused at once."""
+
+        async def run():
+            async with fleet(tmp_path, 3) as running:
+                running.service = service
+                for server in await running.start_servers([[behaviour], [behaviour]]):
+                    server.rate_limit = 3.0
+                answers = await press(running, path, **more)
+                served = [answer for answer in answers if answer.status == 200]
+                refused = [answer for answer in answers if answer.status == 503]
+                assert len(served) + len(refused) == len(answers)
+                assert len(served) >= 0.7 * 2 * 3.0 * SECONDS
+                assert all(0 < retry_after(answer) <= 3 for answer in refused)
+
+        trio.run(run)
+
+    def test_limiter_is_cut_off(self, tmp_path):
+        """The VM that grants permits was cut off; the others sent without any."""
+
+        async def run():
+            async with fleet(tmp_path, 3) as running:
+                scripts = [[Events()] for _ in range(3)]
+                for server in await running.start_servers(scripts):
+                    server.rate_limit = 1.0
+                limiters = running.sites[0].gateway.permits._limiters("i-0", "a")
+                first = next(site for site in running.sites if site.host == limiters[0])
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(partial(press, running, "/stream/x", 8.0, **PROMPT))
+                    await trio.sleep(2.0)
+                    await running.cut_off(first)
+                    await trio.sleep(3.0)
+                    await running.connect(first)
+
+        trio.run(run)
+
+
+class TestEnd:
+    """A limit holds for as long as the server says so."""
+
+    def test_server_names_none_any_more(self, tmp_path):
+        """A server whose need was over was held to its limit for good."""
+
+        async def run():
+            async with gateway_site(tmp_path) as site, servers(site, "plain", [Whole()]) as (one,):
+                one.rate_limit = 2.0
+                start = site.gateway.directory.latest("i-plain0").start
+                assert (await site.ask("/again/x")).status == 200
+                assert site.gateway.rate_limits.find(start).rate == 2.0
+                one.rate_limit = None
+                while site.gateway.rate_limits.find(start) is not None:
+                    await site.ask("/again/x")
+                    await trio.sleep(0.05)
+                answers = [await site.ask("/again/x", f"r{number}") for number in range(20)]
+                assert all(answer.status == 200 for answer in answers)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("value", [b"", b"nan", b"-3", b"inf", b"soon", b"9" * 300])
+    def test_value_that_means_nothing(self, value, tmp_path):
+        """A spoilt header ended a connection, or left its server out for good."""
+
+        async def run():
+            script = [Whole(headers=(b"Server-Limit: " + value,))]
+            async with gateway_site(tmp_path) as site, servers(site, "plain", script):
+                answers = [await site.ask("/again/x", f"r{number}") for number in range(20)]
+                assert all(answer.status == 200 for answer in answers)
+
+        trio.run(run)
--- a/tests/platform/test_taken_steps.py
+++ b/tests/platform/test_taken_steps.py
@@ -19,8 +19,8 @@
     """Have a server's patience end in the very moment in which the head of its answer comes."""
     exchange = upstream._exchange
 
-    async def both(gateway, dispatch, connection, head, attempt, seconds):
-        outcome = await exchange(gateway, dispatch, connection, head, attempt, seconds)
+    async def both(gateway, dispatch, server, connection, head, attempt, seconds):
+        outcome = await exchange(gateway, dispatch, server, connection, head, attempt, seconds)
         assert attempt.move_on()
         return outcome
 
