Log the back-offs that servers ask for, and that they leave

Cause: no line says until when a server wants nothing from a VM, nor that its answer told of its leave before an announcement did. Both are now read in the adapter and logged (server.back_off, server.leaving); nothing is decided by them yet. A Retry-After that is no decimal number is counted and changes nothing.

--- a/siskinspoke/gateway/asked.py
+++ b/siskinspoke/gateway/asked.py
@@ -19,6 +19,10 @@
     for field in answer.asked.unreadable:
         gateway.counters.count(f"asked.unreadable.{field}")
     _hear_rate_limit(gateway, dispatch, server, answer, sent_at)
+    if answer.asked.back_off_ms is not None:
+        _hear_back_off(gateway, dispatch, server, answer.asked.back_off_ms)
+    if answer.asked.leaving:
+        _hear_leaving(gateway, dispatch, server)
 
 
 def _is_sound(answer: Answer) -> bool:
@@ -53,6 +57,28 @@
     )
 
 
+def _hear_back_off(
+    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, back_off_ms: float
+) -> None:
+    name, incarnation = server.start
+    gateway.counters.count("back_off.asked")
+    gateway.log.note(
+        "server.back_off",
+        server=name,
+        start=incarnation,
+        request=dispatch.call.id,
+        ms=round(back_off_ms),
+    )
+
+
+def _hear_leaving(gateway: Gateway, dispatch: Dispatch, server: ServerRecord) -> None:
+    if gateway.directory.has_left(server.announcement.server):
+        return
+    name, incarnation = server.start
+    gateway.counters.count("server.said_leaving")
+    gateway.log.note("server.leaving", server=name, start=incarnation, request=dispatch.call.id)
+
+
 def hear_rate_limit(gateway: Gateway, news: RateLimitNews) -> None:
     """Take in what another VM has been told of a server's limit."""
     start, at = (news.server, news.incarnation), now_ms() - news.age_ms
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -64,10 +64,14 @@
     """What a server asks of its callers in an answer.
 
     ``rate_limit`` is in requests a second from all VMs together, None where none is named.
-    ``unreadable`` names the fields whose values mean nothing; such a field changes nothing.
+    ``back_off_ms`` is for how long it wants nothing from this VM; ``leaving`` means that it is
+    about to stop.  ``unreadable`` names the fields whose values mean nothing; such a field
+    changes nothing.
     """
 
     rate_limit: float | None = None
+    back_off_ms: float | None = None
+    leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -13,6 +13,8 @@
 
 NEVER_RAN_STATUSES = frozenset({421})
 MISDIRECTED = 421
+# With these a server may say when it wants requests of this VM again.
+TURNED_AWAY_STATUSES = frozenset({429, 503})
 MOST_RANK = 9
 # A number of a server's that is longer is none: it would round to infinity, or take long to read.
 DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?")
@@ -120,7 +122,7 @@
             closes="close" in connection,
             idle_seconds=_idle_seconds(_first(head.headers, b"Keep-Alive")),
             framed=head.framed,
-            asked=_asked(head.headers),
+            asked=_asked(head.status, head.headers),
         )
 
     def own_answer(self, call_id: str, failure: Failure) -> tuple[int, Headers, bytes]:
@@ -156,14 +158,26 @@
         return configuration.table_from(document)
 
 
-def _asked(headers: Headers) -> Asked:
+def _asked(status: int, headers: Headers) -> Asked:
     """Return what a server asks of its callers."""
     rate_limit = _first(headers, names.RATE_LIMIT)
-    if rate_limit is None:
-        return Asked()
-    if not DECIMAL.fullmatch(rate_limit):
-        return Asked(unreadable=("rate_limit",))
-    return Asked(rate_limit=float(rate_limit))
+    rest = _first(headers, names.RETRY_AFTER) if status in TURNED_AWAY_STATUSES else None
+    wanted = {"rate_limit": rate_limit, "back_off": rest}
+    unreadable = tuple(
+        name for name, text in wanted.items() if text is not None and _decimal(text) is None
+    )
+    seconds = _decimal(rest)
+    return Asked(
+        rate_limit=_decimal(rate_limit),
+        back_off_ms=None if seconds is None else seconds * 1000,
+        leaving=_first(headers, names.LEAVING) == "1",
+        unreadable=unreadable,
+    )
+
+
+def _decimal(text: str | None) -> float | None:
+    """Return a decimal number of a server's, None where there is none or it means nothing."""
+    return float(text) if text is not None and DECIMAL.fullmatch(text) else None
 
 
 def _idle_seconds(text: str | None) -> float | None:
--- a/siskinspoke/platform/names.py
+++ b/siskinspoke/platform/names.py
@@ -24,10 +24,13 @@
 LOAD = b"Server-Load"
 # The requests a second that a server takes from all VMs together, while its answers name it.
 RATE_LIMIT = b"Server-Limit"
+# On the answers of a server that leaves.
+LEAVING = b"Server-Leaving"
 # The incarnation that does have the address, on a 421.
 ANSWERED_BY = b"Instance-Id"
 # The address of the server at fault, where a helper and not the addressed server failed.
 AT_FAULT = b"At-Server"
+# When to come back, in seconds: on refusals to clients, and of servers to this system.
 RETRY_AFTER = b"Retry-After"
 
 # Headers that concern one connection and end with it.
--- a/tests/platform/test_asked.py
+++ b/tests/platform/test_asked.py
@@ -11,6 +11,33 @@
     return PlatformWire().decode_answer(AnswerHead(status, list(headers), True)).asked
 
 
+class TestBackOff:
+    """A refusal may say for how many seconds its server wants nothing more of this VM."""
+
+    @pytest.mark.parametrize("status", [503, 429])
+    def test_seconds(self, status):
+        assert asked((b"Retry-After", b"1.5"), status=status).back_off_ms == 1_500
+
+    def test_other_answers_ask_for_none(self):
+        assert asked((b"Retry-After", b"1"), status=200).back_off_ms is None
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"-1", b"nan", b"inf", b"9" * 400, b"Wed, 21 Oct 2026 07:28:00 GMT"]
+    )
+    def test_anything_else_is_unreadable(self, value):
+        found = asked((b"Retry-After", value), status=503)
+        assert found.back_off_ms is None
+        assert found.unreadable == ("back_off",)
+
+
+class TestLeaving:
+    """A server that leaves says so in all its answers."""
+
+    @pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
+    def test_value(self, value, leaving):
+        assert asked((b"Server-Leaving", value)).leaving is leaving
+
+
 class TestRateLimit:
     """A limit is a decimal number; anything else changes nothing."""
 
