Test that a server that wants nothing for a time gets nothing in it

The stand-ins' account counts arrivals in the time of a back-off, and after an answer that told of a leave.

--- a/siskinspoke/testing/server_account.py
+++ b/siskinspoke/testing/server_account.py
@@ -5,12 +5,25 @@
 """
 
 from collections import deque
+from dataclasses import dataclass
 
 # A request that was sent before its VM had read the answer may arrive this much later.
 TOLD_SECONDS = 0.5
 LIMIT_SECONDS = 4.0
 LIMIT_SHARE = 1.5
 LIMIT_SLACK = 5
+# Requests that may reach a server in the time for which it wants none from their VM.
+BACK_OFF_SLACK = 2
+DRAIN_SECONDS = 2.0
+
+
+@dataclass
+class BackOff:
+    """A time in which a server wants nothing from a VM, and what it got."""
+
+    since: float
+    until: float
+    arrivals: int = 0
 
 
 class ServerAccount:
@@ -22,10 +35,14 @@
         self._told_limit: dict[str, float] = {}
         self._rates: deque[tuple[float, float]] = deque()
         self._limited: deque[float] = deque()
+        self._back_offs: dict[str, list[BackOff]] = {}
+        self._told_leaving: dict[str, float] = {}
 
     def restarted(self) -> None:
         """Note that the server has started anew, and asks for nothing so far."""
         self._lift_limit()
+        self._back_offs.clear()
+        self._told_leaving.clear()
 
     def _lift_limit(self) -> None:
         self._told_limit.clear()
@@ -34,10 +51,23 @@
 
     def disturbed(self, vm: str) -> None:
         """Note that a VM was restarted, frozen or cut off; it may have forgotten what it heard."""
-        self._told_limit.pop(vm, None)
+        for told in (self._told_limit, self._back_offs, self._told_leaving):
+            told.pop(vm, None)
 
-    def answered(self, vm: str, now: float, rate_limit: float | None) -> None:
-        """Note an answer to a VM, and the limit that it names."""
+    def answered(
+        self,
+        vm: str,
+        now: float,
+        rate_limit: float | None,
+        back_off: float | None = None,
+        leaving: bool = False,
+    ) -> None:
+        """Note an answer to a VM, and what it asks for."""
+        if back_off is not None:
+            wanted = BackOff(now + TOLD_SECONDS, now + back_off)
+            self._back_offs.setdefault(vm, []).append(wanted)
+        if leaving:
+            self._told_leaving.setdefault(vm, now)
         if rate_limit is None:
             self._lift_limit()
             return
@@ -48,6 +78,20 @@
     def arrived(self, vm: str, now: float) -> None:
         """Note a request of a VM, and whether it is one too many."""
         self._check_limit(vm, now)
+        self._check_back_off(vm, now)
+        if now - self._told_leaving.get(vm, now) > DRAIN_SECONDS:
+            late = now - self._told_leaving[vm]
+            self.broken.append(f"{self._server} got a request of {vm} {late:.1f} s after its leave")
+
+    def _check_back_off(self, vm: str, now: float) -> None:
+        wanted = [item for item in self._back_offs.get(vm, []) if now < item.until]
+        self._back_offs[vm] = wanted
+        for item in wanted:
+            item.arrivals += now >= item.since
+            if item.arrivals > BACK_OFF_SLACK:
+                self.broken.append(
+                    f"{self._server} asked {vm} to back off and got {item.arrivals} requests"
+                )
 
     def _check_limit(self, vm: str, now: float) -> None:
         if now - self._told_limit.get(vm, now) < TOLD_SECONDS:
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -48,10 +48,11 @@
 
 @dataclass(frozen=True)
 class Refuse:
-    """Say that the request has not run."""
+    """Say that the request has not run, and for how many seconds the server wants no other."""
 
     status: int = 503
     headers: tuple[bytes, ...] = (b"Not-Run: 1",)
+    back_off: float | None = None
 
 
 @dataclass(frozen=True)
@@ -89,7 +90,8 @@
 class StandinServer:
     """Serve one request after the other as the script says, the last entry again and again.
 
-    All answers name ``rate_limit``, in requests a second, unless it is None.  ``account`` tells
+    All answers name ``rate_limit``, in requests a second, unless it is None, and say whether the
+    server is ``leaving``.  ``account`` tells
     whether VMs keep to it; every test checks the accounts of all its servers at its end.
 
     A body in ``deadly`` ends the whole process ``dies_after`` seconds later, with all that is
@@ -110,6 +112,7 @@
     on_back: Callable[["StandinServer"], None] = lambda server: None
     life: trio.CancelScope | None = None
     rate_limit: float | None = None
+    leaving: bool = False
     account: ServerAccount = field(init=False)
 
     # The servers of the running test.
@@ -182,10 +185,18 @@
     def _next(self) -> Behaviour:
         return self.script.popleft() if len(self.script) > 1 else self.script[0]
 
-    def _asks(self, vm: str) -> list[bytes]:
+    def _asks(self, vm: str, back_off: float | None = None) -> list[bytes]:
         """Return the header lines by which an answer to a VM asks for something."""
-        self.account.answered(vm, trio.current_time(), self.rate_limit)
-        return [] if self.rate_limit is None else [b"Server-Limit: %g" % self.rate_limit]
+        now = trio.current_time()
+        self.account.answered(vm, now, self.rate_limit, back_off, self.leaving)
+        lines = []
+        if self.rate_limit is not None:
+            lines.append(b"Server-Limit: %g" % self.rate_limit)
+        if back_off is not None:
+            lines.append(b"Retry-After: %g" % back_off)
+        if self.leaving:
+            lines.append(b"Server-Leaving: 1")
+        return lines
 
     async def _answer(
         self, stream: trio.SocketStream, vm: str, headers: dict[str, str], behaviour: Behaviour
@@ -196,8 +207,9 @@
                 await trio.sleep(whole.begin_after)
                 await stream.send_all(_whole(whole, request_id, self._asks(vm)) + whole.after)
                 return True
-            case Refuse(status=status, headers=more):
-                lines = [b"HTTP/1.1 %d No" % status, b"Content-Length: 0", *more, *self._asks(vm)]
+            case Refuse(status=status, headers=more, back_off=back_off):
+                asks = self._asks(vm, back_off)
+                lines = [b"HTTP/1.1 %d No" % status, b"Content-Length: 0", *more, *asks]
                 await stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n")
                 return True
             case Unframed(body=body):
--- /dev/null
+++ b/tests/platform/test_back_off.py
@@ -0,0 +1,77 @@
+"""Backend servers that turn a request away and say for how long they want no other."""
+
+import pytest
+import trio
+
+from tests.platform.site import Site, gateway_site, servers
+from tests.platform.standin_server import Events, Refuse, StandinServer, Whole
+from tests.platform.test_rate_limits import retry_after
+from tests.platform.test_streams import PROMPT
+
+SECONDS = 2.0
+RESTS = Refuse(back_off=SECONDS)
+
+
+async def press(site: Site, path: str, seconds: float = SECONDS + 0.5, **headers) -> list:
+    """Ask twenty times a second; return the answers."""
+    answers = []
+
+    async def ask(request_id: str) -> None:
+        answers.append(await site.ask(path, request_id, **headers))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(round(seconds * 20)):
+            nursery.start_soon(ask, f"r{number}")
+            await trio.sleep(0.05)
+    return answers
+
+
+def arrivals(server: StandinServer) -> int:
+    """Return how many requests of clients a server got."""
+    return sum("Request-Id" in seen.headers for seen in server.seen)
+
+
+class TestBackOff:
+    """A server gets nothing from a VM for the time for which it has asked."""
+
+    @pytest.mark.parametrize(
+        ("service", "path", "more", "sound"),
+        [("plain", "/again/x", {}, Whole()), ("engines", "/stream/x", PROMPT, Events())],
+    )
+    def test_one_server_rests(self, service, path, more, sound, tmp_path):
+        """A server asked for 3 s of rest and got requests every 0.2 s."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, service, [RESTS], [sound], [sound]) as (one, *_),
+            ):
+                answers = await press(site, path, **more)
+                assert all(answer.status == 200 for answer in answers)
+                assert arrivals(one) >= 1
+
+        trio.run(run)
+
+    @pytest.mark.parametrize(
+        ("service", "path", "more", "sound"),
+        [("plain", "/once/x", {}, Whole()), ("engines", "/stream/x", PROMPT, Events())],
+    )
+    def test_all_servers_rest(self, service, path, more, sound, tmp_path):
+        """With all servers at rest half of them were handed back to serve anyway."""
+
+        async def run():
+            script = [RESTS, sound]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, service, script, script, script) as rested,
+            ):
+                for number in range(3):
+                    assert (await site.ask(path, f"first-{number}", **more)).status in (200, 503)
+                answer = await site.ask(path, **more)
+                assert answer.status == 503
+                assert 0.5 * SECONDS <= retry_after(answer) <= SECONDS + 1
+                assert sum(arrivals(server) for server in rested) == 3
+                await trio.sleep(retry_after(answer))
+                assert (await site.ask(path, **more)).status == 200
+
+        trio.run(run)
--- a/tests/testing/test_server_account.py
+++ b/tests/testing/test_server_account.py
@@ -56,3 +56,35 @@
         for number in range(30):
             account.arrived("a", 1.0 + number / 10)
         assert not account.broken
+
+
+class TestBackOff:
+    """Two requests at most between half a second after the answer and the end of the time."""
+
+    def test_two_requests_on_their_way(self):
+        account = ServerAccount("i-1")
+        account.answered("a", 0.0, None, back_off=3.0)
+        for now in (0.1, 0.2, 0.3, 0.4, 1.0, 2.0, 3.1, 3.2, 3.3):
+            account.arrived("a", now)
+            account.arrived("b", now)
+        assert not account.broken
+
+    def test_third_request(self):
+        account = ServerAccount("i-1")
+        account.answered("a", 0.0, None, back_off=3.0)
+        for now in (0.6, 1.0, 2.9):
+            account.arrived("a", now)
+        assert len(account.broken) == 1
+
+
+class TestLeave:
+    """Nothing later than the drain time after the answer that told of the leave."""
+
+    def test_late_request(self):
+        account = ServerAccount("i-1")
+        account.answered("a", 0.0, None, leaving=True)
+        account.arrived("a", 1.9)
+        account.arrived("b", 9.0)
+        assert not account.broken
+        account.arrived("a", 2.1)
+        assert len(account.broken) == 1
