--- /dev/null
+++ b/tests/platform/test_leaving.py
@@ -0,0 +1,36 @@
+"""Backend servers that say in their answers that they leave."""
+
+import pytest
+import trio
+
+from tests.platform.site import gateway_site, servers
+from tests.platform.standin_server import Events, Whole
+from tests.platform.test_back_off import arrivals, press
+from tests.platform.test_streams import PROMPT
+
+
+class TestLeaving:
+    """A server that has said that it leaves gets nothing new from the VM that was told."""
+
+    @pytest.mark.parametrize(
+        ("service", "path", "more", "sound"),
+        [("plain", "/again/x", {}, Whole()), ("engines", "/stream/x", PROMPT, Events())],
+    )
+    def test_no_announcement_comes(self, service, path, more, sound, tmp_path):
+        """A VM that hears no control VM sent on to a server whose answers said that it leaves."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, service, [sound], [sound]) as (one, _),
+            ):
+                one.leaving = True
+                while not arrivals(one):
+                    await site.ask(path, **more)
+                before = arrivals(one)
+                site.announce(one, service, seq=9)
+                answers = await press(site, path, 2.6, **more)
+                assert all(answer.status == 200 for answer in answers)
+                assert arrivals(one) == before
+
+        trio.run(run)
