Leave servers alone for the time for which they have asked

What callers saw: little; a server that had answered 503 with Retry-After: 3 got three requests and more from the same VM in that time, of two allowed.

Cause: Retry-After was written for callers and never read from servers. A 503 set its server aside for 150 ms, and a server that refuses at once looks less loaded than the others. Whoever is aside may come back early, by Standing.usable and other fallbacks that are right for guesses about health.

Change: back-offs are kept apart from standing, by the server's start, and looked at before all fallbacks and again before the first byte. Where all servers of a service rest, a request is refused at once, and its Retry-After is the end of the first rest and some 400 ms; a route with several services goes to one that is open.

Why this works: everything that sends a client's request goes through upstream.send, whose last look before the first byte knows the promise.

--- a/siskinspoke/gateway/asked.py
+++ b/siskinspoke/gateway/asked.py
@@ -61,6 +61,7 @@
     gateway: Gateway, dispatch: Dispatch, server: ServerRecord, back_off_ms: float
 ) -> None:
     name, incarnation = server.start
+    gateway.back_offs.ask(server.start, back_off_ms, now_ms())
     gateway.counters.count("back_off.asked")
     gateway.log.note(
         "server.back_off",
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -9,6 +9,7 @@
 import trio
 
 from siskinspoke.conf.vm import VmSettings
+from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
@@ -55,6 +56,7 @@
     standing: Standing
     domains: Domains
     rate_limits: RateLimits
+    back_offs: BackOffs
     budget: CommonBudget
     pool: Pool
     attempts: OpenAttempts
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.conf.watch import SettingsWatch
+from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.books import Books
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory, Heard
@@ -108,6 +109,7 @@
             standing=Standing(),
             domains=domains,
             rate_limits=rate_limits,
+            back_offs=BackOffs(),
             budget=budget,
             pool=Pool(),
             attempts=OpenAttempts(),
@@ -276,12 +278,14 @@
             gateway.books.forget(now, names)
             gateway.rate_limits.forget(names)
             gateway.permits.tick(names)
+            gateway.back_offs.forget(names, now)
             gateway.peers.forget_silent(now)
             gateway.crashes.forget(now)
             gateway.pool.prune(now)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected)
             gateway.counters.gauge("rate_limits.in_force", len(gateway.rate_limits))
+            gateway.counters.gauge("back_offs.in_force", len(gateway.back_offs))
             gateway.counters.gauge("log.dropped", self._log.dropped)
 
     async def _reload_forever(self) -> None:
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -213,8 +213,7 @@
     if wait_ms is None:
         return Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
     message += f": all have asked for fewer requests, the first for {math.ceil(wait_ms)} ms more"
-    least_ms = max(RETRY_AFTER_MS, wait_ms)
-    return Failure(ResultCode.NO_SERVER, message, retry_after(gateway, least_ms))
+    return Failure(ResultCode.NO_SERVER, message, math.ceil(wait_ms) + retry_after(gateway))
 
 
 async def _attempt(
--- a/siskinspoke/gateway/sending.py
+++ b/siskinspoke/gateway/sending.py
@@ -13,6 +13,7 @@
 from siskinspoke.gateway.permits import Denied, Found
 
 RATE_LIMIT = "rate limit"
+BACK_OFF = "back-off"
 
 
 class Held(NamedTuple):
@@ -24,6 +25,9 @@
 
 def held(gateway: Gateway, server: ServerRecord, now: float) -> Held | None:
     """Return what keeps requests from a server, or None."""
+    back_off_until = gateway.back_offs.until(server.start)
+    if back_off_until > now:
+        return Held(BACK_OFF, back_off_until)
     closed_until = gateway.rate_limits.closed_until(server.start)
     if closed_until > now:
         return Held(RATE_LIMIT, closed_until)
@@ -59,8 +63,12 @@
     """
     limit = gateway.rate_limits.find(server.start)
     now = now_ms()
-    if limit is None or (attempt.permit is not None and now < attempt.permit.until):
-        return held(gateway, server, now) if limit is None else None
+    has_permit = attempt.permit is not None and now < attempt.permit.until
+    found = held(gateway, server, now)
+    if found is not None and not (has_permit and found.why == RATE_LIMIT):
+        return found
+    if limit is None or has_permit:
+        return None
     patience_ms, attempt.patience_ms = attempt.patience_ms, 0.0
     permit, found = await gateway.permits.obtain(gateway.questions, server, limit, patience_ms)
     _note(gateway, request_id, server, limit, found, now)
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -3,7 +3,7 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.standing import Trouble
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.sending import not_held, unlimited
+from siskinspoke.gateway.sending import not_held, opens_in_ms, unlimited
 from siskinspoke.gateway.upstream import Broke, NotRun
 
 # A server in another failure domain costs two crossings more, about 3 ms.
@@ -17,6 +17,9 @@
     now = now_ms()
     shares = [share for share in request.route.shares if share.weight > 0]
     served = [share for share in shares if gateway.directory.is_served(share.service, now)]
+    if len(served) > 1:
+        open_now = [share for share in served if opens_in_ms(gateway, share.service) is None]
+        served = open_now or served
     chosen = gateway.rng.choices(served or shares, [share.weight for share in served or shares])
     return chosen[0].service
 
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.books import Books, Job, Work
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import Domains
@@ -156,6 +157,7 @@
         domains=Domains(),
         standing=Standing(),
         rate_limits=RateLimits(),
+        back_offs=BackOffs(),
         settings=SimpleNamespace(failure_domain="a"),
         questions=SimpleNamespace(ask=ask),
         counters=Counters(),
