Send nothing new to a server whose answer says that it leaves

Cause: as with rate limits and back-offs, the word was passed on and not listened to.

Change: an answer with it retires that start of the server at once, whatever is announced later. A record of a server that has left is kept for as long as the server speaks: after a minute it was forgotten, and the next announcement would have brought it back.

--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -22,6 +22,11 @@
 UNDATED = 0
 
 
+def start_of(announcement: Announcement) -> tuple[str, int]:
+    """Return what tells one start of a server from its others."""
+    return announcement.server, announcement.incarnation
+
+
 class Heard(Enum):
     """What an announcement changed."""
 
@@ -49,7 +54,7 @@
     @property
     def start(self) -> tuple[str, int]:
         """Return what tells one start of a server from its others."""
-        return self.announcement.server, self.announcement.incarnation
+        return start_of(self.announcement)
 
     @property
     def order(self) -> tuple[int, int]:
@@ -71,6 +76,9 @@
         """Take in one announcement, however late it comes."""
         known = self._records.get(announcement.server)
         if known is not None and self._is_stale(known, announcement):
+            if known.announcement.leaving and known.start == start_of(announcement):
+                # Forgotten while it still speaks, a server that has left would join anew.
+                known.heard_at = now
             return Heard.STALE
         was_live = known is not None and self._is_live(known, now)
         same = known is not None and known.announcement.incarnation == announcement.incarnation
@@ -136,10 +144,11 @@
             record.proven_at = now
 
     def retire(self, server: str, incarnation: int) -> None:
-        """Take a server as gone for good: another one has answered at its address."""
+        """Take a server as leaving for good, by its own answer or one of another at its address."""
         record = self.find(server, incarnation)
-        if record is not None:
+        if record is not None and not record.announcement.leaving:
             record.announcement = record.announcement._replace(leaving=True)
+            self.changes += 1
 
     def name_of(self, key: int) -> str:
         """Return the name of a known server by its short stand-in, or an empty string."""
--- a/siskinspoke/gateway/asked.py
+++ b/siskinspoke/gateway/asked.py
@@ -76,6 +76,7 @@
     if gateway.directory.has_left(server.announcement.server):
         return
     name, incarnation = server.start
+    gateway.directory.retire(name, incarnation)
     gateway.counters.count("server.said_leaving")
     gateway.log.note("server.leaving", server=name, start=incarnation, request=dispatch.call.id)
 
--- a/siskinspoke/gateway/sending.py
+++ b/siskinspoke/gateway/sending.py
@@ -3,6 +3,7 @@
 Unlike a guess about a server's health this is a promise: no want of other servers undoes it.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 
 RATE_LIMIT = "rate limit"
 BACK_OFF = "back-off"
+LEAVING = "leaving"
 
 
 class Held(NamedTuple):
@@ -25,6 +27,9 @@
 
 def held(gateway: Gateway, server: ServerRecord, now: float) -> Held | None:
     """Return what keeps requests from a server, or None."""
+    known = gateway.directory.find(*server.start)
+    if known is not None and known.announcement.leaving:
+        return Held(LEAVING, math.inf)
     back_off_until = gateway.back_offs.until(server.start)
     if back_off_until > now:
         return Held(BACK_OFF, back_off_until)
--- a/tests/coordination/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from siskinspoke.bench.slopes import announcement
-from siskinspoke.coordination.directory import RECALLED_MS, UNDATED, Directory, Heard
+from siskinspoke.coordination.directory import RECALLED_MS, UNDATED, Directory, Heard, start_of
 from siskinspoke.protocol.announcements import load_of
 
 LEASE = 3_000
@@ -33,6 +33,17 @@
         assert directory.live(4) == []
         assert directory.hear(said(1, incarnation=8), 5) is Heard.JOINED
 
+    def test_leaving_server_goes_on_speaking(self):
+        """A server that had said that it leaves was forgotten after a minute, and joined anew."""
+        directory = Directory(LEASE)
+        directory.hear(said(1), 0)
+        directory.retire(*start_of(said(1)))
+        for second in range(1, 200):
+            assert directory.hear(said(1 + second), second * 1_000) is Heard.STALE
+            directory.forget(second * 1_000)
+        assert directory.live(200_000) == []
+        assert directory.forget(300_000) == [said(1).server]
+
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.permutations([said(1), said(2), said(3), said(4, leaving=True)]))
     def test_any_order_ends_the_same(self, items):
