Let limiters know the latest limit, and their silence not add up

Found while the soak learned to name limits, and by reading: a VM that had not heard yet of a lower limit was granted permits at the old one; two answers lost long after each other counted as one silence, so that a spare limiter granted the whole rate beside the first; and whoever a spare had refused waited for the spare's next token, up to 6.5 s, after the first was back.

Change: a question says how old its limit is, and a limiter goes by the later word; a silence ends after 5 s without a question; a spare's refusal lasts 0.8 s at most.

--- a/siskinspoke/coordination/limiters.py
+++ b/siskinspoke/coordination/limiters.py
@@ -26,6 +26,9 @@
 SPARE_SHARE = 0.15
 FIRST_BURST = 2.0
 SPARE_BURST = 1.0
+# Whoever gets no permit of a spare limiter asks again after this time at the latest: the first one
+# may be back, or its place taken.
+SPARE_WAIT_MS = 800.0
 # A permit that was not used by then is void.
 PERMIT_MS = 300.0
 # A server that names a limit of zero would never be asked whether it still does.
@@ -135,7 +138,8 @@
         taken = bucket.take(rate, burst, now, ask.patience_ms)
         if taken.granted:
             return Verdict(Outcome.GRANTED, taken.wait_ms)
-        return Verdict(Outcome.LATER, max(taken.wait_ms, self._pause_ms(ask, rate, now)))
+        wait_ms = taken.wait_ms if is_first else min(taken.wait_ms, SPARE_WAIT_MS)
+        return Verdict(Outcome.LATER, max(wait_ms, self._pause_ms(ask, rate, now)))
 
     def _pause_ms(self, ask: Ask, rate: float, now: float) -> float:
         """Return when a VM may ask again, so that the number of VMs does not multiply questions."""
--- a/siskinspoke/gateway/permits.py
+++ b/siskinspoke/gateway/permits.py
@@ -24,6 +24,8 @@
 
 # A limiter that did not answer is passed over for this long.
 SILENT_MS = 1_000.0
+# Two answers that did not come are one silence if no more than this lies between them.
+ONE_SILENCE_MS = 5_000.0
 # When to ask again where no limiter has answered.
 NOBODY_MS = 500.0
 
@@ -107,6 +109,7 @@
     def answer(self, question: PermitRequest) -> PermitReply:
         """Answer another VM as the limiter of a server."""
         start = question.server, question.incarnation
+        self._limits.name(start, question.rate, _now_ms() - question.age_ms)
         ask = Ask(question.host, start, question.rate, question.patience_ms, question.silent_ms)
         verdict = self._decide(ask, question.domain)
         self._counters.count(f"permit.{verdict.outcome.name.lower()}")
@@ -118,6 +121,9 @@
         before = limiters[:place] if place else ()
         if any(self._heard_within(host, TAKE_OVER_MS) for host in before):
             ask = ask._replace(silent_ms=0.0)
+        if (known := self._limits.find(ask.start)) is not None:
+            # It may have heard later of the limit than the VM that asks.
+            ask = ask._replace(rate=known.rate)
         return self._my_limiter().decide(ask, place, self._has_quorum(), _now_ms())
 
     async def obtain(
@@ -153,7 +159,8 @@
             if host == self._me.host:
                 verdict = self._decide(ask, said.failure_domain)
             else:
-                verdict = await self._ask_other(questions, host, ask, said.failure_domain)
+                age_ms = _now_ms() - limit.heard_at
+                verdict = await self._ask_other(questions, host, ask, said.failure_domain, age_ms)
             if verdict is None:
                 silent_ms = min(silent_ms, _now_ms() - self._silent_since[host])
             elif verdict.outcome is not Outcome.ELSEWHERE:
@@ -163,18 +170,19 @@
         return Found(Verdict(Outcome.ELSEWHERE))
 
     async def _ask_other(
-        self, questions: Questions, host: str, ask: Ask, domain: str
+        self, questions: Questions, host: str, ask: Ask, domain: str, age_ms: float
     ) -> Verdict | None:
         """Return the verdict of another VM, None where it is silent."""
         now = _now_ms()
         if self._passed_over.get(host, now) > now:
             return None
         question = PermitRequest(
-            "", 0, *ask.start, domain, ask.rate, ask.patience_ms, ask.silent_ms
+            "", 0, *ask.start, domain, ask.rate, age_ms, ask.patience_ms, ask.silent_ms
         )
         reply = await questions.ask_permit(question, host)
         if reply is None:
-            self._silent_since.setdefault(host, now)
+            if now - self._passed_over.get(host, -math.inf) > ONE_SILENCE_MS:
+                self._silent_since[host] = now
             self._passed_over[host] = _now_ms() + SILENT_MS
             self._counters.count("permit.unanswered")
             return None
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -84,7 +84,7 @@
     """A VM asks a server's limiter for leave to send it one request.
 
     ``domain`` is the server's.  ``rate`` is the limit that the server has named, in requests a
-    second; the other fields are those of ``limiters.Ask``.
+    second, last heard of so many milliseconds ago; the other fields are those of ``limiters.Ask``.
     """
 
     host: str
@@ -93,6 +93,7 @@
     incarnation: int
     domain: str
     rate: float
+    age_ms: float
     patience_ms: float
     silent_ms: float
 
--- a/tests/coordination/test_limiters.py
+++ b/tests/coordination/test_limiters.py
@@ -5,6 +5,7 @@
 from siskinspoke.coordination.limiters import (
     MOST_LIMITERS,
     QUIET_MS,
+    SPARE_WAIT_MS,
     STILL_MS,
     TAKE_OVER_MS,
     Ask,
@@ -73,6 +74,12 @@
     def test_spare_grants_a_small_share(self):
         assert granted(running(), 20, 10.0, place=1) <= 10.0 * 0.15 * 20 + 1
 
+    def test_spare_is_asked_again_soon(self):
+        """VMs waited for seconds for a spare's next token after the first limiter was back."""
+        limiter = running()
+        limiter.decide(ask(), 1, True, 20_000)
+        assert limiter.decide(ask(), 1, True, 20_000) == (Outcome.LATER, SPARE_WAIT_MS)
+
     def test_spare_takes_over_from_silent_limiters(self):
         count = granted(running(), 20, 10.0, place=1, silent_ms=TAKE_OVER_MS)
         assert count >= 200
