Hear what servers ask for in answers to this VM's own questions

Change: questions and orders take in limits, back-offs and leaves as answers to requests do; what such an answer leaves out ends nothing.

Measured: the new case of platform/test_back_off.py fails without the line and passes with it; 138 tests of the adapter and the gateway pass.

--- a/siskinspoke/gateway/asked.py
+++ b/siskinspoke/gateway/asked.py
@@ -2,7 +2,7 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.gateway.context import Gateway, now_ms
-from siskinspoke.gateway.wire import Answer, Dispatch
+from siskinspoke.gateway.wire import Answer
 from siskinspoke.protocol.peers import RateLimitNews
 
 # From this status on an answer may come from whatever stands in for a server that fails, so it
@@ -11,18 +11,21 @@
 
 
 def hear_answer(
-    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer, sent_at: float
+    gateway: Gateway, request_id: str, server: ServerRecord, answer: Answer, sent_at: float
 ) -> None:
-    """Take in what the answer to a dispatch asks for; one to another request is too old for it."""
-    if answer.misdirected or answer.request_id not in (None, dispatch.call.id):
+    """Take in what an answer asks for; one that belongs to another request is too old for it.
+
+    ``request_id`` is empty for this VM's own questions and orders.
+    """
+    if answer.misdirected or answer.request_id not in (None, request_id):
         return
     for field in answer.asked.unreadable:
         gateway.counters.count(f"asked.unreadable.{field}")
-    _hear_rate_limit(gateway, dispatch, server, answer, sent_at)
+    _hear_rate_limit(gateway, request_id, server, answer, sent_at)
     if answer.asked.back_off_ms is not None:
-        _hear_back_off(gateway, dispatch, server, answer.asked.back_off_ms)
+        _hear_back_off(gateway, request_id, server, answer.asked.back_off_ms)
     if answer.asked.leaving:
-        _hear_leaving(gateway, dispatch, server)
+        _hear_leaving(gateway, request_id, server)
 
 
 def _is_sound(answer: Answer) -> bool:
@@ -31,7 +34,7 @@
 
 
 def _hear_rate_limit(
-    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, answer: Answer, sent_at: float
+    gateway: Gateway, request_id: str, server: ServerRecord, answer: Answer, sent_at: float
 ) -> None:
     rate, now = answer.asked.rate_limit, now_ms()
     known = gateway.rate_limits.find(server.start)
@@ -50,7 +53,7 @@
         "server.rate_limit",
         server=name,
         start=incarnation,
-        request=dispatch.call.id,
+        request=request_id,
         rate=rate,
         former=None if known is None else known.rate,
         age=None if known is None else round(now - known.heard_at),
@@ -58,7 +61,7 @@
 
 
 def _hear_back_off(
-    gateway: Gateway, dispatch: Dispatch, server: ServerRecord, back_off_ms: float
+    gateway: Gateway, request_id: str, server: ServerRecord, back_off_ms: float
 ) -> None:
     name, incarnation = server.start
     gateway.back_offs.ask(server.start, back_off_ms, now_ms())
@@ -67,18 +70,18 @@
         "server.back_off",
         server=name,
         start=incarnation,
-        request=dispatch.call.id,
+        request=request_id,
         ms=round(back_off_ms),
     )
 
 
-def _hear_leaving(gateway: Gateway, dispatch: Dispatch, server: ServerRecord) -> None:
+def _hear_leaving(gateway: Gateway, request_id: str, server: ServerRecord) -> None:
     if gateway.directory.has_left(server.announcement.server):
         return
     name, incarnation = server.start
     gateway.directory.retire(name, incarnation)
     gateway.counters.count("server.said_leaving")
-    gateway.log.note("server.leaving", server=name, start=incarnation, request=dispatch.call.id)
+    gateway.log.note("server.leaving", server=name, start=incarnation, request=request_id)
 
 
 def hear_rate_limit(gateway: Gateway, news: RateLimitNews) -> None:
--- a/siskinspoke/gateway/exchange.py
+++ b/siskinspoke/gateway/exchange.py
@@ -5,6 +5,7 @@
 import trio
 
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.gateway.asked import hear_answer
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.transport.http1 import PeerError, RequestHead, connect
 
@@ -31,12 +32,14 @@
     """
     said = server.announcement
     connection = gateway.pool.take(server, now_ms(), fresh_ms)
+    sent_at = now_ms()
     try:
         with trio.move_on_after(seconds):
             if connection is None:
                 connection = await connect(said.host, said.port, gateway.settings.host, now_ms())
             await connection.send_request(head, body)
             answer = await connection.read_head()
+            hear_answer(gateway, "", server, gateway.wire.decode_answer(answer), sent_at)
             parts = []
             while (data := await connection.read_data()) is not None:
                 parts.append(data)
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -133,7 +133,7 @@
             found.append(broken(error))
         else:
             answer = gateway.wire.decode_answer(answer_head)
-            hear_answer(gateway, dispatch, server, answer, sent_at)
+            hear_answer(gateway, dispatch.call.id, server, answer, sent_at)
             found.append(_judge(dispatch, answer, connection))
         nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_back_off.py
+++ b/tests/platform/test_back_off.py
@@ -3,6 +3,9 @@
 import pytest
 import trio
 
+from siskinspoke.gateway import reports
+from siskinspoke.gateway.context import now_ms
+from siskinspoke.gateway.sending import BACK_OFF, held
 from tests.platform.site import Site, gateway_site, servers
 from tests.platform.standin_server import Events, Refuse, StandinServer, Whole
 from tests.platform.test_rate_limits import retry_after
@@ -76,3 +79,20 @@
                 assert (await site.ask(path, **more)).status == 200
 
         trio.run(run)
+
+    def test_answer_to_a_question_of_ours(self, tmp_path):
+        """An engine answered a question of the VM's own with a back-off, which nobody read."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [RESTS], [Events()]) as (one, _),
+            ):
+                record = site.gateway.directory.latest(one.name)
+                await reports._ask(site.gateway, record)
+                assert held(site.gateway, record, now_ms()).why == BACK_OFF
+                answers = await press(site, "/stream/x", 1.0, **PROMPT)
+                assert all(answer.status == 200 for answer in answers)
+                assert arrivals(one) == 0
+
+        trio.run(run)
