Leave servers of the product's own interface alone when they ask for it

Change: 429 and 503 with Retry-After keep new work of this VM from that start of the server, for completions, groups and calls; where all rest the refusal says when the first one ends. That such an answer proves "never began" is not said by the protocol and stays 409's alone. Numbers of other programs' headers are read in one place (protocol/decimals.py).

--- a/siskinspoke/coordination/routing.py
+++ b/siskinspoke/coordination/routing.py
@@ -16,6 +16,7 @@
 
 from expression import Error, Ok, Result
 
+from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.directory import Directory, ServerRecord
 from siskinspoke.coordination.prefixes import PrefixIndex
 from siskinspoke.core.codes import Failure, ResultCode
@@ -116,8 +117,15 @@
 class Router:
     """Estimate and choose; owns the books of this VM's own dispatches."""
 
-    def __init__(self, directory: Directory, prefixes: PrefixIndex, failure_domain: str):
+    def __init__(
+        self,
+        directory: Directory,
+        prefixes: PrefixIndex,
+        failure_domain: str,
+        back_offs: BackOffs | None = None,
+    ):
         self.directory = directory
+        self.back_offs = BackOffs() if back_offs is None else back_offs
         self.prefixes = prefixes
         self._domain = failure_domain
         self._books: dict[str, _Books] = {}
@@ -190,15 +198,15 @@
 
     def choose(self, work: Work, now: float, rng: random.Random) -> Result[Choice, Failure]:
         """Return where to send a request, or the final refusal."""
-        serving = self.directory.believed(work.service, now)
+        serving = self.open_now(self.directory.believed(work.service, now), now)
         if not serving:
-            return Error(self._nobody(work, rng))
+            return Error(self.nobody(work.service, now, rng))
         fitting = [r for r in serving if r.announcement.total_tokens >= work.memory_tokens]
         if not fitting:
             return self._choose_group(work, serving, now, rng)
         usable = [r for r in fitting if r.announcement.server not in work.excluded]
         if not usable:
-            return Error(self._nobody(work, rng))
+            return Error(self.nobody(work.service, now, rng))
         return self._choose_single(work, usable, now, rng)
 
     def _choose_single(
@@ -252,9 +260,16 @@
             for record in records
         )
 
-    def _nobody(self, work: Work, rng: random.Random) -> Failure:
-        message = f"no backend server of {work.service!r} can take work now"
-        return Failure(ResultCode.NO_SERVER, message, self.retry_after(MIN_RETRY_MS, rng))
+    def open_now(self, records: list[ServerRecord], now: float) -> list[ServerRecord]:
+        """Return the servers that have not asked this VM to back off."""
+        return [record for record in records if self.back_offs.until(record.start) <= now]
+
+    def nobody(self, service: str, now: float, rng: random.Random) -> Failure:
+        """Return the refusal where no server can take work; it says when the first one can."""
+        message = f"no backend server of {service!r} can take work now"
+        known = self.directory.believed(service, now)
+        wait_ms = min((self.back_offs.until(record.start) - now for record in known), default=0.0)
+        return Failure(ResultCode.NO_SERVER, message, self.retry_after(wait_ms, rng))
 
     def _idle_ms(self, record: ServerRecord, work: Work) -> float:
         """Return the time to first token if the server had nothing else to do."""
--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -1,5 +1,6 @@
 """Calls to backend servers, with what each outcome proves about the attempt."""
 
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -7,15 +8,20 @@
 import httpx
 import msgspec
 import trio
+from loguru import logger
 
+from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.assembly import Assembler, Complete, Gap, Ignored, Piece
 from siskinspoke.protocol.claims import Target
+from siskinspoke.protocol.decimals import decimal
 from siskinspoke.protocol.engine import AttemptRequest, CacheEvents, CancelState, Chunk
 from siskinspoke.transport.http import make_client
 
 CANCEL_SECONDS = 1.0
 SILENCE_SECONDS = 0.5
+# With these a server may say when it wants requests of this VM again.
+TURNED_AWAY_STATUSES = frozenset({429, 503})
 # Why no byte left, where a machine answers and no process listens there.
 REFUSED = httpx.ConnectError.__name__
 # No server has counted so many cache events, so a question for later ones has a short answer.
@@ -78,12 +84,18 @@
 
     def __init__(self, counters: Counters, local_host: str | None = None):
         self._counters = counters
+        self._back_offs = BackOffs()
         self._stack = AsyncExitStack()
         self._streams = make_client(local_host=local_host)
         self._single_use = make_client(keep_alive=False, local_host=local_host)
         self._control = make_client(local_host=local_host)
         self._readings: set[_Reading] = set()
 
+    @property
+    def back_offs(self) -> BackOffs:
+        """Return what servers have asked for."""
+        return self._back_offs
+
     async def watch_forever(self) -> None:
         """Give up attempts whose server is silent and no longer announces itself.
 
@@ -141,6 +153,7 @@
         try:
             with reading.scope:
                 async with client.stream("POST", url, content=content) as response:
+                    self._hear_back_off(target, response)
                     refusal = _refusal(response, assembler)
                     if refusal is not None:
                         return refusal
@@ -202,7 +215,21 @@
     async def call(self, target: Target, body: dict) -> httpx.Response:
         """Call a plain service once, on a connection of its own."""
         url = f"http://{target.host}:{target.port}/v1/call"
-        return await self._single_use.post(url, content=msgspec.json.encode(body))
+        response = await self._single_use.post(url, content=msgspec.json.encode(body))
+        self._hear_back_off(target, response)
+        return response
+
+    def _hear_back_off(self, target: Target, response: httpx.Response) -> None:
+        """Take in that a server turns a request away and wants nothing of this VM for a time."""
+        if response.status_code not in TURNED_AWAY_STATUSES:
+            return
+        seconds = decimal(response.headers.get("Retry-After"))
+        if seconds is None:
+            return
+        self._counters.count("back_off.asked")
+        logger.info("server {} wants nothing for {} s", target.server, seconds)
+        start = (target.server, target.incarnation)
+        self._back_offs.ask(start, seconds * 1000, time.monotonic() * 1000)
 
     async def cancel(
         self, target: Target, request: str, attempt: int, unless_began: bool = False
--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -81,7 +81,9 @@
 
     def _choose(self) -> ServerRecord | None:
         """Return the server with the fewest calls that has not failed this request."""
-        serving = self._context.directory.serving(self._call.service, now_ms())
+        now = now_ms()
+        serving = self._context.directory.serving(self._call.service, now)
+        serving = self._context.router.open_now(serving, now)
         usable = [r for r in serving if r.announcement.server not in self._excluded]
         if not usable:
             return None
@@ -93,9 +95,9 @@
         )
 
     def _nobody(self) -> Failure:
-        message = f"no backend server of {self._call.service!r} can take work now"
-        retry = self._context.router.retry_after(RETRY_LATER_MS, self._context.rng)
-        return Failure(ResultCode.NO_SERVER, message, retry)
+        context = self._context
+        failure = context.router.nobody(self._call.service, now_ms(), context.rng)
+        return failure._replace(retry_after_ms=max(RETRY_LATER_MS, failure.retry_after_ms))
 
     async def _send(self, target: Target, attempt: int) -> dict:
         """Call the server once; raise _NotBegun where it is proven not to have begun."""
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -75,7 +75,7 @@
         incarnation=time.time_ns(),
         holder=ConfigurationHolder(settings.configuration, settings.configuration_document),
         directory=directory,
-        router=Router(directory, PrefixIndex(), me.failure_domain),
+        router=Router(directory, PrefixIndex(), me.failure_domain, backend.back_offs),
         shares=FairShares(limits.fair_window_ms),
         retries=RetryBudget(limits.retry_share),
         counters=counters,
--- a/siskinspoke/entry/followers.py
+++ b/siskinspoke/entry/followers.py
@@ -132,6 +132,8 @@
             logger.info("server {}: {} incarnation {}", heard.value, server, incarnation)
         if heard is Heard.JOINED:
             context.router.prefixes.reset(server)
+        known = [record.announcement.server for record in context.directory.all_known()]
+        context.router.back_offs.forget(known, now_ms())
 
 
 async def forget_forever(context: EntryContext) -> None:
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -1,7 +1,5 @@
 """Decode callers' requests and servers' answers, and encode what is sent to both."""
 
-import re
-
 import msgspec
 from expression import Error, Ok, Result
 
@@ -9,6 +7,7 @@
 from siskinspoke.core.codes import FACTS, Failure, ResultCode
 from siskinspoke.gateway.wire import Answer, Asked, Call, Dispatch, EngineReport, Helper, Prompt
 from siskinspoke.platform import configuration, names, orders
+from siskinspoke.protocol.decimals import decimal
 from siskinspoke.transport.http1 import AnswerHead, Headers, RequestHead
 
 NEVER_RAN_STATUSES = frozenset({421})
@@ -16,8 +15,6 @@
 # With these a server may say when it wants requests of this VM again.
 TURNED_AWAY_STATUSES = frozenset({429, 503})
 MOST_RANK = 9
-# A number of a server's that is longer is none: it would round to infinity, or take long to read.
-DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?")
 
 
 def _first(headers: Headers, name: bytes) -> str | None:
@@ -164,22 +161,17 @@
     rest = _first(headers, names.RETRY_AFTER) if status in TURNED_AWAY_STATUSES else None
     wanted = {"rate_limit": rate_limit, "back_off": rest}
     unreadable = tuple(
-        name for name, text in wanted.items() if text is not None and _decimal(text) is None
+        name for name, text in wanted.items() if text is not None and decimal(text) is None
     )
-    seconds = _decimal(rest)
+    seconds = decimal(rest)
     return Asked(
-        rate_limit=_decimal(rate_limit),
+        rate_limit=decimal(rate_limit),
         back_off_ms=None if seconds is None else seconds * 1000,
         leaving=_first(headers, names.LEAVING) == "1",
         unreadable=unreadable,
     )
 
 
-def _decimal(text: str | None) -> float | None:
-    """Return a decimal number of a server's, None where there is none or it means nothing."""
-    return float(text) if text is not None and DECIMAL.fullmatch(text) else None
-
-
 def _idle_seconds(text: str | None) -> float | None:
     """Return how long a kept connection lasts, from a Keep-Alive header."""
     for part in (text or "").split(","):
--- /dev/null
+++ b/tests/entry/test_back_off.py
@@ -0,0 +1,70 @@
+"""Servers of the product's own interface that ask for a back-off."""
+
+import random
+
+import pytest
+import trio
+
+from siskinspoke.bench.slopes import announcement
+from siskinspoke.coordination.directory import Directory
+from siskinspoke.coordination.prefixes import PrefixIndex
+from siskinspoke.coordination.routing import Router, Work
+from siskinspoke.core.counters import Counters
+from siskinspoke.entry.backend import Backend
+from siskinspoke.entry.context import now_ms, target_of
+from siskinspoke.protocol.assembly import Assembler
+
+HOST = "127.0.0.1"
+ANSWER = b"HTTP/1.1 %d No\r\nRetry-After: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+async def asked(status: int, retry_after: bytes, path: str, servers: int = 1):
+    """Send an attempt to a server that answers so; return what the router then chooses."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some(4_096)
+            await stream.send_all(ANSWER % (status, retry_after))
+
+    async def deliver(pieces) -> None:
+        await trio.lowlevel.checkpoint()
+
+    async with Backend(Counters()) as backend, trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        port = listeners[0].socket.getsockname()[1]
+        directory = Directory(60_000)
+        for number in range(servers):
+            said = announcement(number + 1, 1, "sala-a")
+            said = said._replace(host=HOST, port=port, queued=[], free_tokens=400_000)
+            directory.hear(said._replace(total_tokens=400_000, prefill_rate=40_000.0), now_ms())
+        router = Router(directory, PrefixIndex(), "sala-a", backend.back_offs)
+        target = target_of(directory.live(now_ms())[0])
+        if path == "/v1/call":
+            await backend.call(target, {})
+        else:
+            parts = Assembler("r", 1, target.incarnation, 0)
+            await backend.stream(target, path, {}, parts, deliver, print, lambda: True)
+        nursery.cancel_scope.cancel()
+        work = Work("redactor", 2_000, 10, 0, 0, [], 10_000.0)
+        return target.server, router.choose(work, now_ms(), random.Random(1))
+
+
+class TestBackOff:
+    """A server that asks for a back-off gets nothing from this VM until it is over."""
+
+    @pytest.mark.parametrize("path", ["/v1/generate", "/v1/call"])
+    @pytest.mark.parametrize("status", [429, 503])
+    def test_goes_elsewhere(self, status, path):
+        """The next request went to the server that had asked for 3 s of rest."""
+        server, chosen = trio.run(asked, status, b"3", path, 2)
+        assert chosen.ok.servers[0].announcement.server != server
+
+    def test_all_servers_rest(self):
+        """A refusal said to come back after half a second, while all servers rested for 3 s."""
+        _, chosen = trio.run(asked, 503, b"3", "/v1/call")
+        assert 2_500 <= chosen.error.retry_after_ms <= 5_000
+
+    @pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"Wed, 21 Oct 2026 07:28:00 GMT"])
+    def test_value_that_means_nothing(self, value):
+        _, chosen = trio.run(asked, 503, value, "/v1/call")
+        assert chosen.is_ok()
