Keep what a new process asked for before its announcement was heard

Cause: a word was taken for the former process's, since nothing in an answer names its start. A leave is not carried over: it would retire the new start for good.

--- a/siskinspoke/coordination/rate_limits.py
+++ b/siskinspoke/coordination/rate_limits.py
@@ -10,6 +10,10 @@
 
 Start = tuple[str, int]
 
+# A server that starts anew under its name answers before its announcement is heard, so what was
+# heard within this time of that may be a word of the new process.
+FORMER_MS = 3_000.0
+
 
 @dataclass(slots=True)
 class RateLimit:
@@ -55,6 +59,12 @@
         self._lifted_at[start] = now
         return True
 
+    def started(self, former: Start, start: Start, now: float) -> None:
+        """Take in that a server has started anew; the last words of before may be the new one's."""
+        known = self._limits.get(former)
+        if known is not None and now - known.heard_at < FORMER_MS:
+            self.name(start, known.rate, known.heard_at)
+
     def close(self, start: Start, until: float) -> None:
         """Note that no request may be sent to a server for a while."""
         self._closed_until[start] = until
--- a/siskinspoke/gateway/lives.py
+++ b/siskinspoke/gateway/lives.py
@@ -5,7 +5,7 @@
 hold there is gone.
 """
 
-from siskinspoke.coordination.directory import Heard
+from siskinspoke.coordination.directory import Heard, start_of
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.protocol.announcements import Announcement
 
@@ -23,6 +23,8 @@
         gateway.crashes.started_anew(known.start, service, servers, now)
     gateway.standing.started(server)
     gateway.books.started(server)
+    for words in (gateway.back_offs, gateway.rate_limits):
+        words.started(known.start, start_of(announcement), now_ms())
     ended = gateway.attempts.started(server, announcement.incarnation)
     gateway.counters.count("server.started_again")
     gateway.log.note(
--- a/tests/coordination/test_back_off.py
+++ b/tests/coordination/test_back_off.py
@@ -1,6 +1,7 @@
 """Back-offs that servers ask for."""
 
 from siskinspoke.coordination.back_off import MOST_MS, BackOffs
+from siskinspoke.coordination.rate_limits import FORMER_MS
 
 START = ("i-1", 7)
 
@@ -28,6 +29,16 @@
         back_offs.ask(START, 3_000, 100)
         assert back_offs.until(("i-1", 8)) < 0
 
+    def test_word_of_a_new_process_before_its_announcement(self):
+        """A server started anew and asked for a back-off; its announcement then undid that."""
+        back_offs = BackOffs()
+        back_offs.ask(START, 3_000, 100)
+        back_offs.started(START, ("i-1", 8), 900)
+        assert back_offs.until(("i-1", 8)) == 3_100
+        back_offs.ask(START, 9_000, 1_000)
+        back_offs.started(START, ("i-1", 9), 1_000 + FORMER_MS)
+        assert back_offs.until(("i-1", 9)) < 0
+
     def test_no_value_keeps_a_server_out_for_good(self):
         back_offs = BackOffs()
         back_offs.ask(START, 1e15, 100)
--- a/tests/coordination/test_rate_limits.py
+++ b/tests/coordination/test_rate_limits.py
@@ -1,6 +1,6 @@
 """Rate limits that servers name."""
 
-from siskinspoke.coordination.rate_limits import RateLimits
+from siskinspoke.coordination.rate_limits import FORMER_MS, RateLimits
 
 START = ("i-1", 7)
 
@@ -39,6 +39,15 @@
         limits.name(START, 2.0, 100)
         assert limits.find(("i-1", 8)) is None
 
+    def test_word_of_a_new_process_before_its_announcement(self):
+        """A server started anew and named a limit; its announcement then undid that."""
+        limits = RateLimits()
+        limits.name(START, 2.0, 100)
+        limits.started(START, ("i-1", 8), 900)
+        assert limits.find(("i-1", 8)).rate == 2.0
+        limits.started(("i-1", 8), ("i-1", 9), 100 + FORMER_MS)
+        assert limits.find(("i-1", 9)) is None
+
     def test_forgotten_with_its_server(self):
         limits = RateLimits()
         limits.name(START, 2.0, 100)
