Follow control VMs again where the feeds' task is begun anew

Traced: TestSeveralVMs::test_vm_that_was_cut_off failed now and then ((8 - 3) <= 3). Its log has no control.heard after the cut: the feeds' task ended with the cut, and begun anew it took its followers for running and itself for connected, so the VM that was back heard no control VM. What it knew of the request it had learned by itself, in three sendings, which is what the test allows, or in four or five, where it failed.

The product has the same hole: keep_running begins a task anew after a fault, and an entry VM whose feeds had faulted once would hear no control VM for good. No such fault has been seen.

Change: the followers are forgotten, and their control VMs noted as lost, when the task ends.

Measured: the new test of feeds/test_follower.py failed before and passes.

--- a/siskinspoke/feeds/follower.py
+++ b/siskinspoke/feeds/follower.py
@@ -163,12 +163,18 @@
 
     async def run(self) -> None:
         """Follow whom seeds and rosters name, forever."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                self._named = trio.Event()
-                self._look(nursery)
-                with trio.move_on_after(LOOK_SECONDS):
-                    await self._named.wait()
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    self._named = trio.Event()
+                    self._look(nursery)
+                    with trio.move_on_after(LOOK_SECONDS):
+                        await self._named.wait()
+        finally:
+            # The followers ended with the nursery; begun anew, this would take them for running.
+            self._following.clear()
+            for host in list(self._connected):
+                self._lost(host)
 
     def _look(self, nursery: trio.Nursery) -> None:
         now = trio.current_time()
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -56,6 +56,29 @@
         trio.run(run, clock=MockClock(autojump_threshold=0))
         assert found[0] < POWER_SECONDS + LONGEST_WAIT_SECONDS
 
+    def test_task_that_is_begun_anew(self, monkeypatch):
+        """A fault ended the task; begun anew it followed nobody, and took itself for connected."""
+        tries = []
+
+        async def connect(*_args, **_kwargs):
+            tries.append(trio.current_time())
+            await trio.sleep_forever()
+
+        monkeypatch.setattr(follower.trio, "open_tcp_stream", connect)
+
+        async def run():
+            found = feeds()
+            with trio.move_on_after(0.1):
+                await found.run()
+            before = len(tries)
+            found._connected.add("10.0.0.2")
+            with trio.move_on_after(0.1):
+                await found.run()
+            assert len(tries) > before
+            assert found.connected == 0
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
     def test_control_vm_that_is_gone_costs_little(self, monkeypatch):
         tries = []
 
