Look at servers' wishes only where there are any

A choice among servers looked at what each has asked for, and how long a request may wait for a permit was worked out for servers that need none.

--- a/siskinspoke/gateway/sending.py
+++ b/siskinspoke/gateway/sending.py
@@ -40,7 +40,9 @@
 
 
 def not_held(gateway: Gateway, records: Iterable[ServerRecord]) -> list[ServerRecord]:
-    """Return the servers that a request may be sent to, as far as they have asked."""
+    """Return those of some servers that have not left to which a request may be sent."""
+    if not gateway.back_offs and not gateway.rate_limits:
+        return list(records)
     now = now_ms()
     return [record for record in records if held(gateway, record, now) is None]
 
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -62,6 +62,8 @@
 
     Beyond a part of its target it is refused instead, and may go to another VM in time.
     """
+    if gateway.rate_limits.find(server.start) is None:
+        return 0.0
     records = candidates(gateway, request.service, {server.announcement.server})
     if refuge(gateway, records):
         return 0.0
