Let the soak run as many gateways as the machine bears

By hand: python -m tests.soak.soak FIRST COUNT SECONDS GATEWAYS, with three clients a gateway and up to a third of the gateways down at once. Two remain the default; for them a seed's draws stay what they were.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """A randomized soak: the real programs as processes, faults from outside, promises checked.
 
-Run seeds by hand with ``python -m tests.soak.soak FIRST COUNT [SECONDS]``.
+Run seeds by hand with ``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS]]``.
 """
 
 import random
@@ -30,6 +30,7 @@
 from tests.platform.test_streams import data_of
 
 REGISTRIES, GATEWAYS = ("c1", "c2", "c3"), ("g1", "g2")
+CLIENTS_A_GATEWAY = 3
 PLAIN, ENGINES = 3, 4
 NOT_RUN = {408, 421, 429, 503}
 PROMISED_SECONDS = 2.0
@@ -88,6 +89,7 @@
     rng: random.Random
     lives: random.Random
     wishes: random.Random
+    gateways: tuple[str, ...] = GATEWAYS
     servers: list[StandinServer] = field(default_factory=list)
     valves: list[Valve] = field(default_factory=list)
     answers: dict[str, tuple[str, int]] = field(default_factory=dict)
@@ -130,7 +132,7 @@
         async with trio.open_nursery() as nursery:
             for number in range(PLAIN + ENGINES):
                 await self._start_server(nursery, number)
-            for name in (*REGISTRIES, *GATEWAYS):
+            for name in (*REGISTRIES, *self.gateways):
                 self.site.start(name, found=True)
             await self._publish_until_accepted()
             nursery.start_soon(self._announce_forever)
@@ -145,7 +147,7 @@
                         self._wish_forever,
                     ):
                         busy.start_soon(task)
-                    for number in range(6):
+                    for number in range(CLIENTS_A_GATEWAY * len(self.gateways)):
                         busy.start_soon(self._call_forever, number)
             await self._heal()
             await self._publish_until_accepted()
@@ -252,7 +254,7 @@
     async def _until_served(self) -> None:
         """Wait until each gateway serves a request of each service."""
         with trio.fail_after(30):
-            for gateway in GATEWAYS:
+            for gateway in self.gateways:
                 for path, more in (("/again/x", {}), ("/stream/x", PROMPT)):
                     while (await self._ask(gateway, path, "warm-up", **more))[0] != 200:
                         await trio.sleep(0.1)
@@ -288,7 +290,7 @@
             request_id = f"r{client}-{number}"
             kind = self.rng.choice(("once", "again", "stream", "solo"))
             more = PROMPT if kind in ("stream", "solo") else {}
-            gateway = self.rng.choice(GATEWAYS)
+            gateway = self.rng.choice(self.gateways)
             status, body = await self._ask(gateway, f"/{kind}/x", request_id, client, **more)
             self.answers[request_id] = (kind, status)
             self.served[(kind, status)] += 1
@@ -332,11 +334,11 @@
                 nursery.start_soon(fault)
 
     def _pick(self) -> str | None:
-        """Return a process to break; one registry and one gateway at a time are down."""
-        name = self.rng.choice((*REGISTRIES, *GATEWAYS))
-        if any(other[0] == name[0] for other in self.down):
-            return None
-        return name
+        """Return a process to break; one registry and a third of the gateways may be down."""
+        name = self.rng.choice((*REGISTRIES, *self.gateways))
+        most = max(1, len(self.gateways) // 3) if name in self.gateways else 1
+        down = sum(other[0] == name[0] for other in self.down)
+        return name if down < most and name not in self.down else None
 
     async def _freeze(self) -> None:
         if (name := self._pick()) is None:
@@ -405,13 +407,13 @@
         with trio.CancelScope(shield=True):
             await trio.sleep(self.rng.uniform(0.2, 1.5))
         valve.mode = "pass"
-        for gateway in GATEWAYS:
+        for gateway in self.gateways:
             self._disturb(gateway, valve.server)
 
     async def _heal(self) -> None:
         for valve in self.valves:
             valve.mode = "pass"
-        for name in (*REGISTRIES, *GATEWAYS):
+        for name in (*REGISTRIES, *self.gateways):
             if not self.site.alive(name):
                 code = self.site.exit_code(name)
                 self.broken.append(f"{name} ended by itself with {code}")
@@ -455,10 +457,11 @@
     return not alive()
 
 
-def run_soak(seed: int, folder: Path, net: int, seconds: float) -> Soak:
+def run_soak(seed: int, folder: Path, net: int, seconds: float, gateways: int = 2) -> Soak:
     """Run one seed and return its record."""
+    names = tuple(f"g{number + 1}" for number in range(gateways))
     sources = [random.Random(seed + number * 1_000_000) for number in range(3)]
-    soak = Soak(seed, GroupSite(folder, net), *sources)
+    soak = Soak(seed, GroupSite(folder, net), *sources, names)
     try:
         trio.run(soak.run, seconds)
     finally:
@@ -466,12 +469,13 @@
     return soak
 
 
-def main(first: int, count: int, seconds: float) -> int:
+def main(first: int, count: int, seconds: float = 12.0, gateways: float = 2) -> int:
     """Run seeds one after the other and print what each found."""
     failed = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = run_soak(seed, folder, SOAK_BY_HAND[first % len(SOAK_BY_HAND)], seconds)
+        net = SOAK_BY_HAND[first % len(SOAK_BY_HAND)]
+        soak = run_soak(seed, folder, net, seconds, int(gateways))
         served = sum(n for (_, status), n in soak.served.items() if status == 200)
         total = sum(soak.served.values())
         print(f"seed {seed}: {served} of {total} served, {len(soak.faults)} faults", flush=True)
@@ -485,5 +489,4 @@
 
 
 if __name__ == "__main__":
-    numbers = [int(word) for word in sys.argv[1:3]]
-    sys.exit(main(*numbers, float(sys.argv[3]) if len(sys.argv) > 3 else 12.0))
+    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:5])))
