Name restrictions of servers, and servers to move to, by usual terms

What a server asks of its callers was called asked, a name that another class in the gateway has for something else; servers for which a request may leave another one were its refuge.

Measured: the tests of restrictions, back-offs, leaves, plain calls, the gateway and the docs pass.

--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -24,7 +24,6 @@
 from siskinspoke.core.latencies import Latencies
 from siskinspoke.core.supervise import keep_running
 from siskinspoke.feeds.follower import FeedSet, Listener, Me
-from siskinspoke.gateway.asked import hear_rate_limit
 from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.clients import ClientServer
@@ -37,6 +36,7 @@
 from siskinspoke.gateway.questions import Questions
 from siskinspoke.gateway.reaching import hear_lost, look_again_forever, look_forever
 from siskinspoke.gateway.reports import ask_forever, try_cut_domains_forever
+from siskinspoke.gateway.restrictions import hear_rate_limit
 from siskinspoke.gateway.streams import think_of_streams
 from siskinspoke.gateway.wire import Wire
 from siskinspoke.protocol.announcements import Announcement
--- a/siskinspoke/gateway/exchange.py
+++ b/siskinspoke/gateway/exchange.py
@@ -5,8 +5,8 @@
 import trio
 
 from siskinspoke.coordination.directory import ServerRecord
-from siskinspoke.gateway.asked import hear_answer
 from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.restrictions import hear_answer
 from siskinspoke.transport.http1 import PeerError, RequestHead, connect
 
 
--- a/siskinspoke/gateway/placing.py
+++ b/siskinspoke/gateway/placing.py
@@ -14,7 +14,7 @@
     candidates,
     cell_candidates,
     least_loaded,
-    refuge,
+    reachable_unlimited,
 )
 from siskinspoke.gateway.widening import ask_others
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
@@ -118,14 +118,14 @@
     costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
     if costs is None or job is None:
-        records = refuge(gateway, candidates(gateway, request.service, excluded))
+        records = reachable_unlimited(gateway, candidates(gateway, request.service, excluded))
         records = _near(gateway, records, near_only)
         return Placed(least_loaded(gateway, records)) if records else None
     found = None
     look = Look(request.service, frozenset(excluded), near_only)
     tokens, now = job.tokens + job.max_tokens, now_ms()
     if not gateway.fullness.is_full(look, tokens, now):
-        records = refuge(gateway, cell_candidates(gateway, request.service, excluded))
+        records = reachable_unlimited(gateway, cell_candidates(gateway, request.service, excluded))
         found = choose(gateway, costs, job, _near(gateway, records, near_only))
         if found is None:
             gateway.fullness.note(look, tokens, now)
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -24,7 +24,7 @@
     least_loaded,
     permit_patience_ms,
     reachable,
-    refuge,
+    reachable_unlimited,
 )
 from siskinspoke.gateway.upstream import (
     Begun,
@@ -232,7 +232,7 @@
     left = request.left_ms(began)
 
     def has_other() -> bool:
-        return bool(refuge(gateway, _others(gateway, request, progress)))
+        return bool(reachable_unlimited(gateway, _others(gateway, request, progress)))
 
     onward = Onward(gateway, request, name, progress, has_other)
     told = False
--- a/siskinspoke/gateway/asked.py
+++ b/siskinspoke/gateway/restrictions.py
@@ -1,4 +1,4 @@
-"""Take in what backend servers ask of this VM in their answers."""
+"""Take in by what backend servers restrict the requests of this VM, in their answers."""
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.gateway.context import Gateway, now_ms
@@ -19,24 +19,28 @@
     """
     if answer.misdirected or answer.request_id not in (None, request_id):
         return
-    for field in answer.asked.unreadable:
-        gateway.counters.count(f"asked.unreadable.{field}")
+    for field in answer.restrictions.unreadable:
+        gateway.counters.count(f"restrictions.unreadable.{field}")
     _hear_rate_limit(gateway, request_id, server, answer, sent_at)
-    if answer.asked.back_off_ms is not None:
-        _hear_back_off(gateway, request_id, server, answer.asked.back_off_ms)
-    if answer.asked.leaving:
+    if answer.restrictions.back_off_ms is not None:
+        _hear_back_off(gateway, request_id, server, answer.restrictions.back_off_ms)
+    if answer.restrictions.leaving:
         _hear_leaving(gateway, request_id, server)
 
 
 def _is_sound(answer: Answer) -> bool:
     """Tell whether what an answer leaves out means that the server no longer asks for it."""
-    return answer.status < FAILED and answer.request_id is not None and not answer.asked.unreadable
+    return (
+        answer.status < FAILED
+        and answer.request_id is not None
+        and not answer.restrictions.unreadable
+    )
 
 
 def _hear_rate_limit(
     gateway: Gateway, request_id: str, server: ServerRecord, answer: Answer, sent_at: float
 ) -> None:
-    rate, now = answer.asked.rate_limit, now_ms()
+    rate, now = answer.restrictions.rate_limit, now_ms()
     known = gateway.rate_limits.find(server.start)
     if rate is not None:
         is_news = gateway.rate_limits.name(server.start, rate, now)
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -52,7 +52,7 @@
     ]
 
 
-def refuge(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
+def reachable_unlimited(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
     """Return the servers for which a request may leave another one."""
     return reachable(gateway, unlimited(gateway, records))
 
@@ -65,7 +65,7 @@
     if gateway.rate_limits.find(server.start) is None:
         return 0.0
     records = candidates(gateway, request.service, {server.announcement.server})
-    if refuge(gateway, records):
+    if reachable_unlimited(gateway, records):
         return 0.0
     return max(0.0, PERMIT_SHARE * request.route.target_ms - (now_ms() - request.arrived_ms))
 
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -6,10 +6,10 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.standing import Trouble
-from siskinspoke.gateway.asked import hear_answer
 from siskinspoke.gateway.attempts import ASK_AGAIN_SECONDS, Attempt
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.reaching import connect_to
+from siskinspoke.gateway.restrictions import hear_answer
 from siskinspoke.gateway.sending import Held, hold_back
 from siskinspoke.gateway.wire import Answer, Dispatch
 from siskinspoke.transport.http1 import PeerError, RequestHead, ServerConnection
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -60,8 +60,8 @@
     resume_after: str | None = None
 
 
-class Asked(NamedTuple):
-    """What a server asks of its callers in an answer.
+class Restrictions(NamedTuple):
+    """What a server asks of its callers in an answer, to get fewer requests.
 
     ``rate_limit`` is in requests a second from all VMs together, None where none is named.
     ``back_off_ms`` is for how long it wants nothing from this VM; ``leaving`` means that it is
@@ -92,7 +92,7 @@
     closes: bool
     idle_seconds: float | None
     framed: bool
-    asked: Asked = Asked()
+    restrictions: Restrictions = Restrictions()
 
 
 class EngineReport(NamedTuple):
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -5,7 +5,15 @@
 
 from siskinspoke.coordination.routes import RouteTable
 from siskinspoke.core.codes import FACTS, Failure, ResultCode
-from siskinspoke.gateway.wire import Answer, Asked, Call, Dispatch, EngineReport, Helper, Prompt
+from siskinspoke.gateway.wire import (
+    Answer,
+    Call,
+    Dispatch,
+    EngineReport,
+    Helper,
+    Prompt,
+    Restrictions,
+)
 from siskinspoke.platform import configuration, names, orders
 from siskinspoke.protocol.decimals import decimal
 from siskinspoke.transport.http1 import AnswerHead, Headers, RequestHead
@@ -119,7 +127,7 @@
             closes="close" in connection,
             idle_seconds=_idle_seconds(_first(head.headers, b"Keep-Alive")),
             framed=head.framed,
-            asked=_asked(head.status, head.headers),
+            restrictions=_restrictions(head.status, head.headers),
         )
 
     def own_answer(self, call_id: str, failure: Failure) -> tuple[int, Headers, bytes]:
@@ -155,7 +163,7 @@
         return configuration.table_from(document)
 
 
-def _asked(status: int, headers: Headers) -> Asked:
+def _restrictions(status: int, headers: Headers) -> Restrictions:
     """Return what a server asks of its callers."""
     rate_limit = _first(headers, names.RATE_LIMIT)
     rest = _first(headers, names.RETRY_AFTER) if status in TURNED_AWAY_STATUSES else None
@@ -164,7 +172,7 @@
         name for name, text in wanted.items() if text is not None and decimal(text) is None
     )
     seconds = decimal(rest)
-    return Asked(
+    return Restrictions(
         rate_limit=decimal(rate_limit),
         back_off_ms=None if seconds is None else seconds * 1000,
         leaving=_first(headers, names.LEAVING) == "1",
--- a/tests/platform/test_asked.py
+++ b/tests/platform/test_restrictions.py
@@ -6,9 +6,9 @@
 from siskinspoke.transport.http1 import AnswerHead
 
 
-def asked(*headers: tuple[bytes, bytes], status: int = 200):
+def restrictions(*headers: tuple[bytes, bytes], status: int = 200):
     """Return what an answer with these headers asks for."""
-    return PlatformWire().decode_answer(AnswerHead(status, list(headers), True)).asked
+    return PlatformWire().decode_answer(AnswerHead(status, list(headers), True)).restrictions
 
 
 class TestBackOff:
@@ -16,16 +16,16 @@
 
     @pytest.mark.parametrize("status", [503, 429])
     def test_seconds(self, status):
-        assert asked((b"Retry-After", b"1.5"), status=status).back_off_ms == 1_500
+        assert restrictions((b"Retry-After", b"1.5"), status=status).back_off_ms == 1_500
 
     def test_other_answers_ask_for_none(self):
-        assert asked((b"Retry-After", b"1"), status=200).back_off_ms is None
+        assert restrictions((b"Retry-After", b"1"), status=200).back_off_ms is None
 
     @pytest.mark.parametrize(
         "value", [b"", b"-1", b"nan", b"inf", b"9" * 400, b"Wed, 21 Oct 2026 07:28:00 GMT"]
     )
     def test_anything_else_is_unreadable(self, value):
-        found = asked((b"Retry-After", value), status=503)
+        found = restrictions((b"Retry-After", value), status=503)
         assert found.back_off_ms is None
         assert found.unreadable == ("back_off",)
 
@@ -35,7 +35,7 @@
 
     @pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
     def test_value(self, value, leaving):
-        assert asked((b"Server-Leaving", value)).leaving is leaving
+        assert restrictions((b"Server-Leaving", value)).leaving is leaving
 
 
 class TestRateLimit:
@@ -45,16 +45,16 @@
         ("value", "rate"), [(b"1", 1.0), (b"0.5", 0.5), (b"12.25", 12.25), (b"0", 0.0)]
     )
     def test_decimal_number(self, value, rate):
-        assert asked((b"Server-Limit", value)).rate_limit == rate
+        assert restrictions((b"Server-Limit", value)).rate_limit == rate
 
     @pytest.mark.parametrize(
         "value", [b"", b"many", b"-1", b"nan", b"inf", b"1e9", b"1_0", b"1,5", b"9" * 400, b"\xff"]
     )
     def test_anything_else_is_unreadable(self, value):
-        found = asked((b"Server-Limit", value))
+        found = restrictions((b"Server-Limit", value))
         assert found.rate_limit is None
         assert found.unreadable == ("rate_limit",)
 
     def test_none_named(self):
-        assert asked().rate_limit is None
-        assert not asked().unreadable
+        assert restrictions().rate_limit is None
+        assert not restrictions().unreadable
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -88,7 +88,7 @@
     site: GroupSite
     rng: random.Random
     lives: random.Random
-    wishes: random.Random
+    limits: random.Random
     gateways: tuple[str, ...] = GATEWAYS
     servers: list[StandinServer] = field(default_factory=list)
     valves: list[Valve] = field(default_factory=list)
@@ -116,14 +116,14 @@
             return self.rng.choice(
                 [
                     Events(last=3, then="cut", torn=b"id: 4\nda"),
-                    Refuse(back_off=self.wishes.choice((None, 0.8, 2.0))),
+                    Refuse(back_off=self.limits.choice((None, 0.8, 2.0))),
                     Close(),
                     Silent(),
                 ]
             )
         if roll < 0.85:
             return Whole(None, after=b"HTTP/1.1 200 OK\r\n" if roll < 0.05 else b"")
-        refuse = Refuse(back_off=self.wishes.choice((None, 0.8, 2.0)))
+        refuse = Refuse(back_off=self.limits.choice((None, 0.8, 2.0)))
         return self.rng.choice([refuse, Close(), Whole(None, request_id=b"other"), Silent()])
 
     async def run(self, seconds: float) -> None:
@@ -144,7 +144,7 @@
                         self._operate_forever,
                         self._read_forever,
                         self._live_forever,
-                        self._wish_forever,
+                        self._limit_forever,
                     ):
                         busy.start_soon(task)
                     for number in range(CLIENTS_A_GATEWAY * len(self.gateways)):
@@ -192,19 +192,19 @@
             else:
                 await self._write_strangely()
 
-    async def _wish_forever(self) -> None:
+    async def _limit_forever(self) -> None:
         """Let servers name limits, change and end them, and one at a time say that it leaves."""
         while True:
-            await trio.sleep(self.wishes.uniform(0.2, 1.0))
-            number = self.wishes.randrange(len(self.servers))
+            await trio.sleep(self.limits.uniform(0.2, 1.0))
+            number = self.limits.randrange(len(self.servers))
             server = self.servers[number]
-            if self.wishes.random() < 0.8:
-                server.rate_limit = self.wishes.choice((None, None, 0.5, 2.0, 8.0))
+            if self.limits.random() < 0.8:
+                server.rate_limit = self.limits.choice((None, None, 0.5, 2.0, 8.0))
                 self._note(f"limit of {server.name}: {server.rate_limit}")
                 continue
             self._note(f"leave of {server.name}")
             server.leaving = True
-            await trio.sleep(self.wishes.uniform(1.0, 4.0))
+            await trio.sleep(self.limits.uniform(1.0, 4.0))
             await self._start_again(number)
 
     def _disturb(self, gateway: str, *servers: StandinServer) -> None:
