Tell limits of engines to the cells that keep their books

In a fleet of more than 24 VMs an engine may name its limit to a VM of another cell, which told its own cell alone; those that use the engine most learned of the limit by their own next answers, after requests without permits.

Measured: the new test of gateway/test_cells.py failed before and passes, with the other tests of the gateway.

--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -149,7 +149,7 @@
         self._urgent.set()
 
     def rate_limit(self, start: tuple[str, int], rate: float | None, now: float) -> None:
-        """Tell the others of this cell what a server takes from all VMs together."""
+        """Tell this cell, and those that keep the server's books, what it takes from all VMs."""
         self._rate_limits[start] = rate, now
         self._some_news.set()
         self._urgent.set()
@@ -204,7 +204,8 @@
         rate_limits, self._rate_limits = self._rate_limits, {}
         for (server, incarnation), (rate, at) in rate_limits.items():
             item = RateLimitNews(server, incarnation, rate, now - at)
-            await port.send_to_all(item, self._cells.addresses(self._cells.mine))
+            for cell in {self._cells.mine, *self._cells.watching([server])}:
+                await port.send_to_all(item, self._cells.addresses(cell))
         news, self._news = self._news, {}
         mine = self._cells.mine
         if mine in news or self._budget.has_repeats_to_tell:
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -22,7 +22,7 @@
 from siskinspoke.gateway.widening import ask_others
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.feed import EntryPeer
-from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion, WorkNews
+from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion, RateLimitNews, WorkNews
 from tests.feeds.test_follower import Quiet
 
 PORT = 17_342
@@ -126,6 +126,21 @@
         expected = {at for cell in watching for at in fleet.cells.addresses(cell)}
         assert heard >= expected
 
+    def test_limit_of_another_cells_engine_is_told_there(self):
+        """An engine named its limit to a VM of another cell; its own cell was not told."""
+        fleet, port = Fleet(), Port()
+
+        async def run():
+            peers = peers_of(fleet, Books())
+            peers.rate_limit(("b-3", 1), 2.0, 0.0)
+            await peers._tell_all(port)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        heard = {address for _, addresses in port.sent for address in addresses}
+        cells = {fleet.cells.mine, *fleet.cells.watching(["b-3"])}
+        assert heard == {at for cell in cells for at in fleet.cells.addresses(cell)}
+        assert {item for item, _ in port.sent} == {RateLimitNews("b-3", 1, 2.0, 0.0)}
+
     def test_open_work_is_told_again_while_nothing_else_is_said(self):
         """A VM with one long stream has no news; its work must not be taken for a dead VM's."""
         fleet, port = Fleet(), Port()
