--- a/siskinspoke/coordination/limiters.py
+++ b/siskinspoke/coordination/limiters.py
@@ -21,8 +21,8 @@
 
 # How many VMs may grant permits for one server.
 MOST_LIMITERS = 3
-# The part of the rate that a limiter grants beside the first.  With a permit's life the sum stays
-# below one and a half times the rate: (1 + 2 * 0.15) * (4 s + 0.3 s) < 1.5 * 4 s.
+# The part of the rate that a limiter grants beside the first.  All together, with permits that are
+# used at the end of their life, must stay below one and a half times the rate in any 4 s.
 SPARE_SHARE = 0.15
 FIRST_BURST = 2.0
 SPARE_BURST = 1.0
--- a/tests/coordination/test_limiters.py
+++ b/tests/coordination/test_limiters.py
@@ -3,8 +3,13 @@
 import pytest
 
 from siskinspoke.coordination.limiters import (
+    FIRST_BURST,
+    LEAST_RATE,
     MOST_LIMITERS,
+    PERMIT_MS,
     QUIET_MS,
+    SPARE_BURST,
+    SPARE_SHARE,
     SPARE_WAIT_MS,
     STILL_MS,
     TAKE_OVER_MS,
@@ -64,6 +69,18 @@
         assert len(firsts) == 5
 
 
+class TestSum:
+    """What all limiters of a server may grant together."""
+
+    @pytest.mark.parametrize("rate", [0.0, 0.5, 1.0, 10.0, 1_000.0])
+    def test_within_the_promise(self, rate):
+        """In any 4 s a server gets one and a half times its limit and five requests at most."""
+        spares = MOST_LIMITERS - 1
+        seconds = 4.0 + PERMIT_MS / 1000
+        rates = (1 + spares * SPARE_SHARE) * max(LEAST_RATE, rate) * seconds
+        assert rates + FIRST_BURST + spares * SPARE_BURST <= 1.5 * 4.0 * rate + 5
+
+
 class TestLimiter:
     """What a limiter grants."""
 
