Count in the soak only what a server has told a VM

An answer with a strange id tells nothing, and VMs are excused until what a disturbed proxy held up has run off.

--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -185,10 +185,14 @@
     def _next(self) -> Behaviour:
         return self.script.popleft() if len(self.script) > 1 else self.script[0]
 
-    def _asks(self, vm: str, back_off: float | None = None) -> list[bytes]:
-        """Return the header lines by which an answer to a VM asks for something."""
-        now = trio.current_time()
-        self.account.answered(vm, now, self.rate_limit, back_off, self.leaving)
+    def _asks(self, vm: str, back_off: float | None = None, told: bool = True) -> list[bytes]:
+        """Return the header lines by which an answer to a VM asks for something.
+
+        ``told`` is False for an answer that the VM must not believe.
+        """
+        if told:
+            now = trio.current_time()
+            self.account.answered(vm, now, self.rate_limit, back_off, self.leaving)
         lines = []
         if self.rate_limit is not None:
             lines.append(b"Server-Limit: %g" % self.rate_limit)
@@ -205,7 +209,8 @@
         match behaviour:
             case Whole() as whole:
                 await trio.sleep(whole.begin_after)
-                await stream.send_all(_whole(whole, request_id, self._asks(vm)) + whole.after)
+                asks = self._asks(vm, told=whole.request_id is None)
+                await stream.send_all(_whole(whole, request_id, asks) + whole.after)
                 return True
             case Refuse(status=status, headers=more, back_off=back_off):
                 asks = self._asks(vm, back_off)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
 PROMISED_SECONDS = 2.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
+HELD_UP_SECONDS = 0.5
 PROMPT = {"Token_Counts": "5000,900"}
 
 
@@ -407,8 +408,11 @@
         with trio.CancelScope(shield=True):
             await trio.sleep(self.rng.uniform(0.2, 1.5))
         valve.mode = "pass"
-        for gateway in self.gateways:
-            self._disturb(gateway, valve.server)
+        # What was held up reaches the server now, and its answers may reach nobody any more.
+        for pause in (0.0, HELD_UP_SECONDS):
+            await trio.sleep(pause)
+            for gateway in self.gateways:
+                self._disturb(gateway, valve.server)
 
     async def _heal(self) -> None:
         for valve in self.valves:
