Read all ways to write a decimal number in servers' headers

Found by reading: a limit with more than twelve digits behind its point, as programs print a third, or one that begins with the point, was taken for no number, so the limit was not kept.

Measured: the test with sixteen digits failed before (None) and passes; 63 tests of headers, restrictions, back-offs and limits pass.

--- a/siskinspoke/protocol/decimals.py
+++ b/siskinspoke/protocol/decimals.py
@@ -1,11 +1,17 @@
 """Decimal numbers in headers that other programs write."""
 
+import math
 import re
 
-# A longer one would round to infinity, or take long to read.
-_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+_DECIMAL = re.compile(r"[0-9.eE+-]{1,40}")
 
 
 def decimal(text: str | None) -> float | None:
     """Return a number of zero and more, None where there is none or the text is something else."""
-    return float(text) if text is not None and _DECIMAL.fullmatch(text) else None
+    if text is None or not _DECIMAL.fullmatch(text):
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
--- /dev/null
+++ b/tests/protocol/test_decimals.py
@@ -0,0 +1,28 @@
+"""Numbers in headers of other programs."""
+
+import pytest
+
+from siskinspoke.protocol.decimals import decimal
+
+
+class TestDecimal:
+    """Any way to write a finite number of zero and more is read; nothing else is."""
+
+    @pytest.mark.parametrize(
+        ("text", "number"),
+        [("1", 1.0), ("0", 0.0), ("0.5", 0.5), (".5", 0.5), ("5.", 5.0), ("1e-05", 1e-05)],
+    )
+    def test_numbers(self, text, number):
+        assert decimal(text) == number
+
+    def test_all_digits_of_a_float(self):
+        """A limit with sixteen digits behind its point was taken for none."""
+        assert decimal(repr(1 / 3)) == 1 / 3
+        assert decimal(repr(2 / 3 * 1e-7)) == 2 / 3 * 1e-7
+
+    @pytest.mark.parametrize(
+        "text",
+        [None, "", "-1", "nan", "inf", "1e999", "1_0", "1,5", "0x1", "1 2", "9" * 41, "e", "٣"],
+    )
+    def test_anything_else(self, text):
+        assert decimal(text) is None
