--- a/siskinspoke/gateway/sending.py
+++ b/siskinspoke/gateway/sending.py
@@ -39,9 +39,14 @@
     return None
 
 
+def _restricts_any(gateway: Gateway) -> bool:
+    """Tell whether any server that has not left restricts this VM's requests."""
+    return bool(gateway.back_offs or gateway.rate_limits)
+
+
 def not_held(gateway: Gateway, records: Iterable[ServerRecord]) -> list[ServerRecord]:
     """Return those of some servers that have not left to which a request may be sent."""
-    if not gateway.back_offs and not gateway.rate_limits:
+    if not _restricts_any(gateway):
         return list(records)
     now = now_ms()
     return [record for record in records if held(gateway, record, now) is None]
@@ -54,6 +59,8 @@
 
 def opens_in_ms(gateway: Gateway, service: str) -> float | None:
     """Return when a service's first server takes requests again, None unless all are held."""
+    if not _restricts_any(gateway):
+        return None
     now = now_ms()
     waits = [held(gateway, record, now) for record in gateway.directory.believed(service, now)]
     if not waits or None in waits:
