Draw limiters with the rendezvous order that is there

Cause: limiters_of hashed and sorted hosts by itself, as rendezvous_order of coordination/watchers.py does for control VMs and witnesses.

Change: it calls that, and puts the VMs of the server's failure domain first by a stable sort; the draw is the same.

--- a/siskinspoke/coordination/limiters.py
+++ b/siskinspoke/coordination/limiters.py
@@ -14,10 +14,9 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-import xxhash
-
 from siskinspoke.coordination.rate_limits import Start
 from siskinspoke.coordination.token_bucket import TokenBucket
+from siskinspoke.coordination.watchers import rendezvous_order
 
 # How many VMs may grant permits for one server.
 MOST_LIMITERS = 3
@@ -85,11 +84,8 @@
     cut they are the ones who reach it.
     """
 
-    def order(host: str) -> tuple[bool, int, str]:
-        drawn = xxhash.xxh64_intdigest(f"{server}/{host}".encode())
-        return vms[host] != domain, -drawn, host
-
-    return tuple(sorted(vms, key=order)[:MOST_LIMITERS])
+    drawn = rendezvous_order(server, vms)
+    return tuple(sorted(drawn, key=lambda host: vms[host] != domain)[:MOST_LIMITERS])
 
 
 class Limiter:
