Specify evacuations, cold servers, admission and buffers, and add their interfaces

Cause: two deployments need features that do not exist: evacuation of failure domains, a request limit for cold servers, an order among requests that wait for room, places of plain servers counted over all VMs, bounded buffers for slow readers, and regions.

Settings, configuration, heartbeat, result codes, feed and peer messages get the fields that the parts share, with defaults that leave a deployment without them as it was.

--- a/siskinspoke/conf/vm.py
+++ b/siskinspoke/conf/vm.py
@@ -4,7 +4,9 @@
 through which control VMs and entry VMs discover each other.
 """
 
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
@@ -12,6 +14,9 @@
 
 from siskinspoke.core.codes import Failure, ResultCode
 
+# A request that waits holds its body; a longer queue could not be served within any deadline.
+MAX_QUEUE_CAPACITY = 10_000
+
 
 class Address(NamedTuple):
     """A host and port to listen on or connect to."""
@@ -34,6 +39,12 @@
 
     ``public``, ``ready`` and ``operators`` are the addresses that this VM serves; empty ones are
     disabled.  ``found`` is true only when the whole system starts for the first time.
+    ``domain_regions`` maps the failure domains that exist to their regions.  In any one second, a
+    cold server may get its rate times ``cold_overshoot`` plus ``cold_slack`` requests from all VMs.
+    ``queue_capacity`` is the number of requests that this entry VM may hold until there is room for
+    them, and ``buffer_bytes`` what it may hold for clients that read slowly; 0 disables either.
+    ``memory_mb`` is the memory of the VM in megabytes, 0 if unknown.  ``features`` are names by
+    which the platform asks for some of these settings.
     """
 
     name: str
@@ -51,6 +62,13 @@
     retry_share: float = 0.2
     retry_burst: float = 100
     internal_key: str = ""
+    domain_regions: dict[str, str] = {}
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
+    queue_capacity: int = 0
+    buffer_bytes: int = 0
+    memory_mb: float = 0
+    features: list[str] = []
 
 
 class VmSettings(NamedTuple):
@@ -71,6 +89,13 @@
     retry_share: float
     retry_burst: float
     internal_key: bytes
+    domain_regions: Mapping[str, str] = MappingProxyType({})
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
+    queue_capacity: int = 0
+    buffer_bytes: int = 0
+    memory_mb: float = 0.0
+    features: frozenset[str] = frozenset()
 
     @property
     def link_port(self) -> int:
@@ -113,6 +138,7 @@
         raise ValueError("internal_ports must list the first and the last port")
     if not vm_file.seeds:
         raise ValueError("seeds must list at least one control VM")
+    _check_limits(vm_file)
     return VmSettings(
         name=vm_file.name,
         host=vm_file.host,
@@ -129,4 +155,23 @@
         retry_share=vm_file.retry_share,
         retry_burst=vm_file.retry_burst,
         internal_key=vm_file.internal_key.encode(),
+        domain_regions=MappingProxyType(dict(vm_file.domain_regions)),
+        cold_overshoot=vm_file.cold_overshoot,
+        cold_slack=vm_file.cold_slack,
+        queue_capacity=vm_file.queue_capacity,
+        buffer_bytes=vm_file.buffer_bytes,
+        memory_mb=vm_file.memory_mb,
+        features=frozenset(vm_file.features),
     )
+
+
+def _check_limits(vm_file: VmFile) -> None:
+    """Raise ValueError if a limit is out of range."""
+    if vm_file.cold_overshoot < 1:
+        raise ValueError("cold_overshoot must be at least 1")
+    if vm_file.cold_slack < 0:
+        raise ValueError("cold_slack must not be negative")
+    if not 0 <= vm_file.queue_capacity <= MAX_QUEUE_CAPACITY:
+        raise ValueError(f"queue_capacity must be from 0 to {MAX_QUEUE_CAPACITY}")
+    if vm_file.buffer_bytes < 0:
+        raise ValueError("buffer_bytes must not be negative")
--- a/siskinspoke/coordination/routes.py
+++ b/siskinspoke/coordination/routes.py
@@ -44,12 +44,23 @@
 
 
 class Service(NamedTuple):
-    """A group of interchangeable backend servers; ``engine`` is None for a plain service."""
+    """A group of interchangeable backend servers; ``engine`` is None for a plain service.
+
+    A server is cold for ``cold_ms`` milliseconds after its start, in which it takes ``cold_rate``
+    requests a second; both are 0 for a service whose servers take any rate at once.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineCosts | None = None
+    cold_ms: float = 0.0
+    cold_rate: float = 0.0
+
+    @property
+    def has_cold_servers(self) -> bool:
+        """Return whether the servers take a limited rate after their start."""
+        return self.cold_ms > 0 and self.cold_rate > 0
 
 
 class Route(NamedTuple):
@@ -57,6 +68,7 @@
 
     ``timeout_ms`` limits the whole answer.  ``target_ms`` is the time within which the answer is
     of full use, and ``pause_ms`` the longest pause between events with which a stream is.
+    ``regions`` are the only regions in which a request may be served; empty allows all.
     """
 
     name: str
@@ -71,6 +83,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -85,11 +98,15 @@
 
 
 class Customer(NamedTuple):
-    """A customer, its API keys, and a priority that overrides the route's."""
+    """A customer, its API keys, and a priority that overrides the route's.
+
+    ``regions`` are the only regions in which its requests may be served; empty allows all.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 class ClientLimits(NamedTuple):
--- a/siskinspoke/core/codes.py
+++ b/siskinspoke/core/codes.py
@@ -42,6 +42,8 @@
     TOO_MANY_STREAMS = 2006
     NOT_REACHABLE_NOW = 2007
     QUARANTINED = 2008
+    EVACUATED = 2009
+    REGION = 2010
     DEADLINE_PASSED = 3001
     FATE_UNKNOWN = 3002
     IN_PROGRESS = 3003
@@ -59,6 +61,8 @@
     ORDER_REUSED = 4005
     NOT_IN_FORCE = 4006
     CLAIM_CONFLICT = 4007
+    UNKNOWN_DOMAIN = 4008
+    NOTHING_CHANGED = 4009
     JOURNAL_CORRUPT = 5001
     DISK_FULL = 5002
     FOREIGN_FOLDER = 5003
@@ -126,6 +130,10 @@
     ResultCode.QUARANTINED: CodeInfo(
         503, RunStatus.NOT_RUN, 20, "Servers crash under this request, so it is not sent."
     ),
+    ResultCode.EVACUATED: CodeInfo(
+        503, RunStatus.NOT_RUN, 20, "All servers of the service are in evacuated failure domains."
+    ),
+    ResultCode.REGION: CodeInfo(503, RunStatus.NOT_RUN, 20, "No server is in an allowed region."),
     ResultCode.DEADLINE_PASSED: CodeInfo(504, RunStatus.UNKNOWN, 30, "The deadline passed."),
     ResultCode.FATE_UNKNOWN: CodeInfo(502, RunStatus.UNKNOWN, 30, "It may have run."),
     ResultCode.IN_PROGRESS: CodeInfo(409, RunStatus.RAN, 30, "The first attempt still runs."),
@@ -151,6 +159,8 @@
     ResultCode.CLAIM_CONFLICT: CodeInfo(
         409, RunStatus.NOT_RUN, 40, "The claim is another attempt's."
     ),
+    ResultCode.UNKNOWN_DOMAIN: CodeInfo(404, RunStatus.NOT_RUN, 40, "No such failure domain."),
+    ResultCode.NOTHING_CHANGED: CodeInfo(200, RunStatus.RAN, 0, "Accepted, and in force already."),
     ResultCode.JOURNAL_CORRUPT: CodeInfo(500, RunStatus.UNKNOWN, 50, "The journal is damaged."),
     ResultCode.DISK_FULL: CodeInfo(500, RunStatus.UNKNOWN, 50, "The disk is full."),
     ResultCode.FOREIGN_FOLDER: CodeInfo(500, RunStatus.NOT_RUN, 50, "The folder is another VM's."),
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -164,7 +164,21 @@
         return _work_key(self._host, self._process_id, number)
 
     def _empty_update(self) -> WorkNews:
-        return WorkNews(self._host, self._process_id, [], [], [], [], [], self._domain, [], [])
+        return WorkNews(
+            self._host,
+            self._process_id,
+            began=[],
+            wrote=[],
+            ended=[],
+            paces=[],
+            calls=[],
+            domain=self._domain,
+            cuts=[],
+            lost=[],
+            waiting=[],
+            left=[],
+            open_calls=[],
+        )
 
     def _update_for(self, cell: Cell) -> WorkNews:
         update = self._pending_work.get(cell)
--- a/siskinspoke/management/vm_files.py
+++ b/siskinspoke/management/vm_files.py
@@ -8,6 +8,7 @@
 from siskinspoke.conf.vm import VmSettings, vm_settings_from
 from siskinspoke.core.codes import Failure, FailureError, ResultCode
 from siskinspoke.platform import SETTINGS_VARIABLE
+from siskinspoke.platform.features import with_features
 
 flags.DEFINE_string(
     "vm_file", "", "Settings file of this VM (JSON); defaults to the file named in the environment."
@@ -26,6 +27,6 @@
         settings = vm_settings_from(settings_path)
         if settings.is_error():
             raise FailureError(settings.error)
-        return settings.ok
+        return with_features(settings.ok)
 
     return read_settings
--- a/siskinspoke/platform/configuration.py
+++ b/siskinspoke/platform/configuration.py
@@ -48,6 +48,7 @@
     public: bool = False
     resumable: bool = False
     target_gap_ms: float = 0
+    allowed_regions: list[str] = []
 
 
 class WireEngine(msgspec.Struct):
@@ -73,6 +74,10 @@
     health_path: str = "/"
     max_conns: int = 100
     engine: WireEngine | None = None
+    # Seconds after its start in which a server is cold, and the requests a second that it then
+    # takes.
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 class WireLimits(msgspec.Struct):
@@ -90,6 +95,7 @@
     name: str
     api_keys: list[str]
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class WireConfiguration(msgspec.Struct):
@@ -142,27 +148,38 @@
         max_attempts=max(1, wire.max_attempts),
         public=wire.public,
         resumable=wire.resumable,
+        regions=frozenset(wire.allowed_regions),
     )
 
 
+def _service(wire: WireService) -> Service:
+    return Service(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_conns,
+        engine=_engine(wire.engine),
+        cold_ms=wire.cold_s * 1000,
+        cold_rate=wire.cold_per_s,
+    )
+
+
+def _customer(wire: WireCustomer) -> Customer:
+    return Customer(wire.name, tuple(wire.api_keys), wire.priority, frozenset(wire.allowed_regions))
+
+
 def _table(wire: WireConfiguration) -> RouteTable:
     limits = wire.limits
     return RouteTable(
         version=wire.version,
         routes=[_route(item) for item in wire.routes],
-        services=[
-            Service(item.name, item.health_path, item.max_conns, _engine(item.engine))
-            for item in wire.services
-        ],
+        services=[_service(item) for item in wire.services],
         limits=ClientLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
-        customers=[
-            Customer(item.name, tuple(item.api_keys), item.priority) for item in wire.tenants
-        ],
+        customers=[_customer(item) for item in wire.tenants],
     )
 
 
--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -33,6 +33,10 @@
     # Start time of the server process as a Unix timestamp in milliseconds, by its own clock. Some
     # deployments omit it and give each process its own server ID.
     born: int = UNKNOWN_INCARNATION
+    # How much longer the server is cold, in milliseconds.
+    cold_left_ms: float | None = None
+    # Requests that the server runs at once; 0 if it does not say.
+    slots: int = 0
 
 
 class Farewell(msgspec.Struct):
@@ -58,6 +62,8 @@
             failure_domain=heartbeat.zone,
             host=address.host,
             port=address.port,
+            cold_ms=None if heartbeat.cold_left_ms is None else round(heartbeat.cold_left_ms),
+            slots=heartbeat.slots,
         )
     )
 
--- a/siskinspoke/protocol/announcements.py
+++ b/siskinspoke/protocol/announcements.py
@@ -14,7 +14,8 @@
     ``incarnation`` grows with each start of the server and ``seq`` with each announcement.
     Token counts are KV cache capacity, rates are in tokens per second, and ``queued`` holds the
     number of waiting prefill tokens by priority rank. ``fencing`` tells whether the server rejects
-    outdated orders.
+    outdated orders. ``cold_ms`` is how much longer the server is cold, in milliseconds, None if it
+    does not say. ``slots`` is the number of requests that it runs at once, 0 if it does not say.
     """
 
     server: str
@@ -33,6 +34,8 @@
     queued: list[int]
     prefill_rate: float
     accepted_seq: int
+    cold_ms: int | None = None
+    slots: int = 0
 
 
 @message
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -1,5 +1,6 @@
 """Datagrams between entry VMs: work at engines, placement queries and rate limit permits."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from siskinspoke.coordination.limiters import Outcome
@@ -58,6 +59,31 @@
     held: list[int]
 
 
+class WaitBegan(NamedTuple):
+    """A request that waits for room, with the fields of ``admission.Waiter`` that order it.
+
+    Times are in milliseconds before or after the message was sent.
+    """
+
+    number: int
+    service: str
+    rank: int
+    customer: str
+    waited_ms: float
+    target_in_ms: float
+    leaves_in_ms: float
+    cost_ms: float
+    value: float
+    returned: bool = False
+
+
+class OpenCalls(NamedTuple):
+    """The number of plain calls that a VM has open at a server."""
+
+    server: str
+    count: int
+
+
 @message
 class WorkNews(NamedTuple):
     """The work that an entry VM has begun, brought to its first token and ended, by number.
@@ -65,6 +91,8 @@
     ``start`` distinguishes this run of the process from earlier ones on the same host. ``calls``
     counts requests and retries since the last message. ``cuts`` are the failure domains that a VM
     in ``domain`` now considers unreachable, ``lost`` the servers that it could not reach.
+    ``waiting`` are requests that began to wait for room, ``left`` the numbers of those that no
+    longer do, and ``open_calls`` the changed numbers of open plain calls.
     """
 
     host: str
@@ -77,6 +105,9 @@
     domain: str
     cuts: list[str]
     lost: list[str]
+    waiting: Sequence[WaitBegan] = ()
+    left: Sequence[int] = ()
+    open_calls: Sequence[OpenCalls] = ()
 
 
 @message
