Tell a refused connection from other failures to connect

Cause: entry/backend.py took any httpx.ConnectError for a connection refused by the server's machine. An entry VM without a free descriptor, or without its own address, therefore recorded every server it called as crashed. That no byte was sent is true for each cause of a ConnectError; that the process is gone only for ECONNREFUSED.

Change: the chain of causes is searched for ConnectionRefusedError.

Result: two of the three new tests fail before the change and pass after it; tests/entry passes (21).

--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -23,7 +23,7 @@
 # Statuses whose Retry-After header asks this VM to back off.
 BACK_OFF_STATUSES = frozenset({429, 503})
 # The reason of a NotBegun whose connection was refused: the machine is up, the process is not.
-CONNECTION_REFUSED = httpx.ConnectError.__name__
+CONNECTION_REFUSED = ConnectionRefusedError.__name__
 # Beyond every sequence number of cache events, so the answer is short.
 AFTER_ALL_EVENTS = 2**62
 
@@ -68,6 +68,22 @@
     return isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout)
 
 
+def is_connection_refused(error: BaseException | None) -> bool:
+    """Return whether an error was caused by a connection that the other machine refused.
+
+    A connection also fails where this VM lacks a descriptor, an address or a route.  That proves
+    nothing about the server.
+    """
+    match error:
+        case None:
+            return False
+        case ConnectionRefusedError():
+            return True
+        case BaseExceptionGroup(exceptions=causes):
+            return any(is_connection_refused(cause) for cause in causes)
+    return is_connection_refused(error.__cause__ or error.__context__)
+
+
 @dataclass(eq=False, slots=True)
 class _WatchedAttempt:
     """An attempt whose server the watchdog monitors."""
@@ -162,7 +178,9 @@
             return Lost(assembler.offset, "the server stopped responding")
         except httpx.HTTPError as error:
             if connection_failed(error):
-                return NotBegun(type(error).__name__, reached=False)
+                refused = is_connection_refused(error)
+                reason = CONNECTION_REFUSED if refused else type(error).__name__
+                return NotBegun(reason, reached=False)
             return Lost(assembler.offset, type(error).__name__)
         except (msgspec.MsgspecError, ValueError) as error:
             # A malformed answer fails only its own attempt.
@@ -263,9 +281,9 @@
         with trio.move_on_after(EXCHANGE_TIMEOUT_SECONDS):
             try:
                 await self._control.get(f"http://{target.host}:{target.port}/")
-            except httpx.ConnectError:
-                return True
-            except httpx.HTTPError:
+            except httpx.HTTPError as error:
+                if is_connection_refused(error):
+                    return True
                 # Other errors do not prove that the process is dead.
                 self._counters.count("backend.exchange_failed")
         return False
