--- a/siskinspoke/bench/pass_bench.py
+++ b/siskinspoke/bench/pass_bench.py
@@ -215,7 +215,6 @@
     slot_queue: list[Prompt] = field(default_factory=list)
     prefill_queue: list[Prompt] = field(default_factory=list)
     decoding: list[Prompt] = field(default_factory=list)
-    kept_tokens: dict[int, int] = field(default_factory=dict)
     busy: bool = False
 
     def begin_pass(self) -> tuple[float, list[Prompt]] | None:
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -15,7 +15,7 @@
 from siskinspoke.control.registry import Registry
 from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
-from siskinspoke.coordination.directory import Directory
+from siskinspoke.coordination.directory import ANNOUNCEMENTS_PER_LEASE, Directory
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import FoundGroup, JoinGroup, Times
 from siskinspoke.core.codes import Failure, FailureError
@@ -41,8 +41,6 @@
 # Journal entries between snapshots. Each holds a whole configuration, which takes several times its
 # size in memory.
 SNAPSHOT_ENTRIES = 24
-# Servers announce themselves every 1.2 s; a lease allows for the loss of four announcements.
-ANNOUNCEMENTS_PER_LEASE = 4
 DISK_RETRY_SECONDS = 0.5
 MAINTENANCE_SECONDS = 2.0
 # Servers join and leave in bursts; the lists are written at most this often.
--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -11,6 +11,9 @@
 
 from siskinspoke.protocol.announcements import Announcement, Load, merge_load, server_key
 
+# Announcement intervals in a lease: it outlasts two lost announcements in a row and a third that
+# arrives late.
+ANNOUNCEMENTS_PER_LEASE = 4
 LEFT_RETENTION_MS = 60_000
 CAPACITY_RETENTION_MS = 3_600_000
 # How long a restarted VM routes to servers that it knew before and has not heard from since. It
--- a/siskinspoke/coordination/membership.py
+++ b/siskinspoke/coordination/membership.py
@@ -13,8 +13,9 @@
 
 FOUND, ADD, REMOVE, ADMIT = "found", "add-member", "remove-member", "admit"
 MEMBERSHIP_KINDS = frozenset({FOUND, ADD, REMOVE, ADMIT})
-# Time without contact after which a group of even size removes a member: four times the longest
-# election timeout in use, so that an election or a slow disk does not cause a removal.
+# Time without contact after which a group of even size removes a member.  It outlasts one ordinary
+# election, whose timeout is at most 1.2 s.  A member removed too early joins again, at the cost of
+# two log entries; one removed late leaves a group whose majority cannot bear the next loss.
 MEMBER_TIMEOUT_MS = 2_500.0
 # With only two members, the loss of a single disk could not be tolerated.
 MIN_MEMBERS = 3
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -14,8 +14,8 @@
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.work_table import Job, Stage, WorkTable
 
-# Maximum number of engines, besides the decoding one, that prefill parts of one prompt.
-MAX_HELPERS = 16
+# Numbers of engines that may prefill one prompt together: the decoding one and at most 16 helpers,
+# which is the protocol's limit.
 GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 17)
 # Passes should stay within this share of the longest pause that a stream allows, since their
 # length is only an estimate.
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -11,7 +11,11 @@
 from siskinspoke.conf.watch import SettingsWatcher
 from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.crash_watch import CrashWatch
-from siskinspoke.coordination.directory import AnnouncementEffect, Directory
+from siskinspoke.coordination.directory import (
+    ANNOUNCEMENTS_PER_LEASE,
+    AnnouncementEffect,
+    Directory,
+)
 from siskinspoke.coordination.domains import DomainMonitor
 from siskinspoke.coordination.liveness import ConnectTimeout, ProbeTracker
 from siskinspoke.coordination.placement import Placement
@@ -49,8 +53,6 @@
 from siskinspoke.transport.datagrams import open_datagram_port
 from siskinspoke.transport.pages import Page, Pages, metrics_pages, serve_pages
 
-# Announcements arrive every 1.2 s; a server's lease tolerates the loss of four.
-ANNOUNCEMENTS_PER_LEASE = 4
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 RELOAD_INTERVAL_SECONDS = 1.0
 # The load balancer checks readiness once a second and removes a VM after two failed checks; after
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -49,7 +49,9 @@
 # Least read timeout of a body, so that an attempt is not abandoned between two parts of it.
 MIN_READ_TIMEOUT_MS = 100.0
 TIMED_OUT = "the answer did not end in time"
-# After so many attempts, at least one of which was not run, no further server is tried.
+# After so many attempts, at least one of which was not run, no further server is tried.  Plain
+# services have few servers, so by then the service as a whole is full, and a refusal that tells the
+# caller when to return serves it sooner than one more round trip.
 MAX_ATTEMPTS_IF_REFUSED = 4
 # Retry-After of refusals because all servers are busy or gone.  Milliseconds.
 RETRY_AFTER_MS = 400
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -54,8 +54,9 @@
 from siskinspoke.transport.http1 import ClientConnection
 
 # The first token is awaited on another engine once it is later than this many times the expected
-# time and than this minimum, if another engine can take the prompt.  A server itself drops a
-# request that has waited 1.5 s for an unreachable helper.
+# time and than this minimum, if another engine can take the prompt.  The minimum is the longest
+# pause that streams usually allow: an engine may prefill other prompts for so long, and emits
+# nothing meanwhile.
 FIRST_TOKEN_TIMEOUT_FACTOR = 4.0
 MIN_FIRST_TOKEN_TIMEOUT_MS = 1_000.0
 # After a server was lost or stopped responding, the next attempt opens a new connection: the next
