--- a/siskinspoke/coordination/election_timer.py
+++ b/siskinspoke/coordination/election_timer.py
@@ -40,10 +40,15 @@
         )
 
     def vote_timeout(self, now: float) -> float:
-        """Return the randomized time to wait for an election result once the vote is durable."""
+        """Return the randomized time to wait for an election result once the vote is durable.
+
+        The backoff widens the range instead of shifting it.  All replicas of a group that has split
+        its votes wait at the same time, so a range that grows with its lower end would keep them
+        together for longer without parting them.
+        """
         turns = LOOP_ITERATIONS_PER_REPLY * self.turn_delays.second_longest(now)
         syncs = SYNCS_PER_VOTE * self.sync_durations.longest(now)
-        return self._randomize(self._clamp(turns + syncs) * self._backoff)
+        return self._clamp(turns + syncs) * self._rng.uniform(1, 2 * self._backoff)
 
     def leader_timeout(self, now: float) -> float:
         """Return the time without replies from a majority after which a leader steps down."""
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -35,6 +35,11 @@
     return running[0] if running else None
 
 
+def all_busy(site):
+    """Return whether each engine runs a request."""
+    return all(site.server_state(name)["running"] for name in ENGINES)
+
+
 async def wait_for_busy_engine(site):
     """Wait until an engine runs a request and return the engine's name."""
     await trio.to_thread.run_sync(
@@ -314,6 +319,8 @@
                     nursery.start_soon(
                         lambda: complete(site, tokens=300_000, timeout_ms=60_000, resume=False)
                     )
+                # An engine without a long prompt could serve the next one, so each must have one.
+                await trio.to_thread.run_sync(wait_until, lambda: all_busy(site), "all busy")
                 await trio.sleep(1.0)
                 refused = await complete(site, tokens=100_000, timeout_ms=5_000)
                 nursery.cancel_scope.cancel()
