Replicate orders to evacuate a failure domain, and accept them from operators

Cause: nothing could keep requests away from a failure domain that operators are about to take down.

`POST /evacuation/DOMAIN/begin` and `/end` are accepted by any control VM and acknowledged once a majority has them on disk. The commit index is recorded for an evacuation as for a configuration. A repeat joins the pending order if that is the last one for its domain; an order that is in force is answered without an entry once a majority has confirmed the leader.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -245,6 +245,12 @@
         """Return the known entry VMs."""
         return self._entries
 
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains of the VMs that follow this one or recently did."""
+        entries = self._entries.stored(trio.current_time())
+        return frozenset(self._control_domains.values()) | {item.failure_domain for item in entries}
+
     def publish(self, version: int, document: dict) -> None:
         """Send a configuration to all followers that lack it."""
         for session in list(self._sessions):
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -84,7 +84,13 @@
         self._latencies = Latencies()
         lease_ms = self._watch.settings.announce_every_ms * ANNOUNCEMENTS_PER_LEASE
         self._directory = Directory(lease_ms)
-        self.registry = Registry(self._directory, self._counters, log)
+        self.registry = Registry(
+            self._directory,
+            self._counters,
+            log,
+            self._watch.settings.name,
+            self._watch.settings.domain_regions,
+        )
         self._replica: Replica | None = None
         self._task: ReplicaTask | None = None
         self._feeds = self._make_feeds()
--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -1,19 +1,31 @@
 """The registry of a control VM: announcements of backend servers, and the configuration.
 
 It gives two guarantees. A leave is confirmed only after all VMs that can be reached have
-received it. A configuration is accepted only once a majority has it on disk, and is read only from
-a replica that knows that there is no newer one.
+received it. A configuration, or an order to evacuate a failure domain, is accepted only once a
+majority has it on disk; a configuration is read only from a replica that knows that there is no
+newer one.
 """
 
 import math
-from collections.abc import Set
+from collections.abc import Mapping, Set
+from types import MappingProxyType
 from typing import NamedTuple
 
+import msgspec
+import trio
+from expression import Error, Ok, Result
+
 from siskinspoke.control.feed_hub import ConfigurationVersion, FeedHub
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.announcement_checks import announcement_fault
 from siskinspoke.coordination.directory import AnnouncementEffect, Directory
-from siskinspoke.coordination.state_machine import PUBLISH, PublishRequest
+from siskinspoke.coordination.evacuations import (
+    EvacuationAnswer,
+    EvacuationOrder,
+    EvacuationTable,
+    is_valid_domain,
+)
+from siskinspoke.coordination.state_machine import EVACUATE, PUBLISH, PublishRequest
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
@@ -23,6 +35,11 @@
 LEAVE_TIMEOUT_SECONDS = 0.4
 PUBLISH_TIMEOUT_SECONDS = 0.9
 READ_TIMEOUT_SECONDS = 0.7
+EVACUATION_TIMEOUT_SECONDS = 0.9
+# How long the read may take that tells whether a failure domain was named by an earlier order.
+DOMAIN_READ_TIMEOUT_SECONDS = 0.4
+# An order that finds no leader is proposed again after this time.
+LEADER_POLL_SECONDS = 0.05
 # Minimum interval between log lines for refused announcements, which may arrive without end.
 REFUSED_LOG_INTERVAL_MS = 1_000.0
 
@@ -37,7 +54,16 @@
 class Registry:
     """Process announcements and configurations and send the changes to followers."""
 
-    def __init__(self, directory: Directory, counters: Counters, log: DecisionLog):
+    def __init__(
+        self,
+        directory: Directory,
+        counters: Counters,
+        log: DecisionLog,
+        vm: str = "",
+        domain_regions: Mapping[str, str] = MappingProxyType({}),
+    ):
+        self._vm = vm
+        self._domain_regions = domain_regions
         self._directory = directory
         self._counters = counters
         self._log = log
@@ -61,6 +87,11 @@
         machine = self._task.machine
         return ConfigurationVersion(machine.version, machine.document)
 
+    @property
+    def evacuations(self) -> EvacuationTable:
+        """Return the evacuations that this replica has applied."""
+        return EvacuationTable() if self._task is None else self._task.machine.evacuations
+
     def last_announcement(self, server: str) -> Announcement | None:
         """Return the last announcement of a server."""
         record = self._directory.latest(server)
@@ -174,3 +205,89 @@
             self._counters.count("read.unsure")
             return None
         return self.configuration
+
+    async def evacuate(self, domain: str, begin: bool) -> Result[EvacuationAnswer, Failure]:
+        """Replicate an order to begin or end an evacuation and wait until a majority has it.
+
+        The failures are INVALID_FIELD, UNKNOWN_DOMAIN and, if the outcome is unknown, NO_QUORUM.
+        """
+        began = trio.current_time()
+        failure = await self._find_domain_fault(domain)
+        if failure is not None:
+            self._counters.count("evacuation.refused")
+            self._log_evacuation(domain, begin, reason=failure.code.name)
+            return Error(failure)
+        order = EvacuationOrder(domain, begin, self._vm)
+        seconds = EVACUATION_TIMEOUT_SECONDS - (trio.current_time() - began)
+        answer = await self._execute_evacuation(order, seconds)
+        if answer is None:
+            self._counters.count("evacuation.unknown")
+            self._log_evacuation(domain, begin, reason=ResultCode.NO_QUORUM.name)
+            message = "no majority confirmed the order in time; send it again"
+            return Error(Failure(ResultCode.NO_QUORUM, message))
+        if answer.changed:
+            self._counters.count("evacuation.begun" if begin else "evacuation.ended")
+        self._log_evacuation(domain, begin, answer)
+        return Ok(answer)
+
+    async def _execute_evacuation(
+        self, order: EvacuationOrder, seconds: float
+    ) -> EvacuationAnswer | None:
+        """Return the answer to an order; wait for a leader if none is known."""
+        with trio.move_on_after(seconds):
+            while True:
+                task = self._task
+                if task is not None:
+                    pending = await task.execute(EVACUATE, order, seconds)
+                    if pending.value is not None:
+                        return msgspec.convert(pending.value, EvacuationAnswer)
+                    if pending.leader:
+                        return None
+                await trio.sleep(LEADER_POLL_SECONDS)
+        return None
+
+    async def _find_domain_fault(self, domain: str) -> Failure | None:
+        """Return why a failure domain cannot be evacuated, or None.
+
+        A domain that this VM does not know may have been accepted by another one, whose orders this
+        replica may not have applied yet; a repeat of such an order must not be refused.
+        """
+        if not self._domain_regions:
+            if is_valid_domain(domain):
+                return None
+            return Failure(ResultCode.INVALID_FIELD, "not the name of a failure domain")
+        if self._knows_domain(domain):
+            return None
+        task = self._task
+        if task is None or not await task.wait_until_readable(DOMAIN_READ_TIMEOUT_SECONDS):
+            message = "this VM cannot tell whether the failure domain exists"
+            return Failure(ResultCode.NO_QUORUM, message)
+        if self.evacuations.has_ordered(domain):
+            return None
+        return Failure(ResultCode.UNKNOWN_DOMAIN, "no such failure domain")
+
+    def _knows_domain(self, domain: str) -> bool:
+        if domain in self._domain_regions or self.evacuations.has_ordered(domain):
+            return True
+        records = self._directory.all_records()
+        servers = {record.announcement.failure_domain for record in records}
+        return bool(domain) and domain in servers | self._hub.failure_domains
+
+    def _log_evacuation(
+        self, domain: str, begin: bool, answer: EvacuationAnswer | None = None, **more: str
+    ) -> None:
+        if answer is None:
+            now = now_ms()
+            if now - self._refusal_logged_at < REFUSED_LOG_INTERVAL_MS:
+                return
+            self._refusal_logged_at = now
+        self._log.note(
+            "evacuation.order",
+            domain=domain[:100],
+            order="begin" if begin else "end",
+            accepted=answer is not None,
+            changed=answer is not None and answer.changed,
+            revision=self.evacuations.revision if answer is None else answer.revision,
+            leader=None if self._task is None else self._task.replica.leader,
+            **more,
+        )
--- a/siskinspoke/control/replica_task.py
+++ b/siskinspoke/control/replica_task.py
@@ -18,9 +18,11 @@
 )
 from siskinspoke.control.replica_report import ReplicaReport
 from siskinspoke.control.replica_writer import ReplicaWriter, Synced, Write
+from siskinspoke.coordination.evacuations import EvacuationAnswer, EvacuationOrder
 from siskinspoke.coordination.replica import Replica
 from siskinspoke.coordination.replica_types import Output, Role
 from siskinspoke.coordination.state_machine import (
+    EVACUATE,
     PUBLISH,
     PublishAnswer,
     PublishRequest,
@@ -86,6 +88,7 @@
         self._unsynced_writes = 0
         self._pending: dict[int, PendingEntry] = {}
         self._version_changed = trio.Event()
+        self._state_changed = trio.Event()
         self._applied_changed = trio.Event()
         self._pending_reads: list[PendingRead] = []
         self._pending_forwards: dict[int, PendingAnswer] = {}
@@ -184,6 +187,12 @@
             while self.machine.version <= after:
                 await self._version_changed.wait()
 
+    async def wait_for_change(self, version: int, revision: int, seconds: float) -> None:
+        """Wait up to ``seconds`` for a newer configuration or newer evacuations."""
+        with trio.move_on_after(seconds):
+            while self.machine.version <= version and self.machine.evacuations.revision <= revision:
+                await self._state_changed.wait()
+
     async def run(self) -> None:
         """Process events until cancelled, while a separate task writes to the disk.
 
@@ -291,6 +300,11 @@
             proposal = proposal._replace(request=request)
             if self._answer_repeated_publish(proposal):
                 return
+        if proposal.kind == EVACUATE and self.is_leader:
+            request = msgspec.convert(proposal.request, EvacuationOrder)
+            proposal = proposal._replace(request=request)
+            if self._answer_repeated_evacuation(proposal, now):
+                return
         body = {"now_ms": wall_ms(), "request": msgspec.to_builtins(proposal.request)}
         index = self.replica.propose(proposal.kind, body, now)
         if index is None:
@@ -323,6 +337,38 @@
         pending.resolve(PublishAnswer(self.machine.version, False))
         return True
 
+    def _answer_repeated_evacuation(self, repeat: Proposal, now: float) -> bool:
+        """Answer an order that is in force or the last one pending without appending it.
+
+        Return False if it must be appended.  An order is known to be in force only once a majority
+        has confirmed this leader and it has applied all committed entries.  A repeat joins a
+        pending order only if no other order for the failure domain follows that one.
+        """
+        pending = self._last_pending_evacuation(repeat.request.domain)
+        if pending is not None:
+            if pending.proposal.request.begin != repeat.request.begin:
+                return False
+            pending.answers.append(repeat.answer)
+            return True
+        table = self.machine.evacuations
+        is_current = self.replica.can_serve_reads() and self._applied == self.replica.commit
+        if not is_current or not table.is_in_force(repeat.request):
+            return False
+        answer = EvacuationAnswer(False, table.revision)
+
+        def resolve(read: PendingAnswer) -> None:
+            repeat.answer.resolve(None if read.value is None else answer, leader=read.leader)
+
+        self._queue_read(PendingAnswer(on_resolved=resolve), now)
+        return True
+
+    def _last_pending_evacuation(self, domain: str) -> PendingEntry | None:
+        for _, entry in sorted(self._pending.items(), reverse=True):
+            proposal = entry.proposal
+            if proposal.kind == EVACUATE and proposal.request.domain == domain:
+                return entry
+        return None
+
     def _handle_synced(self, synced: Synced, now: float) -> None:
         """Report a completed sync to the replica and send the messages that depended on it."""
         self.replica.timer.sync_durations.add(synced.duration_ms, now)
@@ -362,8 +408,8 @@
     def _write(self, out: Output) -> None:
         """Queue the writes of an output, with the messages to send after their sync."""
         if self._unsaved_commit:
-            # Without this record, a group whose replicas were all killed would have no
-            # configuration to serve until it has elected a leader.
+            # Without this record, a group whose replicas were all killed would have neither a
+            # configuration nor evacuations to serve until it has elected a leader.
             out.records.append(Committed(self._applied))
             self._unsaved_commit = False
         if out.has_writes or (out.sends_after_sync and self._unsynced_writes):
@@ -375,7 +421,7 @@
             self._send_all(out.sends_after_sync)
 
     def _apply(self, entry: Entry) -> None:
-        version = self.machine.version
+        version, revision = self.machine.version, self.machine.evacuations.revision
         answer = self.machine.apply(entry)
         self._applied = entry.index
         self._counters.count(f"applied.{entry.kind}")
@@ -387,10 +433,19 @@
             self._log("configuration accepted: version {}", self.machine.version)
             self._unsaved_commit = True
             self._notify_version_changed()
+        if self.machine.evacuations.revision != revision:
+            self._log("evacuations changed: revision {}", self.machine.evacuations.revision)
+            self._unsaved_commit = True
+            self._notify_state_changed()
 
     def _notify_version_changed(self) -> None:
         event, self._version_changed = self._version_changed, trio.Event()
         event.set()
+        self._notify_state_changed()
+
+    def _notify_state_changed(self) -> None:
+        event, self._state_changed = self._state_changed, trio.Event()
+        event.set()
 
     def _handle_role_change(self) -> None:
         """Log a change of role; on loss of leadership, resolve pending entries as unknown."""
--- a/siskinspoke/coordination/state_machine.py
+++ b/siskinspoke/coordination/state_machine.py
@@ -8,6 +8,11 @@
 
 from siskinspoke.conf import difference
 from siskinspoke.coordination.claims import ClaimTable
+from siskinspoke.coordination.evacuations import (
+    EvacuationAnswer,
+    EvacuationOrder,
+    EvacuationTable,
+)
 from siskinspoke.coordination.orders import OrderAnswer, OrderEnd, OrderRequest, OrderTable
 from siskinspoke.core.codes import ResultCode
 from siskinspoke.protocol.claims import ClaimAnswer, ClaimRequest, LookupRequest, SettleRequest
@@ -15,6 +20,7 @@
 
 CLAIM, LOOKUP, SETTLE, CONFIGURE = "claim", "lookup", "settle", "configure"
 ORDER, ORDER_END, PUBLISH = "order", "order-end", "publish"
+EVACUATE = "evacuate"
 MAX_REMEMBERED_CHANGES = 20_000
 MAX_PATCHES = 64
 
@@ -68,6 +74,7 @@
     def __init__(self) -> None:
         self.claims = ClaimTable()
         self.orders = OrderTable()
+        self.evacuations = EvacuationTable()
         self.version = 0
         self.document: dict | None = None
         self.clock_ms = 0
@@ -86,7 +93,7 @@
 
     def apply(
         self, entry: Entry
-    ) -> ClaimAnswer | ConfigureAnswer | OrderAnswer | PublishAnswer | None:
+    ) -> ClaimAnswer | ConfigureAnswer | EvacuationAnswer | OrderAnswer | PublishAnswer | None:
         """Apply one command and return its answer.
 
         The leader adds its wall-clock time to each command. The replicated clock is the highest of
@@ -108,6 +115,10 @@
             case "publish":
                 self._advance_clock(entry.body)
                 return self._publish(msgspec.convert(entry.body["request"], PublishRequest))
+            case "evacuate":
+                evacuation = msgspec.convert(entry.body["request"], EvacuationOrder)
+                now_ms = self._advance_clock(entry.body)
+                return self.evacuations.apply(evacuation, entry.index, now_ms)
             case "order":
                 order = msgspec.convert(entry.body["request"], OrderRequest)
                 return self.orders.submit(order, entry.index, self._advance_clock(entry.body))
@@ -155,6 +166,7 @@
         return {
             "claims": self.claims.to_document(),
             "engine_orders": self.orders.to_document(),
+            "evacuations": self.evacuations.to_document(),
             "version": self.version,
             "document": self.document,
             "clock_ms": self.clock_ms,
@@ -165,6 +177,7 @@
         """Replace the state with that of a snapshot."""
         self.claims.load(state["claims"])
         self.orders.load(state["engine_orders"])
+        self.evacuations.load(state.get("evacuations"))
         self.version = state["version"]
         self._patches.clear()
         self.document = state["document"]
--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -9,7 +9,7 @@
 from siskinspoke.conf.vm import parse_address
 from siskinspoke.control.group_daemon import ControlParts
 from siskinspoke.coordination.directory import UNKNOWN_INCARNATION
-from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
 from siskinspoke.core.supervise import log_fault
 from siskinspoke.platform.configuration import decode_configuration, service_names
 from siskinspoke.protocol.announcements import Announcement
@@ -152,6 +152,8 @@
                 return await self._deregister(server, call.body)
             case ("POST", "config", "replace"):
                 return await self._replace(call.body)
+            case ("POST", "evacuation", domain, "begin" | "end" as action):
+                return await self._evacuate(domain, action == "begin", call.body)
             case ("GET", "config", "get"):
                 return await self._get()
         return _error_reply(Failure(ResultCode.UNKNOWN_PATH, "no such path or method"), 404)
@@ -206,3 +208,22 @@
         if current is None or current.document is None:
             return _unavailable("this VM cannot tell which configuration is the newest")
         return _reply(current.document)
+
+    async def _evacuate(self, domain: str, begin: bool, body: bytes) -> Reply:
+        if body:
+            return _error_reply(Failure(ResultCode.INVALID_FIELD, "the order takes no body"))
+        ordered = await self._registry.evacuate(domain, begin)
+        if ordered.is_error():
+            return _error_reply(ordered.error, CODE_INFO[ordered.error.code].status)
+        answer = ordered.ok
+        code = ResultCode.OK if answer.changed else ResultCode.NOTHING_CHANGED
+        return _reply(
+            {
+                "domain": domain,
+                "evacuated": begin,
+                "changed": answer.changed,
+                "revision": answer.revision,
+                "code": int(code),
+                "name": code.name,
+            }
+        )
--- a/tests/control/slow_group.py
+++ b/tests/control/slow_group.py
@@ -67,14 +67,15 @@
 
 
 class DelayedLink:
-    """Deliver messages to one VM after a delay."""
+    """Deliver messages from one VM to another after a delay."""
 
-    def __init__(self, group: "SlowGroup", name: str):
-        self._group, self._name = group, name
+    def __init__(self, group: "SlowGroup", sender: str, name: str):
+        self._group, self._sender, self._name = group, sender, name
 
     def send(self, item: Any) -> None:
-        """Send a message; it is dropped if the VM is down when it arrives."""
-        self._group.nursery.start_soon(self._deliver, item)
+        """Send a message; it is dropped if the VM is isolated now or down when it arrives."""
+        if self._group.isolated.isdisjoint((self._sender, self._name)):
+            self._group.nursery.start_soon(self._deliver, item)
 
     async def _deliver(self, item: Any) -> None:
         await trio.sleep(DELIVERY_SECONDS)
@@ -99,7 +100,7 @@
         self.counters = Counters()
         self._scopes: dict[str, trio.CancelScope] = {}
         self._rng = random.Random(seed)
-        self._links = {name: DelayedLink(self, name) for name in self.names}
+        self.isolated: set[str] = set()
 
     def start(self, *names: str) -> None:
         """Start the given VMs, by default all, from their disks."""
@@ -116,7 +117,7 @@
         task = SlowTask(
             replica,
             MemoryStore(disk),
-            self._links,
+            {peer: DelayedLink(self, name, peer) for peer in self.names},
             self.counters,
             24,
             report=ReplicaReport(self.counters),
