Buffer answers for slow clients, within a bound for each answer and for the VM

Cause: a server cuts off an answer that stays unread for some seconds. The gateway read from a server only as fast as its client did, so a slow client lost its stream. A client that paused for more than a second was also cut off by the kernel, since a closed receive window counts towards TCP_USER_TIMEOUT.

Change: with buffer_bytes above 0, data that the client's socket does not take at once is held, at most 256 KB for one answer and buffer_bytes for the VM; at either bound reading pauses. From three quarters of the VM's bound, new requests are refused with TOO_MANY_STREAMS and a Retry-After from the rate of release. Bodies of open requests and whole answers count too. Clients may read nothing for 10 s. With 0 the relay writes to the connection as before.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from siskinspoke.coordination.byte_budget import HeldBytes
 from siskinspoke.coordination.routes import CallKind
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
 from siskinspoke.core.supervise import log_fault
@@ -16,7 +17,7 @@
     Headers,
     RequestHead,
 )
-from siskinspoke.transport.sockets import set_socket_options
+from siskinspoke.transport.sockets import set_socket_options, set_unread_timeout
 
 # The final answer is sent this long before the route's timeout, to allow for the network and for
 # timers that fire some milliseconds late.  Milliseconds.
@@ -32,8 +33,11 @@
 # Retry-After while this VM has no configuration: control VMs that start with it take a second to
 # elect a leader and hear from all servers within 1.2 s.  Milliseconds.
 UNCONFIGURED_RETRY_AFTER_MS = 1_200
+# Least Retry-After of a refusal with a forecast.  Milliseconds.
+MIN_RETRY_AFTER_MS = 200.0
 
-
+# A client may read nothing for this long, where this VM holds data for it.  Milliseconds.
+UNREAD_TIMEOUT_MS = 10_000
 # How long after its start a VM holds requests until the first configuration arrives: control VMs
 # that start with it are up 0.2 to 0.6 s later.
 CONFIGURATION_WAIT_SECONDS = 0.8
@@ -59,6 +63,8 @@
         gateway.counters.count("client.connections")
         try:
             set_socket_options(stream.socket)
+            if gateway.buffers.enabled:
+                set_unread_timeout(stream.socket, UNREAD_TIMEOUT_MS)
         except OSError:
             # The client disconnected before its first request was read.
             await trio.aclose_forcefully(stream)
@@ -138,10 +144,13 @@
             await self._send_failure(connection, call.id, found)
             return connection.next_cycle() and not gateway.draining
         gateway.open_requests += 1
+        found.held_bytes = HeldBytes(gateway.buffers)
+        found.held_bytes.hold(len(body))
         try:
             return await self._serve(connection, found)
         finally:
             gateway.open_requests -= 1
+            found.held_bytes.release(now_ms())
 
     async def _wait_for_configuration(self, connection: ClientConnection) -> bool:
         """Wait for the first configuration after startup; return False on a client disconnect.
@@ -178,8 +187,19 @@
             return Failure(ResultCode.UNAUTHENTICATED, "the key is no customer's")
         if not gateway.accepts(route.kind):
             return Failure(ResultCode.DRAINING, "this VM is about to stop", DRAINING_RETRY_AFTER_MS)
+        if not gateway.buffers.accepts(len(call.body)):
+            return self._buffers_full(call)
         return Request(call, route, customer, arrived_ms, table.version)
 
+    def _buffers_full(self, call: Call) -> Failure:
+        """Return the refusal of a request while this VM holds too much for slow clients."""
+        gateway = self._gateway
+        gateway.counters.count("buffer.refused")
+        forecast_ms = gateway.buffers.accepts_in_ms(len(call.body), now_ms())
+        message = f"this VM holds {gateway.buffers.held} bytes for clients that read slowly"
+        least_ms = max(MIN_RETRY_AFTER_MS, forecast_ms)
+        return Failure(ResultCode.TOO_MANY_STREAMS, message, retry_after(gateway, least_ms))
+
     async def _serve(self, connection: ClientConnection, request: Request) -> bool:
         """Serve one request, and cancel it when its client disconnects."""
         gateway = self._gateway
@@ -239,6 +259,8 @@
                 await self._send_failure(connection, request.call.id, result)
             case WholeAnswer(answer=answer, body=body):
                 request.status = answer.status
+                if request.held_bytes is not None:
+                    request.held_bytes.hold(len(body))
                 headers = [*answer.headers, (b"Content-Length", b"%d" % len(body))]
                 if self._gateway.draining:
                     headers.append((b"Connection", b"close"))
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -10,6 +10,7 @@
 
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.coordination.back_off import BackOffs
+from siskinspoke.coordination.byte_budget import ByteBudget, HeldBytes
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import DomainMonitor
@@ -82,6 +83,7 @@
     crash_probes: dict[tuple[str, int], trio.Event] = field(default_factory=dict)
     configured: trio.Event = field(default_factory=trio.Event)
     started_at: float = -math.inf
+    buffers: ByteBudget = field(default_factory=lambda: ByteBudget(0))
 
     @property
     def draining(self) -> bool:
@@ -153,6 +155,8 @@
     crashes: int = 0
     status: int = 0
     end: str = ""
+    # Bytes of this request that count towards this VM's bound.
+    held_bytes: HeldBytes | None = None
 
     @property
     def deadline_ms(self) -> float:
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -10,6 +10,7 @@
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.conf.watch import SettingsWatcher
 from siskinspoke.coordination.back_off import BackOffs
+from siskinspoke.coordination.byte_budget import ByteBudget
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import AnnouncementEffect, Directory
 from siskinspoke.coordination.domains import DomainMonitor
@@ -156,6 +157,7 @@
             latencies=Latencies(),
             log=log,
             rng=random.Random(),
+            buffers=ByteBudget(settings.buffer_bytes),
         )
 
     def _has_quorum(self) -> bool:
@@ -296,6 +298,9 @@
             gateway.counters.gauge("rate_limits.in_force", len(gateway.rate_limits))
             gateway.counters.gauge("back_offs.in_force", len(gateway.back_offs))
             gateway.counters.gauge("log.dropped", self._log.dropped)
+            if gateway.buffers.enabled:
+                gateway.counters.gauge("buffer.bytes", gateway.buffers.held)
+                gateway.counters.gauge("buffer.peak", gateway.buffers.peak)
 
     async def _reload_forever(self) -> None:
         """Reload the settings on SIGHUP and periodically, as they may change without a signal."""
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -7,6 +7,7 @@
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.gateway.assignment import Assignment
 from siskinspoke.gateway.attempts import Attempt
+from siskinspoke.gateway.client_buffers import BufferedClient
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.plain import WholeAnswer
 from siskinspoke.gateway.upstream import (
@@ -39,13 +40,18 @@
 class Relay:
     """What the client has received of a stream so far."""
 
-    client: ClientConnection
+    client: ClientConnection | BufferedClient
     close_connection: bool
     head_sent: bool = False
     last_id: str | None = None
     events: int = 0
     last_event_at: float | None = None
 
+    async def flush(self) -> None:
+        """Return when the client has been sent all that was received."""
+        if isinstance(self.client, BufferedClient):
+            await self.client.flush()
+
 
 @dataclass(frozen=True)
 class StreamCompleted:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -23,6 +23,7 @@
     failover_assignment,
 )
 from siskinspoke.gateway.attempts import ANSWER_TIMED_OUT, MOVED, RECHECK_SECONDS, Attempt
+from siskinspoke.gateway.client_buffers import buffered
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
 from siskinspoke.gateway.failover import Failover, PlannedAttempt, RetryObstacle, RetryState
@@ -77,12 +78,13 @@
     if quarantine is not None:
         return quarantine.refusal
     gateway.budget.first_attempt(request.service, now_ms())
-    relay = Relay(client, close_connection, last_id=request.call.resume_after)
     retry_state = RetryState()
-    try:
-        return await _try_engines(gateway, request, relay, retry_state)
-    finally:
-        retry_state.release(gateway, request)
+    async with buffered(gateway, request.call.id, client) as output:
+        relay = Relay(output, close_connection, last_id=request.call.resume_after)
+        try:
+            return await _try_engines(gateway, request, relay, retry_state)
+        finally:
+            retry_state.release(gateway, request)
 
 
 async def _try_engines(
@@ -121,6 +123,7 @@
             break
     if relay.head_sent:
         _log_cut(gateway, request, relay, obstacle)
+        await relay.flush()
         raise StreamCutError(TRUNCATED_MESSAGE)
     return last or no_server_failure(gateway, request, "no engine can take the prompt now")
 
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -6,6 +6,7 @@
 the client can tell. h11 only parses and frames messages and leaves all of this to the caller.
 """
 
+import os
 import select
 from typing import NamedTuple
 
@@ -132,14 +133,41 @@
                 return
             self._buffered += data
 
+    def encode_response_head(self, status: int, headers: Headers) -> bytes:
+        """Return the status line and headers of an answer, which the caller sends next."""
+        return self._h11.send(h11.Response(status_code=status, headers=headers)) or b""
+
+    def encode_data(self, data: bytes) -> bytes:
+        """Return part of the answer's body with its framing, which the caller sends next."""
+        return self._h11.send(h11.Data(data=data)) or b""
+
+    def encode_response_end(self) -> bytes:
+        """Return the end of the answer, which the caller sends next."""
+        return self._h11.send(h11.EndOfMessage()) or b""
+
+    def send_available(self, data: bytes) -> bytes:
+        """Send as much encoded data as the kernel takes at once; return the rest.
+
+        No other write to the connection may be in progress.
+        """
+        try:
+            return data[os.write(self._stream.socket.fileno(), data) :]
+        except BlockingIOError:
+            return data
+        except OSError as error:
+            raise trio.BrokenResourceError("the client has disconnected") from error
+
+    async def send_encoded(self, data: bytes) -> None:
+        """Send encoded data."""
+        await self._send(data)
+
     async def send_response_head(self, status: int, headers: Headers) -> None:
         """Send the status line and headers of an answer."""
-        head = h11.Response(status_code=status, headers=headers)
-        await self._send(self._h11.send(head))
+        await self._send(self.encode_response_head(status, headers))
 
     async def send_data(self, data: bytes) -> None:
         """Send part of the answer's body."""
-        await self._send(self._h11.send(h11.Data(data=data)))
+        await self._send(self.encode_data(data))
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer in one write."""
@@ -151,7 +179,7 @@
 
     async def finish_response(self) -> None:
         """Complete the answer."""
-        await self._send(self._h11.send(h11.EndOfMessage()))
+        await self._send(self.encode_response_end())
 
     async def _send(self, data: bytes | None) -> None:
         if not data:
--- a/siskinspoke/transport/sockets.py
+++ b/siskinspoke/transport/sockets.py
@@ -22,6 +22,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def set_unread_timeout(sock, timeout_ms: int) -> None:
+    """Set the time after which a connection is closed whose peer takes no data.
+
+    The kernel counts the time in which the peer's receive window is shut as unacknowledged.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def reset_connection(stream: trio.SocketStream) -> None:
     """Reset a connection, discarding unsent data.
 
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -1,6 +1,7 @@
 """One gateway in this process in front of stand-in servers, with a raw client."""
 
 import json
+import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -208,11 +209,18 @@
     )
 
 
-async def serve_clients(daemon: GatewayDaemon, log: DecisionLog, nursery: trio.Nursery) -> Site:
-    """Serve clients on a free port of a gateway's host while the nursery is open."""
+async def serve_clients(
+    daemon: GatewayDaemon, log: DecisionLog, nursery: trio.Nursery, send_buffer: int = 0
+) -> Site:
+    """Serve clients on a free port of a gateway's host while the nursery is open.
+
+    ``send_buffer`` is the size of the connections' kernel buffers in bytes, 0 for the default.
+    """
     host = daemon.gateway.settings.host
     daemon.gateway.nursery = nursery
     listeners = await trio.open_tcp_listeners(0, host=host)
+    if send_buffer:
+        listeners[0].socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
     port = listeners[0].socket.getsockname()[1]
     server = ClientServer(daemon.gateway)
     nursery.start_soon(trio.serve_listeners, server._serve_one, listeners)
@@ -221,8 +229,12 @@
 
 @asynccontextmanager
 async def gateway_site(tmp_path, **changes):
-    """Run a gateway that has a configuration, unless told otherwise, and knows no servers."""
-    settings = vm_settings()
+    """Run a gateway that has a configuration, unless told otherwise, and knows no servers.
+
+    ``settings`` are changes of the VM's settings, ``send_buffer`` is that of ``serve_clients``.
+    """
+    settings = vm_settings()._replace(**changes.pop("settings", {}))
+    send_buffer = changes.pop("send_buffer", 0)
     with (tmp_path / "log").open("w") as out:
         log = DecisionLog("entry-1", out)
         daemon = GatewayDaemon(lambda: settings, PlatformWire(), log)
@@ -231,7 +243,7 @@
             assert table.is_ok(), table.error
             daemon.gateway.table = table.ok
         async with trio.open_nursery() as nursery:
-            yield await serve_clients(daemon, log, nursery)
+            yield await serve_clients(daemon, log, nursery, send_buffer)
             nursery.cancel_scope.cancel()
         log.close()
 
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -1,5 +1,7 @@
 """A stand-in for the platform's backend servers that can be scripted to misbehave."""
 
+import math
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,6 +12,8 @@
 from siskinspoke.testing.server_account import ServerAccount
 
 STAMP = b"3e1b.07.5a2"
+# Send buffer of a connection with large events, in bytes.
+LARGE_EVENTS_SEND_BUFFER = 16_384
 
 
 @dataclass(frozen=True)
@@ -33,7 +37,8 @@
 
     The response begins ``begin_after`` seconds after the request, like a late first token. After
     event ``silent_after`` there is a pause of ``silent_for`` seconds, as with an engine that
-    prefills a long prompt while it decodes the stream.
+    prefills a long prompt while it decodes the stream. Each event has ``padding`` more bytes. If
+    the VM reads nothing for ``unread_timeout`` seconds, the server closes the connection.
     """
 
     first: int = 1
@@ -44,6 +49,8 @@
     begin_after: float = 0.0
     silent_after: int = 0
     silent_for: float = 0.0
+    padding: int = 0
+    unread_timeout: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -257,9 +264,9 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def event(number: int) -> bytes:
+def event(number: int, padding: int = 0) -> bytes:
     """Return the encoded event with a number."""
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+    return b"id: %d\ndata: piece %d%s\n\n" % (number, number, b"." * padding)
 
 
 def _chunk(data: bytes) -> bytes:
@@ -281,10 +288,16 @@
         b"Transfer-Encoding: chunked",
         *asks,
     ]
+    if events.padding:
+        # The kernel must not take what the VM leaves unread.
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LARGE_EVENTS_SEND_BUFFER)
     await stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n")
     first = int(headers.get("Last-Event-Id", events.first - 1)) + 1
     for number in range(first, events.last + 1):
-        await stream.send_all(_chunk(event(number)))
+        with trio.move_on_after(events.unread_timeout) as unread:
+            await stream.send_all(_chunk(event(number, events.padding)))
+        if unread.cancelled_caught:
+            return False
         await trio.sleep(events.silent_for if number == events.silent_after else events.pause)
     if events.torn:
         await stream.send_all(_chunk(events.torn))
