Serve requests only in the regions that their route and customer allow

Cause: routes and customers can name allowed regions, which nothing obeyed.

Change: the failure domains that a request may use are determined when it arrives and kept with it. Candidates, groups, retries, concurrent and planned attempts, moves, offers of other cells and the cache of failed searches are restricted to them. A request for which no server is left is refused at once with REGION. The fixture of test_cells.py gets the new field.

--- a/siskinspoke/coordination/no_room_cache.py
+++ b/siskinspoke/coordination/no_room_cache.py
@@ -11,12 +11,14 @@
     """Where room is searched for.  Requests that wait at the same engine exclude the same one.
 
     ``excluded`` is part of the key because a request whose own engine is the only one with room
-    finds none, while requests at other engines can use it.
+    finds none, while requests at other engines can use it.  So are the only failure domains that
+    the request may use, None for all.
     """
 
     service: str
     excluded: frozenset[str]
     near_only: bool
+    domains: frozenset[str] | None = None
 
 
 class _NoRoom(NamedTuple):
--- a/siskinspoke/coordination/routes.py
+++ b/siskinspoke/coordination/routes.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 from typing import NamedTuple
 
@@ -167,6 +167,28 @@
     ]
 
 
+def region_faults(table: RouteTable, domain_regions: Mapping[str, str]) -> list[Fault]:
+    """Return the regions of routes and customers that no failure domain has.
+
+    Without a map of failure domains nothing is known of regions, so there are no faults.
+    """
+    if not domain_regions:
+        return []
+    known = set(domain_regions.values())
+    owners = [(f"route {route.name}", route.regions) for route in table.routes]
+    owners += [(f"customer {customer.name}", customer.regions) for customer in table.customers]
+    return [
+        Fault(
+            "routes.E206",
+            place,
+            f"no failure domain is in region {region!r}",
+            f"use one of {sorted(known)}",
+        )
+        for place, regions in owners
+        for region in sorted(regions - known)
+    ]
+
+
 def _service_faults(table: RouteTable) -> Iterable[Fault]:
     for route in table.routes:
         for share in route.shares:
--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -86,13 +86,14 @@
     """
     costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
+    local_only = local_only and _may_stay_local(gateway, request)
     if costs is None or job is None:
         records = _local_servers(
-            gateway, candidates(gateway, request.service, excluded), local_only
+            gateway, candidates(gateway, request.service, excluded, request.domains), local_only
         )
         return Assignment(least_loaded(gateway, records)) if records else None
     records = _local_servers(
-        gateway, cell_candidates(gateway, request.service, excluded), local_only
+        gateway, cell_candidates(gateway, request.service, excluded, request.domains), local_only
     )
     if request.crashes and (found := _choose_idle(gateway, costs, job, records)) is not None:
         return replace(_assignment(gateway, found, job, costs), isolated=True)
@@ -101,11 +102,7 @@
     found = choose_engines(gateway, costs, job, records)
     if not local_only and gateway.cells.other_cells and lacks_room(found, request.route.target_ms):
         offered = await request_remote_place(gateway, request, job, excluded, found)
-        found = (
-            offered
-            or found
-            or _choose_in_other_cells(gateway, request.service, job, costs, excluded)
-        )
+        found = offered or found or _choose_in_other_cells(gateway, request, job, costs, excluded)
     if found is None:
         return None
     return _assignment(gateway, found, job, costs)
@@ -125,20 +122,27 @@
     """
     costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
+    local_only = local_only and _may_stay_local(gateway, request)
     if costs is None or job is None:
-        records = reachable_unlimited(gateway, candidates(gateway, request.service, excluded))
+        records = reachable_unlimited(
+            gateway, candidates(gateway, request.service, excluded, request.domains)
+        )
         records = _local_servers(gateway, records, local_only)
         return Assignment(least_loaded(gateway, records)) if records else None
     found = None
-    search = RoomSearch(request.service, frozenset(excluded), local_only)
+    search = RoomSearch(request.service, frozenset(excluded), local_only, request.domains)
     tokens, now = job.tokens + job.max_tokens, now_ms()
     if not gateway.no_room_cache.found_no_room(search, tokens, now):
-        records = reachable_unlimited(gateway, cell_candidates(gateway, request.service, excluded))
+        records = reachable_unlimited(
+            gateway, cell_candidates(gateway, request.service, excluded, request.domains)
+        )
         found = choose_engines(gateway, costs, job, _local_servers(gateway, records, local_only))
         if found is None:
             gateway.no_room_cache.record(search, tokens, now)
+    # The engines of this VM's cell may all be outside of the request's regions.
+    other_cells = other_cells or request.domains is not None
     if found is None and other_cells and gateway.cells.other_cells:
-        found = _choose_in_other_cells(gateway, request.service, job, costs, excluded)
+        found = _choose_in_other_cells(gateway, request, job, costs, excluded)
     return None if found is None else _assignment(gateway, found, job, costs)
 
 
@@ -157,15 +161,20 @@
     return local if local_only and local else records
 
 
+def _may_stay_local(gateway: Gateway, request: Request) -> bool:
+    """Return whether the request may be served in this VM's own failure domain."""
+    return request.domains is None or gateway.settings.failure_domain in request.domains
+
+
 def _choose_in_other_cells(
-    gateway: Gateway, service: str, job: Job, costs: EngineCosts, excluded: set[str]
+    gateway: Gateway, request: Request, job: Job, costs: EngineCosts, excluded: set[str]
 ) -> Place | None:
     """Choose among engines of other cells, whose load this VM does not know.
 
     This is used right after a loss, when no VM of another cell answers; an engine that is full
     refuses at once.
     """
-    records = candidates(gateway, service, excluded)
+    records = candidates(gateway, request.service, excluded, request.domains)
     drawn = gateway.rng.sample(records, min(len(records), SAMPLED_ENGINES))
     return choose_engines(gateway, costs, job, drawn)
 
@@ -240,7 +249,8 @@
     found = None
     if costs is not None:
         job = Job(question.tokens, question.max_tokens, question.target_ms, question.pause_ms)
-        records = cell_candidates(gateway, question.service, set(question.excluded))
+        domains = frozenset(question.domains) or None
+        records = cell_candidates(gateway, question.service, set(question.excluded), domains)
         found = choose_engines(gateway, costs, job, records)
     if found is None:
         return PlaceOffer(question.number, [], 0.0, [])
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -8,6 +8,7 @@
 from siskinspoke.core.supervise import log_fault
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.plain import WholeAnswer, retry_after, serve_plain
+from siskinspoke.gateway.regions import domains_of, find_region_refusal
 from siskinspoke.gateway.streams import StreamCutError, serve_stream
 from siskinspoke.gateway.wire import Call
 from siskinspoke.transport.early import BACKLOG, take_early_listener
@@ -35,7 +36,6 @@
 UNCONFIGURED_RETRY_AFTER_MS = 1_200
 # Least Retry-After of a refusal with a forecast.  Milliseconds.
 MIN_RETRY_AFTER_MS = 200.0
-
 # A client may read nothing for this long, where this VM holds data for it.  Milliseconds.
 UNREAD_TIMEOUT_MS = 10_000
 # How long after its start a VM holds requests until the first configuration arrives: control VMs
@@ -189,7 +189,8 @@
             return Failure(ResultCode.DRAINING, "this VM is about to stop", DRAINING_RETRY_AFTER_MS)
         if not gateway.buffers.accepts(len(call.body)):
             return self._buffers_full(call)
-        return Request(call, route, customer, arrived_ms, table.version)
+        domains = domains_of(gateway, route, customer)
+        return Request(call, route, customer, arrived_ms, table.version, domains=domains)
 
     def _buffers_full(self, call: Call) -> Failure:
         """Return the refusal of a request while this VM holds too much for slow clients."""
@@ -238,6 +239,9 @@
     async def _dispatch(
         self, connection: ClientConnection, request: Request, close_connection: bool
     ) -> WholeAnswer | Failure | None:
+        refusal = find_region_refusal(self._gateway, request)
+        if refusal is not None:
+            return refusal
         match request.route.kind:
             case CallKind.STREAM:
                 return await serve_stream(self._gateway, request, connection, close_connection)
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -155,6 +155,8 @@
     crashes: int = 0
     status: int = 0
     end: str = ""
+    # The only failure domains whose servers may serve this request; None allows all.
+    domains: frozenset[str] | None = None
     # Bytes of this request that count towards this VM's bound.
     held_bytes: HeldBytes | None = None
 
--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -58,12 +58,22 @@
     return [item for item in records if gateway.rate_limits.find(item.start) is None]
 
 
-def hold_ends_in_ms(gateway: Gateway, service: str) -> float | None:
-    """Return when a service's first server takes requests again, None unless all are on hold."""
+def hold_ends_in_ms(
+    gateway: Gateway, service: str, domains: frozenset[str] | None = None
+) -> float | None:
+    """Return when a service's first server takes requests again, None unless all are on hold.
+
+    Only servers in the failure domains ``domains`` count, all where it is None.
+    """
     if not _restricts_any(gateway):
         return None
     now = now_ms()
-    waits = [find_hold(gateway, record, now) for record in gateway.directory.routable(service, now)]
+    records = [
+        record
+        for record in gateway.directory.routable(service, now)
+        if domains is None or record.announcement.failure_domain in domains
+    ]
+    waits = [find_hold(gateway, record, now) for record in records]
     if not waits or None in waits:
         return None
     return min(wait.until for wait in waits) - now
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -17,6 +17,7 @@
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
 from siskinspoke.gateway.failover import Failover, RetryState
 from siskinspoke.gateway.holds import hold_ends_in_ms
+from siskinspoke.gateway.regions import find_region_refusal
 from siskinspoke.gateway.servers import (
     candidates,
     choose_service,
@@ -216,12 +217,15 @@
 ) -> list[ServerRecord]:
     """Return the servers that the request may still be sent to."""
     excluded = retry_state.excluded.current(gateway.directory, now_ms())
-    return candidates(gateway, request.service, excluded)
+    return candidates(gateway, request.service, excluded, request.domains)
 
 
 def no_server_failure(gateway: Gateway, request: Request, message: str) -> Failure:
     """Return the refusal of a request that no server can take, with the time to retry."""
-    wait_ms = hold_ends_in_ms(gateway, request.service)
+    region_refusal = find_region_refusal(gateway, request)
+    if region_refusal is not None:
+        return region_refusal
+    wait_ms = hold_ends_in_ms(gateway, request.service, request.domains)
     if wait_ms is None:
         return Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
     message += f": all have asked for fewer requests, the first for {math.ceil(wait_ms)} ms more"
--- a/siskinspoke/gateway/remote_placement.py
+++ b/siskinspoke/gateway/remote_placement.py
@@ -15,6 +15,7 @@
 from siskinspoke.coordination.work_table import Job
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.holds import find_hold
+from siskinspoke.gateway.regions import Domains, within
 from siskinspoke.gateway.servers import REMOTE_DOMAIN_MS
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
 
@@ -25,10 +26,16 @@
     """Return the best place offered by other cells if it is better than ``found``, else None."""
     addresses = _choose_vms(gateway)
     # ``Queries`` fills in the asking host and the number that matches offers to the query.
-    query = PlaceQuestion("", 0, request.service, *job, sorted(excluded))
+    query = PlaceQuestion(
+        "", 0, request.service, *job, sorted(excluded), sorted(request.domains or ())
+    )
     offers = await gateway.queries.request_offers(query, addresses)
     request.offers = len(offers)
-    places = [place for offer in offers if (place := _place_of(gateway, offer)) is not None]
+    places = [
+        place
+        for offer in offers
+        if (place := _place_of(gateway, offer, request.domains)) is not None
+    ]
     best = best_offer(found, places)
     if best is not None:
         gateway.counters.count("cells.widened")
@@ -52,11 +59,13 @@
     return [gateway.rng.choice(addresses) for addresses in addresses_by_cell if addresses]
 
 
-def _place_of(gateway: Gateway, offer: PlaceOffer) -> Place | None:
+def _place_of(gateway: Gateway, offer: PlaceOffer, domains: Domains) -> Place | None:
     """Return an offered place, or None if this VM knows that one of its servers is unusable."""
     records = [gateway.directory.latest(name) for name in offer.servers]
     if any(record is None or not _is_usable(gateway, record) for record in records):
         return None
+    if len(within(records, domains)) < len(records):
+        return None
     first_ms = offer.first_token_ms
     if records[0].announcement.failure_domain != gateway.settings.failure_domain:
         first_ms += REMOTE_DOMAIN_MS
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -4,6 +4,7 @@
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.holds import hold_ends_in_ms, without_hold, without_rate_limit
+from siskinspoke.gateway.regions import Domains, has_server, within
 from siskinspoke.gateway.upstream import NotRun, OutcomeUnknown
 
 # Extra latency of a server in another failure domain: two more network crossings.
@@ -16,24 +17,38 @@
     """Return a service of the route, chosen at random by weight among those that have servers."""
     now = now_ms()
     shares = [share for share in request.route.shares if share.weight > 0]
-    served = [share for share in shares if gateway.directory.has_live_server(share.service, now)]
+    served = [share for share in shares if has_server(gateway, share.service, request.domains, now)]
     if len(served) > 1:
-        open_now = [share for share in served if hold_ends_in_ms(gateway, share.service) is None]
+        open_now = [
+            share
+            for share in served
+            if hold_ends_in_ms(gateway, share.service, request.domains) is None
+        ]
         served = open_now or served
     chosen = gateway.rng.choices(served or shares, [share.weight for share in served or shares])
     return chosen[0].service
 
 
-def candidates(gateway: Gateway, service: str, excluded: set[str]) -> list[ServerRecord]:
-    """Return the servers that may get a request now, restricted to the healthiest."""
-    known = gateway.directory.routable(service, now_ms())
+def candidates(
+    gateway: Gateway, service: str, excluded: set[str], domains: Domains = None
+) -> list[ServerRecord]:
+    """Return the servers that may get a request now, restricted to the healthiest.
+
+    ``domains`` are the only failure domains in which they may be, None for all.
+    """
+    known = within(gateway.directory.routable(service, now_ms()), domains)
     return _usable(gateway, without_hold(gateway, known), excluded)
 
 
-def cell_candidates(gateway: Gateway, service: str, excluded: set[str]) -> list[ServerRecord]:
-    """Return the servers of this VM's cell that may get a request now."""
+def cell_candidates(
+    gateway: Gateway, service: str, excluded: set[str], domains: Domains = None
+) -> list[ServerRecord]:
+    """Return the servers of this VM's cell that may get a request now.
+
+    ``domains`` are the only failure domains in which they may be, None for all.
+    """
     servers = gateway.cells.servers(service)
-    known = gateway.directory.routable_among(servers, now_ms())
+    known = within(gateway.directory.routable_among(servers, now_ms()), domains)
     return _usable(gateway, without_hold(gateway, known), excluded)
 
 
@@ -65,7 +80,7 @@
     """
     if gateway.rate_limits.find(server.start) is None:
         return 0.0
-    records = candidates(gateway, request.service, {server.announcement.server})
+    records = candidates(gateway, request.service, {server.announcement.server}, request.domains)
     if reachable_unlimited(gateway, records):
         return 0.0
     return max(
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -375,7 +375,7 @@
     def reconsider(attempt: Attempt, now: float) -> str:
         left = request.route.target_ms - (now - request.arrived_ms)
         excluded = retry_state.excluded.current(gateway.directory, now) | {assignment.name}
-        others = cell_candidates(gateway, request.service, excluded)
+        others = cell_candidates(gateway, request.service, excluded, request.domains)
         urgent_job = assignment.job._replace(target_ms=max(MIN_TARGET_MS, left))
         best = choose_engines(gateway, assignment.costs, urgent_job, others) if others else None
         expected = None if best is None else best.first_token_ms
@@ -411,7 +411,7 @@
         if reads_ms <= pause_ms or failover.obstacle is not None:
             return ""
         excluded = retry_state.excluded.current(gateway.directory, now) | {assignment.name}
-        others = cell_candidates(gateway, request.service, excluded)
+        others = cell_candidates(gateway, request.service, excluded, request.domains)
         urgent_job = assignment.job._replace(target_ms=pause_ms)
         best = choose_engines(gateway, assignment.costs, urgent_job, others) if others else None
         expected = None if best is None else best.first_token_ms
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -36,7 +36,8 @@
 class PlaceQuestion(NamedTuple):
     """A query from a VM whose cell lacks capacity: where would another cell place a prompt?
 
-    ``excluded`` are the servers that the request has already tried. Times are in milliseconds.
+    ``excluded`` are the servers that the request has already tried. ``domains`` are the only
+    failure domains in which it may be served; empty allows all. Times are in milliseconds.
     """
 
     host: str
@@ -47,6 +48,7 @@
     target_ms: float
     pause_ms: float
     excluded: list[str]
+    domains: Sequence[str] = ()
 
 
 @message
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -180,9 +180,9 @@
     return gateway
 
 
-def place_in_other_cells(gateway, found: Place | None, excluded=()) -> Place | None:
+def place_in_other_cells(gateway, found: Place | None, excluded=(), domains=None) -> Place | None:
     clock = trio.testing.MockClock()
-    request = SimpleNamespace(service="m", offers=None, widened=False)
+    request = SimpleNamespace(service="m", offers=None, widened=False, domains=domains)
     return trio.run(request_remote_place, gateway, request, JOB, excluded, found, clock=clock)
 
 
@@ -213,6 +213,13 @@
         assert place_in_other_cells(gateway, None) is None
         assert all(host.startswith("10.0.0.") for host, _ in gateway.queried)
 
+    def test_offer_outside_of_the_regions_is_declined(self):
+        """The queried VM runs an earlier build, which ignores the failure domains of the query."""
+        offers = [PlaceOffer(1, ["b-1"], 90.0, []), PlaceOffer(1, ["a-1", "b-2"], 80.0, [100])]
+        gateway = querying_gateway(Fleet(), offers)
+        assert place_in_other_cells(gateway, None, domains=frozenset({"a"})) is None
+        assert place_in_other_cells(gateway, None, domains=frozenset({"b"})).servers == ("b-1",)
+
     def test_offer_of_failed_server_is_declined(self):
         gateway = querying_gateway(Fleet(), [PlaceOffer(1, ["b-1"], 90.0, [])])
         gateway.server_health.record_failure("b-1", FailureKind.SILENT, START_MS)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -113,12 +113,13 @@
         seq: int = 1,
         started: int | None = None,
         leaving: bool = False,
+        domain: str = "a",
     ) -> None:
         """Announce a server, optionally with its start time, as ready or leaving."""
         heartbeat = {
             "service": service,
             "address": f"{server.host}:{server.port}",
-            "zone": "a",
+            "zone": domain,
             "seq": seq,
             "state": "draining" if leaving else "ready",
         }
@@ -249,7 +250,7 @@
 
 
 @asynccontextmanager
-async def servers(site: Site, service: str, *scripts, first: int = 0):
+async def servers(site: Site, service: str, *scripts, first: int = 0, domain: str = "a"):
     """Run and announce one stand-in server per script, numbered from ``first`` in their names."""
     async with trio.open_nursery() as nursery:
         running = []
@@ -257,7 +258,7 @@
             server = StandinServer(f"i-{service}{number}")
             server.script.extend(script)
             await nursery.start(server.serve)
-            site.announce(server, service)
+            site.announce(server, service, domain=domain)
             running.append(server)
         yield running
         nursery.cancel_scope.cancel()
