Check an engine's free memory again after offers of other cells were awaited

Cause: a prompt's place in its own cell is found before other cells are queried for 20 ms. Work that arrives meanwhile is in the work table, but the place was used as it was found; two long prompts could be sent to one engine that has memory for one. An offer could also be older than this VM's own work.

Change: where queue_capacity is above 0, assign checks the place against the work table after the query, and places the prompt anew if its memory is gone. Counter place.memory_taken. Retries, resumed streams and planned attempts were right already: they are placed and entered in the table in one step.

Without the setting both prompts are sent, as before.

--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -12,7 +12,7 @@
 
 from siskinspoke.coordination.cost_model import DecodingStream, pass_ms, prefill_ms
 from siskinspoke.coordination.routes import EngineCosts
-from siskinspoke.coordination.work_table import Job, Stage, WorkTable
+from siskinspoke.coordination.work_table import Job, Stage, Work, WorkTable
 
 # Maximum number of engines, besides the decoding one, that prefill parts of one prompt.
 MAX_HELPERS = 16
@@ -165,6 +165,18 @@
         least = costs.pass_steps * costs.step_ms
         return max(least, pass_ms(costs, decoding)) * self.work_table.engine(server).slowdown
 
+    def has_memory(self, costs: EngineCosts, job: Job, place: Place) -> bool:
+        """Return whether the engines of a place still have the memory that the job needs there."""
+        needed = Work(job, place.servers, 0.0, place.held)
+        return all(
+            self._used_tokens(server) + needed.tokens_at(server) <= costs.memory_tokens
+            for server in place.servers
+        )
+
+    def _used_tokens(self, server: str) -> int:
+        works = self.work_table.engine(server).in_flight.values()
+        return sum(work.tokens_at(server) for work in works)
+
     def remaining_prefill_ms(self, costs: EngineCosts, server: str, now: float) -> float:
         """Return the prefill time that remains for the prompts known to be at an engine."""
         engine = self.work_table.engine(server)
--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -103,6 +103,8 @@
     if not local_only and gateway.cells.other_cells and lacks_room(found, request.route.target_ms):
         offered = await request_remote_place(gateway, request, job, excluded, found)
         found = offered or found or _choose_in_other_cells(gateway, request, job, costs, excluded)
+        if found is not None and _has_lost_memory(gateway, costs, job, found):
+            found = choose_engines(gateway, costs, job, records)
     if found is None:
         return None
     return _assignment(gateway, found, job, costs)
@@ -161,6 +163,14 @@
     return local if local_only and local else records
 
 
+def _has_lost_memory(gateway: Gateway, costs: EngineCosts, job: Job, found: Place) -> bool:
+    """Return whether other work has taken the memory of a place while offers were awaited."""
+    if not gateway.settings.queue_capacity or gateway.placement.has_memory(costs, job, found):
+        return False
+    gateway.counters.count("place.memory_taken")
+    return True
+
+
 def _may_stay_local(gateway: Gateway, request: Request) -> bool:
     """Return whether the request may be served in this VM's own failure domain."""
     return request.domains is None or gateway.settings.failure_domain in request.domains
