Push evacuations to entry VMs, which send nothing more to those domains

Cause: an accepted order had no effect yet.

Change: each hub sends the evacuations to entry VMs when its replica applies an order and at the start of every session, before the configuration. An entry VM keeps the state with the highest revision and confirms it. It costs no attempt and no retry. If only evacuated servers are left, requests are refused with EVACUATED and a Retry-After of 1 to 1.5 s; an infinite hold no longer reaches the rounding of the Retry-After. Nothing is sent before the first order, so that deployments without one see no new message. `GET /evacuation` lists the evacuations and which entry VMs have confirmed them.

test_cells: its stand-in of a gateway gets the new field; no check changed.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -16,6 +16,7 @@
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.crashes import CrashNews
+from siskinspoke.protocol.evacuations import EvacuationsHeld, EvacuationState
 from siskinspoke.protocol.feed import (
     EntryPeer,
     Follow,
@@ -64,7 +65,8 @@
     """The connection of one follower.
 
     ``confirmed_version`` is the latest configuration version that the follower has confirmed,
-    ``sent_version`` the latest one sent over this connection.
+    ``sent_version`` the latest one sent over this connection, and ``confirmed_evacuations`` the
+    revision of the evacuations that the follower obeys.
     """
 
     def __init__(self, follow: Follow):
@@ -72,6 +74,7 @@
         self.confirmed_version = follow.version
         self.sent_version = 0
         self.confirmed_number = 0
+        self.confirmed_evacuations = 0
         self.outbox, self.queued_frames = trio.open_memory_channel[bytes](OUTBOX_FRAMES)
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
@@ -90,12 +93,14 @@
         key: bytes,
         counters: Counters,
         log: DecisionLog,
+        current_evacuations: Callable[[], EvacuationState] = lambda: EvacuationState(0, []),
     ):
         self._host = host
         self._failure_domain = failure_domain
         self._directory = directory
         self._controls = controls
         self._current_configuration = current_configuration
+        self._current_evacuations = current_evacuations
         self._key = key
         self._counters = counters
         self._log = log
@@ -164,6 +169,8 @@
                             self._notify_waiters()
                     case Holds(version=version):
                         session.confirmed_version = max(session.confirmed_version, version)
+                    case EvacuationsHeld(revision=revision):
+                        session.confirmed_evacuations = revision
                     case CrashNews() as news:
                         self.handle_crash_news(news, session)
                     case _:
@@ -193,6 +200,8 @@
         self._follower_joined.set()
         self._log.note("follower.joined", follower=follow.name, host=follow.host)
         self._send(session, self._current_roster())
+        # Before the configuration: a VM that can serve must know the evacuations already.
+        self._send_evacuations(session, self._current_evacuations())
         configuration = self._current_configuration()
         if configuration.document is not None:
             self._schedule_publication(session, configuration)
@@ -245,6 +254,31 @@
         """Return the known entry VMs."""
         return self._entries
 
+    def publish_evacuations(self) -> None:
+        """Send the evacuations to all entry VMs."""
+        state = self._current_evacuations()
+        for session in list(self._sessions):
+            self._send_evacuations(session, state)
+
+    def _send_evacuations(self, session: Session, state: EvacuationState) -> None:
+        """Send the evacuations to an entry VM, unless there has never been one.
+
+        Entry VMs of builds that do not know the message close the connection that carries it.
+        Other control VMs get the orders from the replicated log.
+        """
+        if state.revision and session.follow.peer_port:
+            self._send(session, state)
+
+    @property
+    def confirmed_evacuations(self) -> dict[str, int]:
+        """Return the revision of the evacuations that each connected entry VM has confirmed."""
+        confirmed: dict[str, int] = {}
+        for session in self._sessions:
+            if session.follow.peer_port:
+                name = session.follow.name
+                confirmed[name] = max(confirmed.get(name, 0), session.confirmed_evacuations)
+        return confirmed
+
     @property
     def failure_domains(self) -> frozenset[str]:
         """Return the failure domains of the VMs that follow this one or recently did."""
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -103,6 +103,7 @@
             self._watch.settings.internal_key,
             self._counters,
             log,
+            lambda: self.registry.evacuations.state,
         )
         self.registry.set_hub(self._hub)
 
@@ -320,16 +321,25 @@
         async with AsyncExitStack() as stack:
             stack.callback(store.close)
             nursery = await stack.enter_async_context(trio.open_nursery())
-            nursery.start_soon(self._publish_versions, task)
+            nursery.start_soon(self._publish_changes, task)
             nursery.start_soon(self._log_roles, replica)
             nursery.start_soon(task.run)
 
-    async def _publish_versions(self, task: ReplicaTask) -> None:
-        """Publish each configuration to the followers once this replica has applied it."""
-        published = 0
+    async def _publish_changes(self, task: ReplicaTask) -> None:
+        """Publish configurations and evacuations to the followers once this replica has them.
+
+        The evacuations go first: a VM that can serve must know them already.
+        """
+        published, revision = 0, 0
         while True:
-            await task.wait_for_version(published, 3600)
+            await task.wait_for_change(published, revision, 3600)
             machine = task.machine
+            if machine.evacuations.revision > revision:
+                revision = machine.evacuations.revision
+                domains = sorted(machine.evacuations.domains)
+                self._counters.gauge("evacuation.domains", len(domains))
+                self._log.note("evacuation.published", revision=revision, domains=domains)
+                self._hub.publish_evacuations()
             if machine.version > published and machine.document is not None:
                 published = machine.version
                 self._log.note("configuration.accepted", version=published)
--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -230,6 +230,28 @@
         self._log_evacuation(domain, begin, answer)
         return Ok(answer)
 
+    def list_evacuations(self) -> list[dict]:
+        """Return the evacuations that this replica has applied, and who has confirmed each.
+
+        The entry VMs are those that follow this control VM.
+        """
+        confirmed = self._hub.confirmed_evacuations
+        return [
+            {
+                "domain": item.domain,
+                "revision": item.revision,
+                "begun_ms": item.begun_ms,
+                "accepted_by": item.accepted_by,
+                "confirmed": sorted(vm for vm, held in confirmed.items() if held >= item.revision),
+                "unconfirmed": sorted(vm for vm, held in confirmed.items() if held < item.revision),
+            }
+            for item in self.evacuations.evacuations
+        ]
+
+    async def are_evacuations_current(self) -> bool:
+        """Return whether a majority confirms that this replica has applied all accepted orders."""
+        return self._task is not None and await self._task.wait_until_readable(READ_TIMEOUT_SECONDS)
+
     async def _execute_evacuation(
         self, order: EvacuationOrder, seconds: float
     ) -> EvacuationAnswer | None:
--- a/siskinspoke/feeds/follower.py
+++ b/siskinspoke/feeds/follower.py
@@ -9,6 +9,7 @@
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.crashes import CrashNews
+from siskinspoke.protocol.evacuations import EvacuationsHeld, EvacuationState
 from siskinspoke.protocol.feed import (
     EntryPeer,
     Follow,
@@ -47,7 +48,8 @@
 class FeedHandlers(NamedTuple):
     """Handlers of messages from hubs, and sources of what this VM sends to them.
 
-    The sources return the version of the current configuration and the crash reports of this VM.
+    The sources return the version of the current configuration, the crash reports of this VM and
+    the revision of the evacuations that it obeys.
     """
 
     on_publication: Callable[[int, dict], None]
@@ -57,6 +59,8 @@
     current_version: Callable[[], int]
     on_crashes: Callable[[CrashNews], None] = lambda news: None
     own_crash_reports: Callable[[], list[CrashNews]] = list
+    on_evacuations: Callable[[EvacuationState], None] = lambda state: None
+    evacuation_revision: Callable[[], int] = lambda: 0
 
 
 class FollowerIdentity(NamedTuple):
@@ -311,6 +315,10 @@
                 self._handlers.on_remembered(announcements)
             case CrashNews() as news:
                 self._handlers.on_crashes(news)
+            case EvacuationState() as state:
+                self._handlers.on_evacuations(state)
+                held = EvacuationsHeld(self._handlers.evacuation_revision())
+                await self._send_when_idle(stream, held)
             case News(number=number, announcements=announcements):
                 self._handlers.on_news(announcements)
                 await self._confirm(stream, number)
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -13,6 +13,7 @@
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import DomainMonitor
+from siskinspoke.coordination.evacuations import ObeyedEvacuations
 from siskinspoke.coordination.fingerprints import RequestIdentity
 from siskinspoke.coordination.first_token_margin import FirstTokenMargin
 from siskinspoke.coordination.liveness import ConnectTimeout, ProbeTracker
@@ -74,6 +75,9 @@
     rng: random.Random
     no_room_cache: NoRoomCache = field(default_factory=NoRoomCache)
     first_token_margin: FirstTokenMargin = field(default_factory=FirstTokenMargin)
+    evacuations: ObeyedEvacuations = field(default_factory=ObeyedEvacuations)
+    # Services all of whose servers are evacuated, as last logged.
+    unserved_services: frozenset[str] = frozenset()
     nursery: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since_ms: float | None = None
@@ -138,7 +142,8 @@
     version: int
     service: str = ""
     attempts: list[AttemptResult] = field(default_factory=list)
-    # Chosen servers that became unavailable (back-off, rate limit or leaving) before the send.
+    # Chosen servers that became unavailable before the send: back-off, rate limit, leaving or
+    # evacuated.
     held: list[str] = field(default_factory=list)
     first_token_ms: float | None = None
     expected_first_token_ms: float | None = None
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -30,6 +30,7 @@
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.clients import ClientServer
 from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.evacuations import apply_evacuations, report_evacuations
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.pool import Pool
@@ -82,6 +83,8 @@
             current_version=lambda: self.gateway.table.version if self.gateway.table else 0,
             on_crashes=self._on_crashes,
             own_crash_reports=lambda: self.gateway.crashes.own_reports(now_ms()),
+            on_evacuations=lambda state: apply_evacuations(self.gateway, state),
+            evacuation_revision=lambda: self.gateway.evacuations.revision,
         )
         directory = Directory(settings.announce_every_ms * ANNOUNCEMENTS_PER_LEASE)
         self._feeds = FeedClients(
@@ -291,6 +294,7 @@
             gateway.peers.expire_peers(now)
             gateway.crashes.prune(now)
             gateway.pool.prune(now)
+            report_evacuations(gateway)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected_count)
             gateway.counters.gauge("rate_limits.in_force", len(gateway.rate_limits))
--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -1,7 +1,7 @@
-"""Holds that servers have asked for, checked before a request is placed and before it is sent.
+"""Holds of servers, checked before a request is placed and before it is sent.
 
-Unlike an estimate of a server's health a hold is binding: it applies even where no other server is
-left.
+Servers ask for them, or operators evacuate their failure domain.  Unlike an estimate of a server's
+health a hold is binding: it applies even where no other server is left.
 """
 
 import math
@@ -17,13 +17,19 @@
 RATE_LIMIT = "rate limit"
 BACK_OFF = "back-off"
 LEAVING = "leaving"
+EVACUATED = "evacuated"
 
 
 class Hold(NamedTuple):
-    """Why a server gets no request from this VM now, and until when, in milliseconds."""
+    """Why a server gets no request from this VM now, and until when, in milliseconds.
+
+    ``until`` is infinite where the end is not known.  ``member`` is the name of the server on hold
+    if that is a helper of the server that the request is for.
+    """
 
     reason: str
     until: float
+    member: str | None = None
 
 
 def find_hold(gateway: Gateway, server: ServerRecord, now: float) -> Hold | None:
@@ -31,6 +37,8 @@
     known = gateway.directory.find(*server.start)
     if known is not None and known.announcement.leaving:
         return Hold(LEAVING, math.inf)
+    if is_evacuated(gateway, server):
+        return Hold(EVACUATED, math.inf)
     back_off_until = gateway.back_offs.until(server.start)
     if back_off_until > now:
         return Hold(BACK_OFF, back_off_until)
@@ -40,9 +48,18 @@
     return None
 
 
+def is_evacuated(gateway: Gateway, server: ServerRecord) -> bool:
+    """Return whether a server is in an evacuated failure domain."""
+    domains = gateway.evacuations.domains
+    if not domains:
+        return False
+    latest = gateway.directory.find(*server.start) or server
+    return latest.announcement.failure_domain in domains
+
+
 def _restricts_any(gateway: Gateway) -> bool:
-    """Tell whether any server that is not leaving restricts this VM's requests."""
-    return bool(gateway.back_offs or gateway.rate_limits)
+    """Tell whether any server that is not leaving may be on hold."""
+    return bool(gateway.evacuations.domains or gateway.back_offs or gateway.rate_limits)
 
 
 def without_hold(gateway: Gateway, records: Iterable[ServerRecord]) -> list[ServerRecord]:
@@ -59,7 +76,10 @@
 
 
 def hold_ends_in_ms(gateway: Gateway, service: str) -> float | None:
-    """Return when a service's first server takes requests again, None unless all are on hold."""
+    """Return when a service's first server takes requests again, None unless all are on hold.
+
+    The result is infinite if all of them are evacuated.
+    """
     if not _restricts_any(gateway):
         return None
     now = now_ms()
@@ -69,6 +89,25 @@
     return min(wait.until for wait in waits) - now
 
 
+def all_evacuated(gateway: Gateway, service: str) -> bool:
+    """Return whether a service has servers and all of them are evacuated."""
+    return hold_ends_in_ms(gateway, service) == math.inf
+
+
+def _find_attempt_hold(
+    gateway: Gateway, server: ServerRecord, attempt: Attempt, now: float
+) -> Hold | None:
+    """Return the hold of a server, or the evacuation of another server of its attempt."""
+    hold = find_hold(gateway, server, now)
+    if hold is None or hold.reason == RATE_LIMIT:
+        for member in attempt.servers:
+            if is_evacuated(gateway, member):
+                hold = Hold(EVACUATED, math.inf, member.announcement.server)
+    if hold is not None and hold.reason == EVACUATED:
+        gateway.counters.count("evacuation.held")
+    return hold
+
+
 async def check_hold(
     gateway: Gateway, request_id: str, server: ServerRecord, attempt: Attempt
 ) -> Hold | None:
@@ -79,7 +118,7 @@
     limit = gateway.rate_limits.find(server.start)
     now = now_ms()
     has_permit = attempt.permit is not None and now < attempt.permit.until
-    hold = find_hold(gateway, server, now)
+    hold = _find_attempt_hold(gateway, server, attempt, now)
     if hold is not None and not (has_permit and hold.reason == RATE_LIMIT):
         return hold
     if limit is None or has_permit:
@@ -91,7 +130,9 @@
         gateway.counters.count("permit.refused")
         return Hold(RATE_LIMIT, permit.until)
     attempt.permit = permit
-    return None
+    # An evacuation may have begun while the permit was awaited.
+    hold = _find_attempt_hold(gateway, server, attempt, now_ms())
+    return hold if hold is not None and hold.reason == EVACUATED else None
 
 
 def _log_permit(
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -54,6 +54,8 @@
 # Retry-After of refusals because all servers are busy or gone.  Milliseconds.
 RETRY_AFTER_MS = 400
 RETRY_AFTER_JITTER = 0.5
+# The end of an evacuation cannot be predicted, so callers poll at this interval.  Milliseconds.
+EVACUATED_RETRY_AFTER_MS = 1_000
 
 
 class WholeAnswer(NamedTuple):
@@ -224,6 +226,10 @@
     wait_ms = hold_ends_in_ms(gateway, request.service)
     if wait_ms is None:
         return Failure(ResultCode.NO_SERVER, message, retry_after(gateway))
+    if math.isinf(wait_ms):
+        message += ": all are in evacuated failure domains"
+        later_ms = retry_after(gateway, EVACUATED_RETRY_AFTER_MS)
+        return Failure(ResultCode.EVACUATED, message, later_ms)
     message += f": all have asked for fewer requests, the first for {math.ceil(wait_ms)} ms more"
     return Failure(ResultCode.NO_SERVER, message, math.ceil(wait_ms) + retry_after(gateway))
 
--- a/siskinspoke/gateway/remote_placement.py
+++ b/siskinspoke/gateway/remote_placement.py
@@ -43,6 +43,7 @@
         cell
         for cell in gateway.cells.other_cells
         if not gateway.domains.is_cut_off(cell.domain, now)
+        and cell.domain not in gateway.evacuations.domains
     ]
     near = [cell for cell in cells if cell.domain == own_domain]
     far = [cell for cell in cells if cell.domain != own_domain]
--- a/siskinspoke/gateway/reservations.py
+++ b/siskinspoke/gateway/reservations.py
@@ -15,6 +15,7 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.gateway.context import Gateway
 from siskinspoke.gateway.exchange import ask
+from siskinspoke.gateway.holds import is_evacuated
 
 # Lease of reserved memory.  An engine may carry out an order seconds late, after its release; the
 # memory must be free again in less than the two seconds after which it counts as lost.
@@ -41,10 +42,15 @@
 
 
 class ReservationRefused(NamedTuple):
-    """One member could not be reserved; ``full`` if it answered that it has no memory left."""
+    """One member could not be reserved.
+
+    ``full`` if it answered that it has no memory left, ``evacuated`` if it was not asked because
+    its failure domain is evacuated.
+    """
 
     server: str
     full: bool
+    evacuated: bool = False
 
 
 class Reservation(NamedTuple):
@@ -90,6 +96,10 @@
     scope = trio.CancelScope()
     try:
         for reservation in wanted:
+            if is_evacuated(gateway, reservation.server):
+                gateway.counters.count("evacuation.held")
+                yield ReservationRefused(reservation.server.announcement.server, False, True)
+                return
             asked.append(reservation)
             status = await _order(gateway, reservation, release=False)
             if status is None:
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -128,7 +128,7 @@
     server, incarnation = record.start
     gateway.counters.count(f"attempt.{outcome.failure_kind.value}")
     if outcome.failure_kind is FailureKind.HELD:
-        request.held.append(server)
+        request.held.append(outcome.member or server)
         return
     request.record_attempt(server, outcome.reason, now)
     if isinstance(outcome, OutcomeUnknown):
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -26,7 +26,7 @@
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
 from siskinspoke.gateway.failover import Failover, PlannedAttempt, RetryObstacle, RetryState
-from siskinspoke.gateway.holds import check_hold
+from siskinspoke.gateway.holds import EVACUATED, Hold, all_evacuated, check_hold
 from siskinspoke.gateway.plain import MAX_IDLE_MS, WholeAnswer, no_server_failure, run_end
 from siskinspoke.gateway.relaying import (
     Reconsider,
@@ -140,8 +140,8 @@
     """Count what an attempt used up, and exclude servers that must not get the request again."""
     retry_state.count_outcome(gateway, assignment.server, outcome)
     match outcome:
-        case NotRun(failure_kind=FailureKind.HELD):
-            retry_state.excluded.exclude_temporarily(assignment.name, now_ms())
+        case NotRun(failure_kind=FailureKind.HELD, member=member):
+            retry_state.excluded.exclude_temporarily(member or assignment.name, now_ms())
         case NotRun(member=str(member)):
             # The other members of the group may be healthy, including the writing server.
             retry_state.excluded.exclude_temporarily(member, now_ms())
@@ -183,6 +183,7 @@
         if obstacle is not logged:
             gateway.counters.count("place.none" if assignment is None else "retry.budget_spent")
         waits = request.crashes >= ISOLATION_CRASHES and may_wait and assignment is None
+        waits = waits and not all_evacuated(gateway, request.service)
         if not relay.head_sent and not waits:
             return obstacle
         if obstacle is not logged:
@@ -264,6 +265,10 @@
             reservation = await stack.enter_async_context(
                 _reserve_memory(gateway, assignment, work)
             )
+            if isinstance(reservation, ReservationRefused) and reservation.evacuated:
+                outcome = not_run_on_hold(Hold(EVACUATED, math.inf, reservation.server))
+                run.end = RunEnd.NOT_RUN
+                return outcome
             if isinstance(reservation, ReservationRefused):
                 failure_kind = FailureKind.BUSY if reservation.full else FailureKind.UNREACHABLE
                 reason = f"memory could not be reserved at {reservation.server}"
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -20,7 +20,7 @@
     """The server has not run the request and never will.
 
     ``at_fault`` is the address of a helper that the server names, ``member`` the name of a group
-    member that this VM could not reserve.
+    member that this VM could not reserve, or that is on hold.
     """
 
     failure_kind: FailureKind
@@ -46,7 +46,7 @@
 
 def not_run_on_hold(hold: Hold) -> NotRun:
     """Return the outcome of an attempt that a server's hold prevented."""
-    return NotRun(FailureKind.HELD, hold.reason, arrived=False)
+    return NotRun(FailureKind.HELD, hold.reason, arrived=False, member=hold.member)
 
 
 def connection_failure(error: PeerError) -> OutcomeUnknown:
--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -154,6 +154,8 @@
                 return await self._replace(call.body)
             case ("POST", "evacuation", domain, "begin" | "end" as action):
                 return await self._evacuate(domain, action == "begin", call.body)
+            case ("GET", "evacuation"):
+                return await self._list_evacuations()
             case ("GET", "config", "get"):
                 return await self._get()
         return _error_reply(Failure(ResultCode.UNKNOWN_PATH, "no such path or method"), 404)
@@ -227,3 +229,17 @@
                 "name": code.name,
             }
         )
+
+    async def _list_evacuations(self) -> Reply:
+        """Return the evacuations, and whether they are known to be the newest.
+
+        A VM that is cut off from the majority still says what it knows.
+        """
+        current = await self._registry.are_evacuations_current()
+        return _reply(
+            {
+                "current": current,
+                "revision": self._registry.evacuations.revision,
+                "evacuations": self._registry.list_evacuations(),
+            }
+        )
--- a/siskinspoke/testing/group_site.py
+++ b/siskinspoke/testing/group_site.py
@@ -38,10 +38,13 @@
         offset = 0 if name.startswith("c") else 100
         return f"{self._net}.{offset + int(name[1:])}"
 
-    def start(self, name: str, found: bool = False, mutant: str | None = None) -> None:
+    def start(
+        self, name: str, found: bool = False, mutant: str | None = None, **settings: object
+    ) -> None:
         """Start a registry or gateway, optionally with a mutant of ``siskinspoke.testing.mutants``.
 
-        ``found`` is the setting that lets a registry create the group.
+        ``found`` is the setting that lets a registry create the group; ``settings`` are added to
+        the VM's settings file.
         """
         host = self.host_of(name)
         document = {
@@ -52,6 +55,7 @@
             "internal_ports": INTERNAL_PORTS,
             "found": found,
             "internal_key": "test",
+            **settings,
         }
         if name.startswith("c"):
             command = "registry"
@@ -141,12 +145,17 @@
 
     def status(self, gateway: str, path: str, host: str) -> int:
         """Return the status that a client gets from a gateway, or 0 if there is no answer."""
+        response = self.ask(gateway, path, host)
+        return 0 if response is None else response.status_code
+
+    def ask(self, gateway: str, path: str, host: str) -> httpx.Response | None:
+        """Return the answer that a client gets from a gateway, or None if there is none."""
         url = f"http://{self.host_of(gateway)}:{PUBLIC_PORT}{path}"
         headers = {"Host": host, "Request-Id": "t1", "Deadline-Ms": "1000"}
         try:
-            return httpx.get(url, headers=headers, timeout=2.0, trust_env=False).status_code
+            return httpx.get(url, headers=headers, timeout=2.0, trust_env=False)
         except httpx.HTTPError:
-            return 0
+            return None
 
     def wait_status(self, gateway: str, path: str, host: str, status: int) -> None:
         """Wait until a gateway answers its clients with a given status."""
--- a/tests/control/test_feed_hub.py
+++ b/tests/control/test_feed_hub.py
@@ -8,10 +8,12 @@
 from siskinspoke.control.feed_hub import PUBLICATION_STAGGER_SECONDS, ConfigurationVersion, FeedHub
 from siskinspoke.coordination.cells import MAX_CELL_VMS
 from siskinspoke.coordination.directory import Directory
+from siskinspoke.coordination.evacuations import ObeyedEvacuations
 from siskinspoke.coordination.watchers import rendezvous_order
 from siskinspoke.core.counters import Counters
 from siskinspoke.feeds.follower import FeedClients, FeedHandlers, FollowerIdentity
 from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.evacuations import Evacuation, EvacuationState
 from siskinspoke.protocol.feed import Follow
 from siskinspoke.transport.frames import LENGTH_BYTES, decode_frame
 from tests.feeds.test_follower import NullDecisionLog
@@ -30,6 +32,10 @@
         self.domain = domain
         self.configurations = dict.fromkeys(HUBS, ConfigurationVersion(version, {}))
         self.received_versions: list[int] = []
+        self.evacuations = dict.fromkeys(HUBS, EvacuationState(0, []))
+        self.obeyed = ObeyedEvacuations()
+        # The evacuations that the entry VM obeyed when it received each configuration.
+        self.obeyed_at_publication: list[int] = []
         self.version = version
         self.hubs: dict[str, FeedHub] = {}
         self.feeds: FeedClients | None = None
@@ -37,6 +43,7 @@
     def install(self, version, _document):
         """Record a received configuration."""
         self.received_versions.append(version)
+        self.obeyed_at_publication.append(self.obeyed.revision)
         self.version = max(self.version, version)
 
     def publish(self, host, version):
@@ -44,6 +51,17 @@
         self.configurations[host] = ConfigurationVersion(version, {"version": version})
         self.hubs[host].publish(*self.configurations[host])
 
+    def evacuate(self, host, state):
+        """Apply evacuations at one hub."""
+        self.evacuations[host] = state
+        self.hubs[host].publish_evacuations()
+
+    async def wait_until_confirmed(self, host, revision):
+        """Wait until a hub has the entry VM's confirmation of a revision."""
+        with trio.fail_after(TIMEOUT_SECONDS):
+            while self.hubs[host].confirmed_evacuations != {"entry": revision}:
+                await trio.sleep(0.005)
+
     async def wait_for_version(self, version):
         """Wait until the entry VM has a configuration version."""
         with trio.fail_after(TIMEOUT_SECONDS):
@@ -66,10 +84,15 @@
                 b"k",
                 Counters(),
                 NullDecisionLog(),
+                lambda host=host: site.evacuations[host],
             )
             await nursery.start(site.hubs[host].serve, host, port)
         handlers = FeedHandlers(site.install, print, lambda _: None, print, lambda: site.version)
-        handlers = handlers._replace(on_news=lambda _: None)
+        handlers = handlers._replace(
+            on_news=lambda _: None,
+            on_evacuations=site.obeyed.update,
+            evacuation_revision=lambda: site.obeyed.revision,
+        )
         site.feeds = FeedClients(
             FollowerIdentity("entry", ENTRY, 9, site.domain),
             tuple(HUBS),
@@ -170,6 +193,91 @@
             trio.run(run, domain)
 
 
+class TestEvacuations:
+    """Evacuations reach each entry VM from any hub, and never revert."""
+
+    BEGUN = EvacuationState(5, [Evacuation("a", 5, 0, "c1")])
+    ENDED = EvacuationState(8, [])
+
+    def test_lagging_hub(self):
+        """Guards against a hub that lags or is partitioned and undoes a newer order."""
+
+        async def run():
+            async with run_site(Site()) as site:
+                for host in HUBS[:2]:
+                    site.evacuate(host, self.BEGUN)
+                site.evacuate(HUBS[0], self.ENDED)
+                await site.wait_until_confirmed(HUBS[0], 8)
+                site.evacuate(HUBS[2], self.BEGUN)
+                await site.wait_until_confirmed(HUBS[2], 8)
+                assert (site.obeyed.revision, site.obeyed.domains) == (8, frozenset())
+
+        trio.run(run)
+
+    def test_known_before_the_configuration(self):
+        """Guards against an entry VM that serves before it knows the evacuations."""
+
+        async def run():
+            site = Site(version=0)
+            site.configurations = dict.fromkeys(HUBS, ConfigurationVersion(2, {"version": 2}))
+            site.evacuations = dict.fromkeys(HUBS, self.BEGUN)
+            async with run_site(site):
+                await site.wait_for_version(2)
+                assert site.obeyed_at_publication[0] == 5
+                for host in HUBS:
+                    await site.wait_until_confirmed(host, 5)
+
+        trio.run(run)
+
+    def test_entry_vm_is_cut_off_and_reconnects(self):
+        """It keeps what it knows while it is cut off, and learns the rest when it is back."""
+
+        async def run():
+            async with run_site(Site()) as site:
+                site.evacuate(HUBS[0], self.BEGUN)
+                await site.wait_until_confirmed(HUBS[0], 5)
+                site.feeds.set_seeds(())
+                for scope in site.feeds._connection_scopes.values():
+                    scope.cancel()
+                with trio.fail_after(TIMEOUT_SECONDS):
+                    while any(site.hubs[host].follower_count for host in HUBS):
+                        await trio.sleep(0.005)
+                for host in HUBS:
+                    site.evacuate(host, self.ENDED)
+                await trio.sleep(0.1)
+                assert site.obeyed.domains == {"a"}
+                site.feeds._connection_scopes.clear()
+                site.feeds.set_seeds(tuple(HUBS))
+                for host in HUBS:
+                    await site.wait_until_confirmed(host, 8)
+                assert site.obeyed.domains == frozenset()
+
+        trio.run(run)
+
+    def test_nothing_is_sent_without_orders_or_to_control_vms(self):
+        """Entry VMs of earlier builds would close the connection on an unknown message."""
+        state = EvacuationState(0, [])
+        hub = FeedHub(
+            HUBS[0],
+            "a",
+            Directory(4_800),
+            lambda: HUBS,
+            lambda: None,
+            b"k",
+            Counters(),
+            NullDecisionLog(),
+            lambda: state,
+        )
+        entry, control = RecordingSession("g1", 9, "a"), RecordingSession("c2", 0, "b")
+        hub._sessions = {entry, control}
+        hub.publish_evacuations()
+        assert not entry.frames
+        state = self.BEGUN
+        hub.publish_evacuations()
+        assert decode_frame(b"k", entry.frames[0][LENGTH_BYTES:]).ok == state
+        assert not control.frames
+
+
 class RecordingSession:
     """A follower that records the frames sent to it."""
 
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -10,6 +10,7 @@
 from siskinspoke.coordination.cell_offers import lacks_room
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import DomainMonitor
+from siskinspoke.coordination.evacuations import ObeyedEvacuations
 from siskinspoke.coordination.placement import Place
 from siskinspoke.coordination.rate_limits import RateLimits
 from siskinspoke.coordination.retries import SharedRetryBudget
@@ -21,6 +22,7 @@
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.gateway.remote_placement import request_remote_place
 from siskinspoke.protocol.announcements import Announcement
+from siskinspoke.protocol.evacuations import Evacuation, EvacuationState
 from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion, RateLimitNews, WorkNews
 from tests.feeds.test_follower import NullDecisionLog
@@ -173,6 +175,7 @@
         server_health=ServerHealth(),
         rate_limits=RateLimits(),
         back_offs=BackOffs(),
+        evacuations=ObeyedEvacuations(),
         settings=SimpleNamespace(failure_domain="a"),
         queries=SimpleNamespace(request_offers=request_offers),
         counters=Counters(),
@@ -213,6 +216,13 @@
         assert place_in_other_cells(gateway, None) is None
         assert all(host.startswith("10.0.0.") for host, _ in gateway.queried)
 
+    def test_offer_from_evacuated_domain_is_declined(self):
+        """The queried VM has not yet received the evacuation of its failure domain."""
+        gateway = querying_gateway(Fleet(), [PlaceOffer(1, ["b-1"], 90.0, [])])
+        gateway.evacuations.update(EvacuationState(1, [Evacuation("b", 1, 0, "c1")]))
+        assert place_in_other_cells(gateway, None) is None
+        assert all(host.startswith("10.0.0.") for host, _ in gateway.queried)
+
     def test_offer_of_failed_server_is_declined(self):
         gateway = querying_gateway(Fleet(), [PlaceOffer(1, ["b-1"], 90.0, [])])
         gateway.server_health.record_failure("b-1", FailureKind.SILENT, START_MS)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -112,12 +112,13 @@
         seq: int = 1,
         started: int | None = None,
         leaving: bool = False,
+        zone: str = "a",
     ) -> None:
         """Announce a server, optionally with its start time, as ready or leaving."""
         heartbeat = {
             "service": service,
             "address": f"{server.host}:{server.port}",
-            "zone": "a",
+            "zone": zone,
             "seq": seq,
             "state": "draining" if leaving else "ready",
         }
@@ -237,7 +238,7 @@
 
 
 @asynccontextmanager
-async def servers(site: Site, service: str, *scripts, first: int = 0):
+async def servers(site: Site, service: str, *scripts, first: int = 0, zone: str = "a"):
     """Run and announce one stand-in server per script, numbered from ``first`` in their names."""
     async with trio.open_nursery() as nursery:
         running = []
@@ -245,7 +246,7 @@
             server = StandinServer(f"i-{service}{number}")
             server.script.extend(script)
             await nursery.start(server.serve)
-            site.announce(server, service)
+            site.announce(server, service, zone=zone)
             running.append(server)
         yield running
         nursery.cancel_scope.cancel()
