Limit the requests of all VMs to a cold server in any one second

A rate limit is kept over four seconds, with small shares for the spare limiters and a take-over after 1.5 s of silence. Over one second from a server's start on that is too much: for 14 requests a second a limiter that resumes beside its successor makes 28 and two bursts, and 26 are allowed.

The stand-ins' account fails a test in which a cold server gets too much.

--- a/siskinspoke/coordination/token_bucket.py
+++ b/siskinspoke/coordination/token_bucket.py
@@ -21,11 +21,16 @@
         self._tokens = level
         self._filled_at = now
 
-    def take(self, rate: float, burst: float, now: float, max_wait_ms: float = 0.0) -> TokenGrant:
-        """Take a token usable within ``max_wait_ms``, or return when the next one is available."""
+    def take(
+        self, rate: float, burst: float, now: float, max_wait_ms: float = 0.0, reserve: float = 0.0
+    ) -> TokenGrant:
+        """Take a token usable within ``max_wait_ms``, or return when the next one is available.
+
+        ``reserve`` tokens must be left after it.
+        """
         self._tokens = min(burst, self._tokens + rate * max(0.0, now - self._filled_at) / 1000)
         self._filled_at = now
-        wait_ms = max(0.0, (1 - self._tokens) / rate * 1000)
+        wait_ms = max(0.0, (1 + reserve - self._tokens) / rate * 1000)
         granted = wait_ms <= max_wait_ms
         if granted:
             self._tokens -= 1
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -20,7 +20,10 @@
 from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.feed import ControlUp
 from siskinspoke.protocol.peers import (
+    ColdPermitRequest,
     EnginePace,
+    LeaseReply,
+    LeaseRequest,
     PermitReply,
     PermitRequest,
     PlaceOffer,
@@ -276,9 +279,9 @@
         match item:
             case WorkNews():
                 self._handle_work(item)
-            case PlaceQuestion() | PermitRequest():
+            case PlaceQuestion() | PermitRequest() | ColdPermitRequest() | LeaseRequest():
                 await self._queries.handle_query(item)
-            case PlaceOffer() | PermitReply():
+            case PlaceOffer() | PermitReply() | LeaseReply():
                 self._queries.handle_reply(item)
             case RateLimitNews():
                 self._on_rate_limit(item)
--- a/siskinspoke/gateway/queries.py
+++ b/siskinspoke/gateway/queries.py
@@ -7,7 +7,15 @@
 import trio
 
 from siskinspoke.core.counters import Counters
-from siskinspoke.protocol.peers import PermitReply, PermitRequest, PlaceOffer, PlaceQuestion
+from siskinspoke.protocol.peers import (
+    ColdPermitRequest,
+    LeaseReply,
+    LeaseRequest,
+    PermitReply,
+    PermitRequest,
+    PlaceOffer,
+    PlaceQuestion,
+)
 from siskinspoke.transport.datagrams import DatagramPort
 
 # A query takes two network crossings of 1 ms and 1 ms of processor time at the other VM. A VM that
@@ -18,7 +26,8 @@
 PERMIT_TIMEOUT_SECONDS = 0.05
 
 Address = tuple[str, int]
-Reply = PlaceOffer | PermitReply
+Reply = PlaceOffer | PermitReply | LeaseReply
+PermitQuestion = PermitRequest | ColdPermitRequest | LeaseRequest
 
 
 class Queries:
@@ -30,7 +39,9 @@
         peer_port: int,
         make_offer: Callable[[PlaceQuestion], PlaceOffer],
         counters: Counters,
-        decide_permit: Callable[[PermitRequest], PermitReply | None] = lambda question: None,
+        decide_permit: Callable[
+            [PermitQuestion], PermitReply | LeaseReply | None
+        ] = lambda question: None,
     ):
         self._host = host
         self._peer_port = peer_port
@@ -60,8 +71,10 @@
                     offers.append(await receive.receive())
         return [offer for offer in offers if offer.servers]
 
-    async def request_permit(self, request: PermitRequest, host: str) -> PermitReply | None:
-        """Ask another VM for a permit; return None if it does not answer in time."""
+    async def request_permit(
+        self, request: PermitQuestion, host: str
+    ) -> PermitReply | LeaseReply | None:
+        """Ask another VM for a permit or lease; return None if it does not answer in time."""
         if self._port is None:
             return None
         with self._pending_query(1) as (number, receive):
@@ -93,13 +106,13 @@
             # A duplicated datagram: the channel has exactly one slot for each VM asked.
             self._counters.count(late_counter)
 
-    async def handle_query(self, query: PlaceQuestion | PermitRequest) -> None:
+    async def handle_query(self, query: PlaceQuestion | PermitQuestion) -> None:
         """Answer a query of another VM."""
         match query:
             case PlaceQuestion():
                 self._counters.count("cells.answered")
                 reply = self._make_offer(query)
-            case PermitRequest():
+            case PermitRequest() | ColdPermitRequest() | LeaseRequest():
                 self._counters.count("permit.answered")
                 reply = self._decide_permit(query)
         if reply is not None:
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -130,6 +130,42 @@
     silent_ms: float
 
 
+@message
+class ColdPermitRequest(NamedTuple):
+    """A request to a limiter for permission to send a cold server one request.
+
+    ``domain`` is the server's failure domain. The other fields are those of
+    ``cold_limiters.ColdQuery``, with its budget as ``rate`` and ``burst``.
+    """
+
+    host: str
+    number: int
+    server: str
+    domain: str
+    rate: float
+    burst: float
+    patience_ms: float
+    urgent: bool
+
+
+@message
+class LeaseRequest(NamedTuple):
+    """A limiter's request for, or renewal of, the sole right to grant a cold server's permits."""
+
+    host: str
+    number: int
+    server: str
+    domain: str
+
+
+@message
+class LeaseReply(NamedTuple):
+    """Whether the lease was granted."""
+
+    number: int
+    granted: bool
+
+
 @message
 class PermitReply(NamedTuple):
     """The limiter's decision, with the fields of ``limiters.PermitDecision``."""
--- a/siskinspoke/testing/server_account.py
+++ b/siskinspoke/testing/server_account.py
@@ -1,9 +1,12 @@
-"""Check that VMs comply with the rate limit, back-off and leave that a backend server announced.
+"""Check that VMs comply with what a backend server asks for.
+
+That is its rate limit, its back-offs, its leave, and its lower rate while it is cold.
 
 A stand-in server records each request and each answer here.  The checks are stricter than the
 rules of the platform, which allow a settling time.  Times are in seconds.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -15,6 +18,7 @@
 # Number of requests of a VM that are tolerated during its back-off.
 BACK_OFF_TOLERANCE_REQUESTS = 2
 DRAIN_SECONDS = 2.0
+COLD_WINDOW_SECONDS = 1.0
 
 
 @dataclass
@@ -37,10 +41,14 @@
         self._limited_arrivals: deque[float] = deque()
         self._back_offs: dict[str, list[BackOff]] = {}
         self._leave_told_at: dict[str, float] = {}
+        self._cold_allowed = 0.0
+        self._cold_until = -math.inf
+        self._cold_arrivals: deque[float] = deque()
 
     def record_restart(self) -> None:
         """Record a restart of the server, which clears everything that it has asked for."""
         self._clear_limit()
+        self._cold_until = -math.inf
         self._back_offs.clear()
         self._leave_told_at.clear()
 
@@ -49,6 +57,11 @@
         self._rate_changes.clear()
         self._limited_arrivals.clear()
 
+    def record_cold(self, allowed: float, until: float = math.inf) -> None:
+        """Record that the server is cold, and takes ``allowed`` requests in any one second."""
+        self._cold_allowed, self._cold_until = allowed, until
+        self._cold_arrivals.clear()
+
     def record_disturbance(self, vm: str) -> None:
         """Record that a VM was restarted, suspended or partitioned, and may have lost its state."""
         for told in (self._limit_told_at, self._back_offs, self._leave_told_at):
@@ -79,12 +92,25 @@
         """Record a request of a VM, and a violation if it was not allowed."""
         self._check_limit(vm, now)
         self._check_back_off(vm, now)
+        self._check_cold(now)
         if now - self._leave_told_at.get(vm, now) > DRAIN_SECONDS:
             late = now - self._leave_told_at[vm]
             self.violations.append(
                 f"{self._server} got a request from {vm} {late:.1f} s after announcing its leave"
             )
 
+    def _check_cold(self, now: float) -> None:
+        if now > self._cold_until:
+            return
+        self._cold_arrivals.append(now)
+        while self._cold_arrivals[0] < now - COLD_WINDOW_SECONDS:
+            self._cold_arrivals.popleft()
+        if len(self._cold_arrivals) > self._cold_allowed:
+            self.violations.append(
+                f"{self._server} is cold but got {len(self._cold_arrivals)} requests in"
+                f" {COLD_WINDOW_SECONDS:g} s; maximum {self._cold_allowed:g}"
+            )
+
     def _check_back_off(self, vm: str, now: float) -> None:
         active = [item for item in self._back_offs.get(vm, []) if now < item.ends_at]
         self._back_offs[vm] = active
