Know which servers are cold, and send to them with permits only

An engine or a plain server that has just started crashes under the rate of a warm one, and nothing in the gateway knew that it had just started.

A heartbeat's cold_left_ms reaches all entry VMs like a join when it changes, and with the time that is left when a VM connects. A server is presumed cold after it was out of reach, has restarted under its name, has joined unknown, or is known from a disk only. A cold server has a penalty in placement, is left out while its next permit is not expected in time, helps no other engine, and gets no call that may run only once while a warm one is there. Every request to it needs a permit immediately before it is written.

--- a/siskinspoke/control/feed_hub.py
+++ b/siskinspoke/control/feed_hub.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from siskinspoke.control.replica_task import now_ms
 from siskinspoke.coordination.cells import MAX_CELL_VMS
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
@@ -200,7 +201,9 @@
         restored = [record.announcement for record in records if record.is_restored]
         if restored:
             self._send(session, Remembered(restored))
-        registered = [record.announcement for record in records if not record.is_restored]
+        # The directory is kept on the registry's clock.
+        now = now_ms()
+        registered = [record.announcement_at(now) for record in records if not record.is_restored]
         self._send(session, News(self._last_number, registered))
         for news in self._crashes.all_reports(_now_ms()):
             self._send(session, news)
--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -12,7 +12,8 @@
 from siskinspoke.control.feed_hub import ConfigurationVersion, FeedHub
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.announcement_checks import announcement_fault
-from siskinspoke.coordination.directory import AnnouncementEffect, Directory
+from siskinspoke.coordination.cold_servers import ColdSource, has_cold_changed
+from siskinspoke.coordination.directory import AnnouncementEffect, Directory, start_of
 from siskinspoke.coordination.state_machine import PUBLISH, PublishRequest
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.core.counters import Counters
@@ -83,6 +84,7 @@
 
     async def announce(self, announcement: Announcement) -> bool:
         """Process an announcement; return whether it may be confirmed to its sender."""
+        cold_changed = self._has_cold_changed(announcement)
         effect = self._directory.apply(announcement, now_ms())
         self._counters.count(f"announcement.{effect.value}")
         if announcement.leaving:
@@ -90,10 +92,30 @@
         if effect is AnnouncementEffect.JOINED:
             self._note(announcement, effect)
             self._hub.queue_broadcast([announcement])
+        elif effect is AnnouncementEffect.RENEWED and cold_changed:
+            self._note_cold_change(announcement)
+            self._hub.queue_broadcast([announcement])
         elif effect is AnnouncementEffect.RENEWED:
             self._hub.queue_renewal(announcement)
         return True
 
+    def _has_cold_changed(self, announcement: Announcement) -> bool:
+        """Return whether a known server states another end of its cold state than before."""
+        known = self._directory.find(*start_of(announcement))
+        if known is None or announcement.leaving:
+            return False
+        return has_cold_changed(known.announcement_at(now_ms()).cold_ms, announcement.cold_ms)
+
+    def _note_cold_change(self, announcement: Announcement) -> None:
+        self._counters.count("announcement.cold_changed")
+        self._log.note(
+            "server.cold" if announcement.cold_ms else "server.warm",
+            server=announcement.server,
+            start=announcement.incarnation,
+            until=announcement.cold_ms,
+            source=ColdSource.ANNOUNCED.value,
+        )
+
     async def _broadcast_leave(
         self, announcement: Announcement, effect: AnnouncementEffect
     ) -> bool:
@@ -112,11 +134,15 @@
         """Process announcements received from another control VM and forward the new ones."""
         new, has_left = [], False
         for announcement in announcements:
+            cold_changed = self._has_cold_changed(announcement)
             effect = self._directory.apply(announcement, now_ms())
             if effect in (AnnouncementEffect.JOINED, AnnouncementEffect.LEFT):
                 self._note(announcement, effect)
                 new.append(announcement)
                 has_left = has_left or effect is AnnouncementEffect.LEFT
+            elif effect is AnnouncementEffect.RENEWED and cold_changed:
+                self._note_cold_change(announcement)
+                new.append(announcement)
         if has_left:
             self._hub.broadcast(new)
         elif new:
--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from siskinspoke.coordination.cold_servers import remaining_cold_ms
 from siskinspoke.protocol.announcements import Announcement, Load, merge_load, server_key
 
 LEFT_RETENTION_MS = 60_000
@@ -56,6 +57,13 @@
         """Return the server name and incarnation."""
         return start_of(self.announcement)
 
+    def announcement_at(self, now: float) -> Announcement:
+        """Return the announcement with the time for which the server is cold from now on."""
+        if not self.announcement.cold_ms:
+            return self.announcement
+        cold_ms = remaining_cold_ms(self.announcement.cold_ms, self.heard_at, now)
+        return self.announcement._replace(cold_ms=cold_ms)
+
     @property
     def sort_key(self) -> tuple[int, int]:
         """Return the sort key that tells the later of two announcements of a server."""
@@ -133,7 +141,8 @@
         known = self.find(server, incarnation)
         if known is None:
             return AnnouncementEffect.UNKNOWN
-        return self.apply(known.announcement._replace(seq=seq), now)
+        cold_ms = remaining_cold_ms(known.announcement.cold_ms, known.heard_at, now)
+        return self.apply(known.announcement._replace(seq=seq, cold_ms=cold_ms), now)
 
     def record_answer(self, server: str, incarnation: int, now: float) -> None:
         """Record that a server has answered a request of this VM.
--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -8,13 +8,16 @@
 from siskinspoke.coordination.placement import SAMPLED_ENGINES, Candidate, Place
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.work_table import Job
+from siskinspoke.gateway.cold import is_cold
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.remote_placement import request_remote_place
 from siskinspoke.gateway.servers import (
+    COLD_PENALTY_MS,
     REMOTE_DOMAIN_MS,
     candidates,
     cell_candidates,
     least_loaded,
+    permit_patience_ms,
     reachable_unlimited,
 )
 from siskinspoke.protocol.peers import PlaceOffer, PlaceQuestion
@@ -87,13 +90,11 @@
     costs = _costs(gateway, request.service)
     job = _job(request, last_event_at)
     if costs is None or job is None:
-        records = _local_servers(
-            gateway, candidates(gateway, request.service, excluded), local_only
-        )
+        known = candidates(gateway, request.service, excluded, permit_patience_ms(request))
+        records = _local_servers(gateway, known, local_only)
         return Assignment(least_loaded(gateway, records)) if records else None
-    records = _local_servers(
-        gateway, cell_candidates(gateway, request.service, excluded), local_only
-    )
+    known = cell_candidates(gateway, request.service, excluded, permit_patience_ms(request))
+    records = _local_servers(gateway, known, local_only)
     if request.crashes and (found := _choose_idle(gateway, costs, job, records)) is not None:
         return replace(_assignment(gateway, found, job, costs), isolated=True)
     if request.crashes >= ISOLATION_CRASHES and may_wait:
@@ -219,17 +220,32 @@
     Engines reserved for a request that is suspected of crashing them are avoided, where there are
     others.
     """
-    own_domain = gateway.settings.failure_domain
-    offered = []
     shared = [
         item for item in records if not gateway.work_table.is_exclusive(item.announcement.server)
     ]
     records = shared or records
+    now = now_ms()
+    cold = {item.announcement.server for item in records if is_cold(gateway, item, now)}
+    found = _choose(gateway, costs, job, records, cold)
+    if found is None or cold.isdisjoint(found.servers[1:]):
+        return found
+    # A permit allows one request to the decoding engine, none to those that help it.
+    warm = [item for item in records if item.announcement.server not in cold]
+    return _choose(gateway, costs, job, warm, set()) if warm else None
+
+
+def _choose(
+    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord], cold: set[str]
+) -> Place | None:
+    own_domain = gateway.settings.failure_domain
+    offered = []
     for record in records:
         announcement = record.announcement
         penalty = FAILURE_PENALTY_MS * gateway.server_health.failure_share(announcement.server)
         if announcement.failure_domain != own_domain:
             penalty += REMOTE_DOMAIN_MS
+        if announcement.server in cold:
+            penalty += COLD_PENALTY_MS
         offered.append(Candidate(announcement.server, penalty))
     return gateway.placement.choose(costs, job, offered, now_ms(), gateway.rng)
 
--- a/siskinspoke/gateway/attempts.py
+++ b/siskinspoke/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from siskinspoke.coordination.cold_servers import ColdDecision
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.liveness import OVERDUE_PROBE_INTERVAL_MS
 from siskinspoke.gateway.permits import Permit
@@ -29,7 +30,8 @@
     and returns "".  ``is_streaming`` tells that the stream has begun.  ``fail_over`` plans the
     request's next attempt, and tells whether there is one.  ``sent`` is False until there is a
     connection.  ``permit`` allows sending to a server that has set a rate limit, and
-    ``permit_wait_ms`` is how long the attempt may wait for one.
+    ``permit_wait_ms`` is how long the attempt may wait for one.  ``cold_permit`` allows sending to
+    a cold server, and ``cold_decision`` tells whether to ask or wait for one.
     """
 
     def __init__(self, servers: Iterable[ServerRecord], fail_over: Callable[[], bool]):
@@ -46,6 +48,9 @@
         self.server_lost = False
         self.permit: Permit | None = None
         self.permit_wait_ms = 0.0
+        self.cold_permit: Permit | None = None
+        self.cold_decision: ColdDecision | None = None
+        self.urgent = False
 
     @property
     def servers(self) -> list[ServerRecord]:
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -10,6 +10,7 @@
 
 from siskinspoke.conf.vm import VmSettings
 from siskinspoke.coordination.back_off import BackOffs
+from siskinspoke.coordination.cold_servers import ColdServers
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import DomainMonitor
@@ -28,6 +29,7 @@
 from siskinspoke.core.latencies import Latencies
 from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.cells import CellView
+from siskinspoke.gateway.cold_permits import ColdPermits
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.pool import Pool
@@ -74,6 +76,8 @@
     rng: random.Random
     no_room_cache: NoRoomCache = field(default_factory=NoRoomCache)
     first_token_margin: FirstTokenMargin = field(default_factory=FirstTokenMargin)
+    cold_servers: ColdServers = field(default_factory=ColdServers)
+    cold_permits: ColdPermits | None = None
     nursery: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since_ms: float | None = None
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -11,7 +11,7 @@
 from siskinspoke.conf.watch import SettingsWatcher
 from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.crash_watch import CrashWatch
-from siskinspoke.coordination.directory import AnnouncementEffect, Directory
+from siskinspoke.coordination.directory import AnnouncementEffect, Directory, start_of
 from siskinspoke.coordination.domains import DomainMonitor
 from siskinspoke.coordination.liveness import ConnectTimeout, ProbeTracker
 from siskinspoke.coordination.placement import Placement
@@ -29,11 +29,13 @@
 from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.clients import ClientServer
+from siskinspoke.gateway.cold import has_cold_services, maintain_cold_servers
+from siskinspoke.gateway.cold_permits import ColdPermits
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.pool import Pool
-from siskinspoke.gateway.queries import Queries
+from siskinspoke.gateway.queries import PermitQuestion, Queries
 from siskinspoke.gateway.reachability import (
     handle_loss_report,
     probe_overdue_forever,
@@ -46,6 +48,7 @@
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.feed import EntryPeer
+from siskinspoke.protocol.peers import LeaseReply, PermitReply, PermitRequest
 from siskinspoke.transport.datagrams import open_datagram_port
 from siskinspoke.transport.pages import Page, Pages, metrics_pages, serve_pages
 
@@ -107,7 +110,7 @@
             settings.peer_port,
             lambda question: make_offer(self.gateway, question),
             counters,
-            lambda question: self.gateway.permits.answer(question),
+            self._answer_permit_question,
         )
         rate_limits = RateLimits()
         self.gateway = Gateway(
@@ -156,8 +159,30 @@
             latencies=Latencies(),
             log=log,
             rng=random.Random(),
+            cold_permits=ColdPermits(
+                EntryPeer(settings.host, settings.peer_port, settings.failure_domain),
+                lambda: self._feeds.peers,
+                lambda: self._feeds.peer_changes,
+                self._reaches_control,
+                counters,
+                random.Random(),
+            ),
         )
 
+    def _answer_permit_question(self, question: PermitQuestion) -> PermitReply | LeaseReply:
+        if isinstance(question, PermitRequest):
+            return self.gateway.permits.answer(question)
+        return self.gateway.cold_permits.answer(question)
+
+    async def _run_cold_permits(self) -> None:
+        """Hold the leases of cold servers, forever."""
+        gateway = self.gateway
+        await gateway.cold_permits.run(gateway.queries, lambda: has_cold_services(gateway))
+
+    def _reaches_control(self) -> bool:
+        """Return whether this VM hears a majority of the control VMs."""
+        return 2 * self._feeds.connected_count > len(self._feeds.controls)
+
     def _has_quorum(self) -> bool:
         """Return whether this VM hears a majority of the control VMs or of its cell's entry VMs."""
         feeds, cells = self._feeds, self.gateway.cells
@@ -199,6 +224,8 @@
     def _on_remembered_servers(self, announcements: list[Announcement]) -> None:
         now = now_ms()
         new = [item for item in announcements if self.gateway.directory.restore(item, now)]
+        for item in new:
+            self.gateway.cold_servers.remembered(start_of(item), now)
         self._log.note("servers.remembered", told=len(announcements), new=len(new))
 
     def _on_crashes(self, crashes: CrashNews) -> None:
@@ -213,6 +240,7 @@
         now = now_ms()
         for server, incarnation, seq in renewals:
             self.gateway.directory.renew(server, incarnation, seq, now)
+            self.gateway.cold_servers.renewed((server, incarnation), now)
 
     @property
     def _ready(self) -> bool:
@@ -236,6 +264,7 @@
             for task, *args in (
                 (gateway.peers.run, port),
                 (self._feeds.run,),
+                (self._run_cold_permits,),
                 (self._maintain_forever,),
                 (poll_forever, gateway, lambda: self._feeds.connected_count > 0),
                 (probe_unreachable_domains_forever, gateway),
@@ -287,6 +316,7 @@
             gateway.work_table.expire(now, names)
             gateway.rate_limits.prune(names)
             gateway.permits.tick(names)
+            maintain_cold_servers(gateway, names)
             gateway.back_offs.prune(names, now)
             gateway.peers.expire_peers(now)
             gateway.crashes.prune(now)
--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -11,12 +11,14 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.rate_limits import RateLimit
 from siskinspoke.gateway.attempts import Attempt
+from siskinspoke.gateway.cold import check_cold_permit, is_cold, next_permit_at
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.permits import Decision, Denied
 
 RATE_LIMIT = "rate limit"
 BACK_OFF = "back-off"
 LEAVING = "leaving"
+COLD = "cold"
 
 
 class Hold(NamedTuple):
@@ -37,25 +39,45 @@
     closed_until = gateway.rate_limits.blocked_until(server.start)
     if closed_until > now:
         return Hold(RATE_LIMIT, closed_until)
+    permit_at = next_permit_at(gateway, server, now)
+    if permit_at > now:
+        return Hold(COLD, permit_at)
     return None
 
 
 def _restricts_any(gateway: Gateway) -> bool:
     """Tell whether any server that is not leaving restricts this VM's requests."""
-    return bool(gateway.back_offs or gateway.rate_limits)
+    return bool(gateway.back_offs or gateway.rate_limits or gateway.cold_servers.has_blocks)
 
 
-def without_hold(gateway: Gateway, records: Iterable[ServerRecord]) -> list[ServerRecord]:
-    """Return the servers, out of some that are not leaving, to which a request may be sent."""
+def without_hold(
+    gateway: Gateway, records: Iterable[ServerRecord], patience_ms: float = 0.0
+) -> list[ServerRecord]:
+    """Return the servers, out of some that are not leaving, to which a request may be sent.
+
+    If there are none, cold servers are returned whose next permits are expected within
+    ``patience_ms``.
+    """
     if not _restricts_any(gateway):
         return list(records)
     now = now_ms()
-    return [record for record in records if find_hold(gateway, record, now) is None]
+    holds = [(record, find_hold(gateway, record, now)) for record in records]
+    cold = [record for record, hold in holds if hold is not None and hold.reason == COLD]
+    gateway.counters.count("cold.left_out", len(cold))
+    free = [record for record, hold in holds if hold is None]
+    if free or patience_ms <= 0:
+        return free
+    return [item for item in cold if next_permit_at(gateway, item, now) - now <= patience_ms]
 
 
 def without_rate_limit(gateway: Gateway, records: Iterable[ServerRecord]) -> list[ServerRecord]:
     """Return the servers that need no permit: one may be denied after the other server was left."""
-    return [item for item in records if gateway.rate_limits.find(item.start) is None]
+    now = now_ms()
+    return [
+        item
+        for item in records
+        if gateway.rate_limits.find(item.start) is None and not is_cold(gateway, item, now)
+    ]
 
 
 def hold_ends_in_ms(gateway: Gateway, service: str) -> float | None:
@@ -76,11 +98,22 @@
 
     The permit is kept with the attempt; only the first call for an attempt may wait for one.
     """
+    hold = await _check_rate_limit(gateway, request_id, server, attempt)
+    if hold is not None:
+        return hold
+    permit_at = await check_cold_permit(gateway, request_id, server, attempt)
+    return None if permit_at is None else Hold(COLD, permit_at)
+
+
+async def _check_rate_limit(
+    gateway: Gateway, request_id: str, server: ServerRecord, attempt: Attempt
+) -> Hold | None:
     limit = gateway.rate_limits.find(server.start)
     now = now_ms()
     has_permit = attempt.permit is not None and now < attempt.permit.until
     hold = find_hold(gateway, server, now)
-    if hold is not None and not (has_permit and hold.reason == RATE_LIMIT):
+    is_permitted = hold is not None and has_permit and hold.reason == RATE_LIMIT
+    if hold is not None and hold.reason != COLD and not is_permitted:
         return hold
     if limit is None or has_permit:
         return None
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -21,7 +21,9 @@
     candidates,
     choose_service,
     least_loaded,
-    max_permit_wait_ms,
+    permit_patience_ms,
+    prefer_warm,
+    prepare_permits,
     reachable,
     reachable_unlimited,
     record_failure,
@@ -216,7 +218,9 @@
 ) -> list[ServerRecord]:
     """Return the servers that the request may still be sent to."""
     excluded = retry_state.excluded.current(gateway.directory, now_ms())
-    return candidates(gateway, request.service, excluded)
+    patience_ms = permit_patience_ms(request)
+    records = candidates(gateway, request.service, excluded, patience_ms)
+    return records if request.route.repeatable else prefer_warm(gateway, records)
 
 
 def no_server_failure(gateway: Gateway, request: Request, message: str) -> Failure:
@@ -276,7 +280,7 @@
             track_attempt(gateway, request, server) as run,
             gateway.attempts.attempt(server, fail_over=fail_over) as attempt,
         ):
-            attempt.permit_wait_ms = max_permit_wait_ms(gateway, request, server)
+            prepare_permits(gateway, request, server, attempt)
             usual_ms = gateway.server_health.median_latency_ms([name], began_at)
             attempt.expect_answer_within(answer_timeout_ms(usual_ms), began_at)
             with attempt.wait_scope(left / 1000):
--- a/siskinspoke/gateway/reachability.py
+++ b/siskinspoke/gateway/reachability.py
@@ -6,6 +6,7 @@
 
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.server_health import FailureKind
+from siskinspoke.gateway.cold import log_cold_change
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.transport.http1 import ServerConnection, connect
 
@@ -117,17 +118,35 @@
             gateway.log.note(
                 "server.refuses", server=announcement.server, start=announcement.incarnation
             )
+            _presume_cold(gateway, server)
         case ServerConnection():
             _mark_reachable(gateway, server)
     return found
 
 
+def _presume_cold(gateway: Gateway, server: ServerRecord) -> None:
+    """Presume a server cold that could not be reached: it may be restarting."""
+    now = now_ms()
+    gateway.cold_servers.lost(server.start, now)
+    log_cold_change(gateway, server, now)
+
+
+def _presume_domain_cold(gateway: Gateway, domain: str) -> None:
+    """Presume all servers of a domain cold that is cut off, or was: most are not probed then."""
+    for server in gateway.directory.all_records():
+        if server.announcement.failure_domain == domain:
+            _presume_cold(gateway, server)
+
+
 def _mark_reachable(gateway: Gateway, server: ServerRecord) -> None:
     announcement = server.announcement
     if gateway.domains.record_success(announcement.failure_domain):
+        # The cut may have been told by another VM, so that none of them was probed here.
+        _presume_domain_cold(gateway, announcement.failure_domain)
         gateway.log.note(
             "domain.back", domain=announcement.failure_domain, server=announcement.server
         )
+    gateway.cold_servers.reached(server.start, now_ms())
     if gateway.server_health.record_connection(announcement.server):
         gateway.log.note(
             "server.reached", server=announcement.server, start=announcement.incarnation
@@ -147,6 +166,7 @@
     if gateway.directory.superseded(*server.start):
         return
     gateway.probes.record_loss(now)
+    _presume_cold(gateway, server)
     is_news = not gateway.server_health.is_unreachable(announcement.server)
     gateway.server_health.record_failure(announcement.server, FailureKind.UNREACHABLE, now)
     ended = gateway.attempts.end_lost(*server.start)
@@ -155,6 +175,7 @@
             "domain.cut", domain=announcement.failure_domain, server=announcement.server
         )
         gateway.peers.send_unreachable_domain(announcement.failure_domain)
+        _presume_domain_cold(gateway, announcement.failure_domain)
     if not is_news:
         return
     gateway.counters.count("server.unreachable")
--- a/siskinspoke/gateway/reports.py
+++ b/siskinspoke/gateway/reports.py
@@ -106,7 +106,10 @@
         if report.started is not None and report.started > incarnation:
             # The engine's next announcement, which may be a second away, has a higher number.
             incarnation = report.started
-            handle_announcement(gateway, announcement._replace(incarnation=incarnation, seq=0))
+            # What the former process has stated of its cold state does not apply to the new one.
+            handle_announcement(
+                gateway, announcement._replace(incarnation=incarnation, seq=0, cold_ms=None)
+            )
         gateway.directory.record_answer(announcement.server, incarnation, now_ms())
         gateway.peers.update_pace(announcement.server, report.pace)
     elif not gateway.domains.is_cut_off(announcement.failure_domain, now_ms()):
--- a/siskinspoke/gateway/restrictions.py
+++ b/siskinspoke/gateway/restrictions.py
@@ -24,6 +24,8 @@
     _apply_rate_limit(gateway, request_id, server, response, sent_at)
     if response.restrictions.back_off_ms is not None:
         _apply_back_off(gateway, request_id, server, response.restrictions.back_off_ms)
+    if response.restrictions.cold_ms is not None:
+        gateway.cold_servers.answered(server.start, response.restrictions.cold_ms, now_ms())
     if response.restrictions.leaving:
         _apply_leaving(gateway, request_id, server)
 
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -1,7 +1,10 @@
 """Selection of backend servers for a request, and evaluation of its failed attempts."""
 
+from siskinspoke.coordination.cold_servers import ColdRequest, decide_cold
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.server_health import FailureKind
+from siskinspoke.gateway.attempts import Attempt
+from siskinspoke.gateway.cold import is_cold, next_permit_at
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.holds import hold_ends_in_ms, without_hold, without_rate_limit
 from siskinspoke.gateway.upstream import NotRun, OutcomeUnknown
@@ -10,6 +13,8 @@
 REMOTE_DOMAIN_MS = 3.0
 # Fraction of its target latency that a request may wait for a permit.
 PERMIT_WAIT_FRACTION = 0.5
+# Expected latency that a cold server must have less than a warm one to be preferred. Milliseconds.
+COLD_PENALTY_MS = 100.0
 
 
 def choose_service(gateway: Gateway, request: Request) -> str:
@@ -24,17 +29,30 @@
     return chosen[0].service
 
 
-def candidates(gateway: Gateway, service: str, excluded: set[str]) -> list[ServerRecord]:
-    """Return the servers that may get a request now, restricted to the healthiest."""
+def candidates(
+    gateway: Gateway, service: str, excluded: set[str], patience_ms: float = 0.0
+) -> list[ServerRecord]:
+    """Return the servers that may get a request now, restricted to the healthiest.
+
+    A request may wait ``patience_ms`` for the permit of a cold server if there is no other server.
+    """
     known = gateway.directory.routable(service, now_ms())
-    return _usable(gateway, without_hold(gateway, known), excluded)
+    return _usable(gateway, without_hold(gateway, known, patience_ms), excluded)
 
 
-def cell_candidates(gateway: Gateway, service: str, excluded: set[str]) -> list[ServerRecord]:
+def cell_candidates(
+    gateway: Gateway, service: str, excluded: set[str], patience_ms: float = 0.0
+) -> list[ServerRecord]:
     """Return the servers of this VM's cell that may get a request now."""
     servers = gateway.cells.servers(service)
     known = gateway.directory.routable_among(servers, now_ms())
-    return _usable(gateway, without_hold(gateway, known), excluded)
+    return _usable(gateway, without_hold(gateway, known, patience_ms), excluded)
+
+
+def prefer_warm(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
+    """Return the servers that are not cold, or all if there is none."""
+    now = now_ms()
+    return [item for item in records if not is_cold(gateway, item, now)] or records
 
 
 def reachable(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
@@ -68,11 +86,36 @@
     records = candidates(gateway, request.service, {server.announcement.server})
     if reachable_unlimited(gateway, records):
         return 0.0
+    return permit_patience_ms(request)
+
+
+def permit_patience_ms(request: Request) -> float:
+    """Return how long a request may still wait for a permit."""
     return max(
         0.0, PERMIT_WAIT_FRACTION * request.route.target_ms - (now_ms() - request.arrived_ms)
     )
 
 
+def prepare_permits(
+    gateway: Gateway, request: Request, server: ServerRecord, attempt: Attempt
+) -> None:
+    """Decide how long an attempt may wait for the permits that its server needs."""
+    attempt.permit_wait_ms = max_permit_wait_ms(gateway, request, server)
+    attempt.urgent = request.rank == 0
+    now = now_ms()
+    if not is_cold(gateway, server, now):
+        return
+    others = candidates(gateway, request.service, {server.announcement.server})
+    attempt.cold_decision = decide_cold(
+        ColdRequest(
+            permit_patience_ms(request),
+            max(0.0, next_permit_at(gateway, server, now) - now),
+            bool(reachable_unlimited(gateway, others)),
+            not request.route.repeatable,
+        )
+    )
+
+
 def _usable(
     gateway: Gateway, records: list[ServerRecord], excluded: set[str]
 ) -> list[ServerRecord]:
@@ -110,16 +153,27 @@
     now = now_ms()
     names = [record.announcement.server for record in records]
     typical_ms = gateway.server_health.median_latency_ms(names, now)
-    compared = records if len(records) <= 4 else gateway.rng.sample(records, 2)
+    compared = records if len(records) <= 4 else _sample(gateway, records)
     shuffled = gateway.rng.sample(compared, len(compared))
     return min(
         shuffled,
         key=lambda record: gateway.server_health.expected_ms(
             record.announcement.server, now, typical_ms
-        ),
+        )
+        + COLD_PENALTY_MS * is_cold(gateway, record, now),
     )
 
 
+def _sample(gateway: Gateway, records: list[ServerRecord]) -> list[ServerRecord]:
+    """Return two random servers; if both are cold, a warm one replaces the second."""
+    now = now_ms()
+    first, second = gateway.rng.sample(records, 2)
+    if is_cold(gateway, first, now) and is_cold(gateway, second, now):
+        warm = prefer_warm(gateway, records)
+        second = gateway.rng.choice([item for item in warm if item is not first])
+    return [first, second]
+
+
 def record_failure(
     gateway: Gateway, request: Request, record: ServerRecord, outcome: NotRun | OutcomeUnknown
 ) -> None:
@@ -160,6 +214,8 @@
         faulty = _server_at(gateway, outcome.at_fault) or server
         # This VM may well reach that server, so a probe from here would prove nothing.
         failure_kind = FailureKind.SILENT
+    if isinstance(outcome, OutcomeUnknown) and (outcome.closed or outcome.server_lost):
+        gateway.cold_servers.lost(record.start, now)
     was_excluded = gateway.server_health.is_ejected(faulty, now)
     gateway.server_health.record_failure(faulty, failure_kind, now)
     if gateway.server_health.is_ejected(faulty, now) and not was_excluded:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -40,7 +40,7 @@
 from siskinspoke.gateway.servers import (
     cell_candidates,
     choose_service,
-    max_permit_wait_ms,
+    prepare_permits,
     record_failure,
 )
 from siskinspoke.gateway.upstream import (
@@ -255,7 +255,7 @@
             attempt = stack.enter_context(
                 gateway.attempts.attempt(*assignment.servers, fail_over=failover.fail_over)
             )
-            attempt.permit_wait_ms = max_permit_wait_ms(gateway, request, assignment.server)
+            prepare_permits(gateway, request, assignment.server, attempt)
             hold = await check_hold(gateway, request.call.id, assignment.server, attempt)
             if hold is not None:
                 outcome = not_run_on_hold(hold)
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -65,14 +65,15 @@
 
     ``rate_limit`` is in requests per second from all VMs together, None where none is given.
     ``back_off_ms`` is for how long it accepts nothing from this VM; ``leaving`` means that it is
-    about to stop.  ``unreadable`` names the fields whose values could not be parsed; such a field
-    changes nothing.
+    about to stop.  ``cold_ms`` is how much longer it is cold.  ``unreadable`` names the fields
+    whose values could not be parsed; such a field changes nothing.
     """
 
     rate_limit: float | None = None
     back_off_ms: float | None = None
     leaving: bool = False
     unreadable: tuple[str, ...] = ()
+    cold_ms: float | None = None
 
 
 class Answer(NamedTuple):
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -167,7 +167,8 @@
     """Decode the restrictions that a server imposes on its callers."""
     rate_limit = _first_header(headers, names.RATE_LIMIT)
     retry_after = _first_header(headers, names.RETRY_AFTER) if status in BACK_OFF_STATUSES else None
-    texts = {"rate_limit": rate_limit, "back_off": retry_after}
+    cold_ms = _first_header(headers, names.COLD)
+    texts = {"rate_limit": rate_limit, "back_off": retry_after, "cold": cold_ms}
     unreadable = tuple(
         name for name, text in texts.items() if text is not None and parse_decimal(text) is None
     )
@@ -177,6 +178,7 @@
         back_off_ms=None if seconds is None else seconds * 1000,
         leaving=_first_header(headers, names.LEAVING) == "1",
         unreadable=unreadable,
+        cold_ms=parse_decimal(cold_ms),
     )
 
 
--- a/siskinspoke/platform/names.py
+++ b/siskinspoke/platform/names.py
@@ -25,6 +25,8 @@
 # Requests per second that a server accepts from all VMs together; in effect while its responses
 # carry it.
 RATE_LIMIT = b"Server-Limit"
+# How much longer a server is cold, in milliseconds.
+COLD = b"Cold-Ms"
 # Present on the responses of a server that is leaving.
 LEAVING = b"Server-Leaving"
 # On a 421: the server instance that has the address now.
--- a/tests/coordination/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -262,3 +262,24 @@
         directory.apply(first_announcement_of("crashed"), 0)
         directory.apply(first_announcement_of("well"), 1_500)
         assert directory.routable_among(["crashed", "well"], 2_000) == [directory.latest("well")]
+
+
+class TestColdTime:
+    """The directory of a control VM keeps the time for which a server is still cold."""
+
+    def test_time_is_reduced_by_age(self):
+        """A follower that connected late took the server for cold from then on."""
+        directory = Directory(LEASE_MS)
+        directory.apply(announced(1)._replace(cold_ms=5_000), 1_000)
+        record = directory.latest(announced(1).server)
+        assert record.announcement_at(3_000).cold_ms == 3_000
+        assert record.announcement_at(9_000).cold_ms == 0
+
+    def test_renewals_do_not_prolong_it(self):
+        """Each renewal restarted the stated time."""
+        directory = Directory(LEASE_MS)
+        first = announced(1)._replace(cold_ms=5_000)
+        directory.apply(first, 1_000)
+        for turn in range(1, 4):
+            directory.renew(first.server, first.incarnation, first.seq + turn, 1_000 + turn * 1_000)
+        assert directory.latest(first.server).announcement_at(4_500).cold_ms == 1_500
--- a/tests/gateway/test_cells.py
+++ b/tests/gateway/test_cells.py
@@ -8,6 +8,7 @@
 
 from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.cell_offers import lacks_room
+from siskinspoke.coordination.cold_servers import ColdServers
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import DomainMonitor
 from siskinspoke.coordination.placement import Place
@@ -176,6 +177,8 @@
         settings=SimpleNamespace(failure_domain="a"),
         queries=SimpleNamespace(request_offers=request_offers),
         counters=Counters(),
+        cold_servers=ColdServers(),
+        table=None,
     )
     return gateway
 
--- a/tests/gateway/test_cold_permits.py
+++ b/tests/gateway/test_cold_permits.py
@@ -239,7 +239,8 @@
     def longest_gap(self, since: float) -> float:
         """Return the longest time without a request, in seconds."""
         times = [at for at, _ in self.sent if at >= since]
-        return max(later - earlier for earlier, later in itertools.pairwise(times))
+        gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+        return max(gaps, default=SECONDS)
 
     def count(self, since: float, until: float) -> int:
         """Return how many requests were sent in an interval."""
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -26,8 +26,9 @@
 class Fleet:
     """The hubs of control VMs, and entry VMs that a test can start and partition."""
 
-    def __init__(self, folder: Path, nursery: trio.Nursery, stack: AsyncExitStack):
+    def __init__(self, folder: Path, nursery: trio.Nursery, stack: AsyncExitStack, changes: dict):
         self._folder = folder
+        self._document = document(timeout_ms=10_000, **changes)
         self._nursery = nursery
         self._stack = stack
         self._net = f"127.{networks().groups[0]}.{_next_net()}"
@@ -45,7 +46,7 @@
                 "a",
                 Directory(4_800),
                 lambda: self.controls,
-                lambda: ConfigurationVersion(1, document(timeout_ms=10_000)),
+                lambda: ConfigurationVersion(1, self._document),
                 b"k",
                 Counters(),
                 NullDecisionLog(),
@@ -87,6 +88,7 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(site.gateway.peers.run, port)
                     nursery.start_soon(site.daemon._feeds.run)
+                    nursery.start_soon(site.daemon._run_cold_permits)
                     nursery.start_soon(site.daemon._maintain_forever)
                     task_status.started()
                     await trio.sleep_forever()
@@ -131,10 +133,13 @@
 
 
 @asynccontextmanager
-async def fleet(tmp_path, vms: int):
-    """Run control VMs and ``vms`` entry VMs, which initially know no servers."""
+async def fleet(tmp_path, vms: int, **changes):
+    """Run control VMs and ``vms`` entry VMs, which initially know no servers.
+
+    ``changes`` replace parts of the configuration.
+    """
     async with AsyncExitStack() as stack, trio.open_nursery() as nursery:
-        running = Fleet(tmp_path, nursery, stack)
+        running = Fleet(tmp_path, nursery, stack, changes)
         await running.start_controls()
         for _ in range(vms):
             await running.start_vm()
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -112,8 +112,9 @@
         seq: int = 1,
         started: int | None = None,
         leaving: bool = False,
+        cold_left_ms: float | None = None,
     ) -> None:
-        """Announce a server, optionally with its start time, as ready or leaving."""
+        """Announce a server, optionally with its start time, as ready or leaving, cold or not."""
         heartbeat = {
             "service": service,
             "address": f"{server.host}:{server.port}",
@@ -123,6 +124,8 @@
         }
         if started is not None:
             heartbeat["born"] = started
+        if cold_left_ms is not None:
+            heartbeat["cold_left_ms"] = cold_left_ms
         body = json.dumps(heartbeat)
         self.daemon._on_announcements([announcement_from(server.name, body.encode()).ok])
 
