--- a/siskinspoke/control/registry.py
+++ b/siskinspoke/control/registry.py
@@ -18,7 +18,8 @@
 from siskinspoke.control.feed_hub import ConfigurationVersion, FeedHub
 from siskinspoke.control.replica_task import ReplicaTask, now_ms
 from siskinspoke.coordination.announcement_checks import announcement_fault
-from siskinspoke.coordination.directory import AnnouncementEffect, Directory
+from siskinspoke.coordination.cold_servers import ColdSource, has_cold_changed
+from siskinspoke.coordination.directory import AnnouncementEffect, Directory, start_of
 from siskinspoke.coordination.evacuations import (
     EvacuationAnswer,
     EvacuationOrder,
@@ -114,6 +115,7 @@
 
     async def announce(self, announcement: Announcement) -> bool:
         """Process an announcement; return whether it may be confirmed to its sender."""
+        cold_changed = self._has_cold_changed(announcement)
         effect = self._directory.apply(announcement, now_ms())
         self._counters.count(f"announcement.{effect.value}")
         if announcement.leaving:
@@ -121,10 +123,30 @@
         if effect is AnnouncementEffect.JOINED:
             self._note(announcement, effect)
             self._hub.queue_broadcast([announcement])
+        elif effect is AnnouncementEffect.RENEWED and cold_changed:
+            self._note_cold_change(announcement)
+            self._hub.queue_broadcast([announcement])
         elif effect is AnnouncementEffect.RENEWED:
             self._hub.queue_renewal(announcement)
         return True
 
+    def _has_cold_changed(self, announcement: Announcement) -> bool:
+        """Return whether a known server states another end of its cold state than before."""
+        known = self._directory.find(*start_of(announcement))
+        if known is None or announcement.leaving:
+            return False
+        return has_cold_changed(known.announcement_at(now_ms()).cold_ms, announcement.cold_ms)
+
+    def _note_cold_change(self, announcement: Announcement) -> None:
+        self._counters.count("announcement.cold_changed")
+        self._log.note(
+            "server.cold" if announcement.cold_ms else "server.warm",
+            server=announcement.server,
+            start=announcement.incarnation,
+            until=announcement.cold_ms,
+            source=ColdSource.ANNOUNCED.value,
+        )
+
     async def _broadcast_leave(
         self, announcement: Announcement, effect: AnnouncementEffect
     ) -> bool:
@@ -143,11 +165,15 @@
         """Process announcements received from another control VM and forward the new ones."""
         new, has_left = [], False
         for announcement in announcements:
+            cold_changed = self._has_cold_changed(announcement)
             effect = self._directory.apply(announcement, now_ms())
             if effect in (AnnouncementEffect.JOINED, AnnouncementEffect.LEFT):
                 self._note(announcement, effect)
                 new.append(announcement)
                 has_left = has_left or effect is AnnouncementEffect.LEFT
+            elif effect is AnnouncementEffect.RENEWED and cold_changed:
+                self._note_cold_change(announcement)
+                new.append(announcement)
         if has_left:
             self._hub.broadcast(new)
         elif new:
