--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -83,10 +83,14 @@
     if not _restricts_any(gateway):
         return None
     now = now_ms()
-    waits = [find_hold(gateway, record, now) for record in gateway.directory.routable(service, now)]
-    if not waits or None in waits:
-        return None
-    return min(wait.until for wait in waits) - now
+    records = gateway.directory.routable(service, now)
+    ends = []
+    for record in records:
+        hold = find_hold(gateway, record, now)
+        if hold is None:
+            return None
+        ends.append(hold.until)
+    return min(ends) - now if ends else None
 
 
 def all_evacuated(gateway: Gateway, service: str) -> bool:
--- a/tests/integration/test_evacuations.py
+++ b/tests/integration/test_evacuations.py
@@ -1,15 +1,17 @@
 """Registries and gateways as processes: evacuations of failure domains under faults."""
 
 import json
+import subprocess
+import sys
 import time
 from pathlib import Path
 
 import pytest
 
-from siskinspoke.core.codes import ResultCode
+from siskinspoke.core.codes import CODE_INFO, ResultCode
 from siskinspoke.state.server_file import SERVERS_FILE
 from siskinspoke.testing.fleet import wait_until
-from siskinspoke.testing.group_site import GroupSite
+from siskinspoke.testing.group_site import OPERATORS_PORT, GroupSite
 from siskinspoke.testing.networks import group_nets, net_cycle
 from tests.integration.test_group import PUBLIC_HOST, configuration, heartbeat
 
@@ -130,6 +132,54 @@
             comply(site, ResultCode.NO_SERVER)
 
 
+class TestCommand:
+    """The operators' command."""
+
+    def test_begin_list_and_end(self, site):
+        """The first address is that of a registry that is down."""
+        site.kill("c1")
+        begun = run_command(site, "begin", "a")
+        assert (begun.returncode, begun.stderr) == (0, "")
+        assert begun.stdout.startswith("a is evacuated, revision ")
+        comply(site, ResultCode.EVACUATED)
+        assert "a is evacuated already" in run_command(site, "begin", "a").stdout
+        wait_until(
+            lambda: "confirmed by g1" in run_command(site, "list").stdout, "the confirmation of g1"
+        )
+        listed = json.loads(run_command(site, "list", "--json").stdout)
+        assert [item["domain"] for item in listed["evacuations"]] == ["a"]
+        assert run_command(site, "end", "a").stdout.startswith("a is not evacuated, revision ")
+        assert run_command(site, "list").stdout == "nothing is evacuated\n"
+
+    def test_failures_have_exit_codes(self, site):
+        """Guards against an order that fails without notice in a script."""
+        unknown = run_command(site, "begin", "nowhere")
+        assert unknown.returncode == CODE_INFO[ResultCode.UNKNOWN_DOMAIN].exit_code
+        assert "UNKNOWN_DOMAIN" in unknown.stderr
+        for arguments in (("begin",), ("pause", "a"), ("list", "a"), ()):
+            wrong = run_command(site, *arguments)
+            assert wrong.returncode == CODE_INFO[ResultCode.USAGE].exit_code
+        for name in REGISTRIES:
+            site.kill(name)
+        began = time.monotonic()
+        silent = run_command(site, "begin", "a")
+        assert silent.returncode == CODE_INFO[ResultCode.NO_QUORUM].exit_code
+        assert time.monotonic() - began < 10
+
+
+def run_command(site: GroupSite, *arguments: str) -> subprocess.CompletedProcess:
+    """Run the operators' command against all registries of a site."""
+    controls = ",".join(f"{seed}:{OPERATORS_PORT}" for seed in site.seeds)
+    command = [sys.executable, "-m", "siskinspoke", "evacuation", *arguments]
+    return subprocess.run(
+        [*command, f"--control={controls}"],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+
+
 def kill_all(site: GroupSite) -> None:
     """Kill all VMs once the registries have saved the servers that they know."""
     files = [site.folder / f"data-{name}" / SERVERS_FILE for name in REGISTRIES]
