--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -14,6 +14,7 @@
 from siskinspoke.gateway.cold import check_cold_permit, is_cold, next_permit_at
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.permits import Decision, Denied
+from siskinspoke.gateway.regions import within
 
 RATE_LIMIT = "rate limit"
 BACK_OFF = "back-off"
@@ -109,15 +110,14 @@
     if not _restricts_any(gateway):
         return None
     now = now_ms()
-    records = [
-        record
-        for record in gateway.directory.routable(service, now)
-        if domains is None or record.announcement.failure_domain in domains
-    ]
-    waits = [find_hold(gateway, record, now) for record in records]
-    if not waits or None in waits:
-        return None
-    return min(wait.until for wait in waits) - now
+    records = within(gateway.directory.routable(service, now), domains)
+    ends = []
+    for record in records:
+        hold = find_hold(gateway, record, now)
+        if hold is None:
+            return None
+        ends.append(hold.until)
+    return min(ends) - now if ends else None
 
 
 def all_evacuated(gateway: Gateway, service: str) -> bool:
