Add evacuations, cuts of domains and cold servers to the soak test

Cause: the soak knew neither evacuations nor cold servers.

Change: run_soak(uneven=True) spreads the servers over two failure domains, evacuates, cuts off and restarts whole domains beside the other faults, and lets each restarted server be cold for 3 s. Without the flag the faults of a seed are as before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """A randomized soak test: real processes under injected faults, with invariant checks.
 
-Run seeds manually with ``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS]]``.
+Run seeds manually with ``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS [UNEVEN]]]``.
+If UNEVEN is 1, the faults of ``tests.soak.uneven`` are added: evacuations and cold servers.
 """
 
 import random
@@ -28,6 +29,7 @@
     event,
 )
 from tests.platform.test_streams import data_of
+from tests.soak.uneven import UnevenFaults
 
 REGISTRIES, GATEWAYS = ("c1", "c2", "c3"), ("g1", "g2")
 CLIENTS_PER_GATEWAY = 3
@@ -44,12 +46,19 @@
 class FaultProxy:
     """A proxy in front of one backend server that forwards, delays, stalls or resets data.
 
-    In the mode ``one_way`` it stalls only the data from the server.
+    In the mode ``one_way`` it stalls only the data from the server, in the mode ``down`` it closes
+    new connections at once.
     """
 
     server: StandinServer
     mode: str = "pass"
     port: int = 0
+    connections: set[trio.CancelScope] = field(default_factory=set)
+
+    def close_connections(self) -> None:
+        """Close all connections, as the end of the server's process does."""
+        for scope in list(self.connections):
+            scope.cancel()
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Accept connections on a free port."""
@@ -60,14 +69,22 @@
 
     async def _serve_one(self, client: trio.SocketStream) -> None:
         async with client:
+            if self.mode == "down":
+                return
             try:
                 vm_address = client.socket.getpeername()[0]
                 server = await trio.open_tcp_stream(
                     "127.0.0.1", self.server.port, local_address=vm_address
                 )
                 async with server, trio.open_nursery() as nursery:
-                    nursery.start_soon(self._forward, client, server, True, nursery.cancel_scope)
-                    nursery.start_soon(self._forward, server, client, False, nursery.cancel_scope)
+                    self.connections.add(nursery.cancel_scope)
+                    try:
+                        scope = nursery.cancel_scope
+                        nursery.start_soon(self._forward, client, server, True, scope)
+                        nursery.start_soon(self._forward, server, client, False, scope)
+                        await trio.sleep_forever()
+                    finally:
+                        self.connections.discard(nursery.cancel_scope)
             except OSError:
                 return
 
@@ -113,8 +130,9 @@
     sequence_numbers: list[int] = field(
         default_factory=lambda: [0] * (PLAIN_SERVERS + ENGINE_SERVERS)
     )
+    uneven: UnevenFaults | None = None
 
-    def _record_fault(self, fault: str) -> None:
+    def record_fault(self, fault: str) -> None:
         self.faults.append(f"{trio.current_time() - self.started_at:.2f} {fault}")
 
     def choose_behaviour(self, service: str):
@@ -157,6 +175,8 @@
                         self._change_limits_forever,
                     ):
                         busy.start_soon(task)
+                    if self.uneven is not None:
+                        busy.start_soon(self.uneven.inject_forever)
                     for number in range(CLIENTS_PER_GATEWAY * len(self.gateways)):
                         busy.start_soon(self._send_requests_forever, number)
             await self._end_faults()
@@ -177,19 +197,26 @@
 
     async def _send_heartbeats_forever(self) -> None:
         while True:
-            for number, proxy in enumerate(self.proxies):
-                self.sequence_numbers[number] += 1
-                heartbeat = {
-                    "service": "plain" if number < PLAIN_SERVERS else "engines",
-                    "address": f"127.0.0.1:{proxy.port}",
-                    "zone": "a",
-                    "seq": self.sequence_numbers[number],
-                    "born": self.start_numbers[number],
-                }
-                path = f"/instances/{proxy.server.name}/heartbeat"
-                await self._call_registry(self.rng.choice(REGISTRIES), "POST", path, heartbeat)
+            for number in range(len(self.proxies)):
+                await self.send_heartbeat(number)
             await trio.sleep(0.6)
 
+    async def send_heartbeat(self, number: int) -> None:
+        """Send a server's next heartbeat to a random registry."""
+        proxy = self.proxies[number]
+        self.sequence_numbers[number] += 1
+        heartbeat = {
+            "service": "plain" if number < PLAIN_SERVERS else "engines",
+            "address": f"127.0.0.1:{proxy.port}",
+            "zone": "a",
+            "seq": self.sequence_numbers[number],
+            "born": self.start_numbers[number],
+        }
+        if self.uneven is not None:
+            heartbeat |= self.uneven.heartbeat_fields(number)
+        path = f"/instances/{proxy.server.name}/heartbeat"
+        await self.call_registry(self.rng.choice(REGISTRIES), "POST", path, heartbeat)
+
     async def _restart_servers_forever(self) -> None:
         """Restart servers under their names, and send invalid heartbeats.
 
@@ -210,9 +237,9 @@
             server = self.servers[number]
             if self.limit_rng.random() < 0.8:
                 server.rate_limit = self.limit_rng.choice((None, None, 0.5, 2.0, 8.0))
-                self._record_fault(f"limit of {server.name}: {server.rate_limit}")
+                self.record_fault(f"limit of {server.name}: {server.rate_limit}")
                 continue
-            self._record_fault(f"leave of {server.name}")
+            self.record_fault(f"leave of {server.name}")
             server.leaving = True
             await trio.sleep(self.limit_rng.uniform(1.0, 4.0))
             await self._restart_server(number)
@@ -220,13 +247,17 @@
     def _mark_disturbed(self, gateway: str, *servers: StandinServer) -> None:
         """Exempt a disturbed gateway from earlier limits of servers, which it may have missed."""
         for server in servers or self.servers:
-            server.account.record_disturbance(self.site.host_of(gateway))
+            now = trio.current_time()
+            server.account.record_disturbance(self.site.host_of(gateway), now)
 
     async def _restart_server(self, number: int) -> None:
         proxy = self.proxies[number]
         proxy.server.rate_limit, proxy.server.leaving = None, False
         proxy.server.account.record_restart()
-        self._record_fault(f"restart {proxy.server.name}")
+        self.record_fault(f"restart {proxy.server.name}")
+        if self.uneven is not None:
+            await self.uneven.restart_cold(number)
+            return
         mode, proxy.mode = proxy.mode, "reset"
         await trio.sleep(0.1)
         proxy.mode = mode if mode != "reset" else "pass"
@@ -246,19 +277,18 @@
         if invalid_field != "none":
             heartbeat[invalid_field] = self.restart_rng.choice((None, 7, "strange", [1]))
         registry = self.restart_rng.choice(REGISTRIES)
-        self._record_fault(f"invalid heartbeat for {name}, field {invalid_field}")
-        await self._call_registry(
-            registry, "POST", f"/instances/{quote(name)}/heartbeat", heartbeat
-        )
+        self.record_fault(f"invalid heartbeat for {name}, field {invalid_field}")
+        await self.call_registry(registry, "POST", f"/instances/{quote(name)}/heartbeat", heartbeat)
 
-    async def _call_registry(self, name: str, method: str, path: str, body=None):
+    async def call_registry(self, name: str, method: str, path: str, body=None):
         return await trio.to_thread.run_sync(self.site.call, name, method, path, body)
 
     async def _publish(self) -> bool:
         self.last_version += 1
         version = self.last_version
-        body = document(version, timeout_ms=2_500)
-        status, _ = await self._call_registry(
+        changes = {} if self.uneven is None else self.uneven.configuration
+        body = document(version, timeout_ms=2_500, **changes)
+        status, _ = await self.call_registry(
             self.rng.choice(REGISTRIES), "POST", "/config/replace", body
         )
         if status == 200 and version > self.accepted[0]:
@@ -341,7 +371,7 @@
         while True:
             version, at = self.accepted
             old = trio.current_time() - at > MAX_STALENESS_SECONDS
-            status, read = await self._call_registry(
+            status, read = await self.call_registry(
                 self.rng.choice(REGISTRIES), "GET", "/config/get"
             )
             if status == 200 and old and read["version"] < version:
@@ -380,7 +410,7 @@
     async def _freeze(self) -> None:
         if (name := self._pick_process()) is None:
             return
-        self._record_fault(f"freeze {name}")
+        self.record_fault(f"freeze {name}")
         self.down.add(name)
         self._mark_disturbed(name)
         self.site.signal(name, signal.SIGSTOP)
@@ -393,7 +423,7 @@
     async def _kill(self) -> None:
         if (name := self._pick_process()) is None:
             return
-        self._record_fault(f"kill {name}")
+        self.record_fault(f"kill {name}")
         self.down.add(name)
         self._mark_disturbed(name)
         self.site.kill(name)
@@ -407,7 +437,7 @@
         """Stop a process gracefully, as a deployment does, and restart it."""
         if (name := self._pick_process()) is None:
             return
-        self._record_fault(f"stop {name}")
+        self.record_fault(f"stop {name}")
         self.down.add(name)
         self.site.signal(name, signal.SIGTERM)
         with trio.CancelScope(shield=True):
@@ -424,7 +454,7 @@
         if (name := self._pick_process()) is None or not self.site.is_running(name):
             return
         survives = self.site.survives_signal(name, signal.SIGHUP)
-        self._record_fault(
+        self.record_fault(
             f"SIGHUP to {name}, {'handled' if survives else 'before its handler is installed'}"
         )
         self.site.signal(name, signal.SIGHUP)
@@ -442,19 +472,29 @@
         """Delay, stall or reset the connections to one backend server for a while."""
         proxy = self.rng.choice(self.proxies)
         proxy.mode = self.rng.choice(("delay", "silent", "one_way", "reset"))
-        self._record_fault(f"{proxy.mode} {proxy.server.name}")
+        self.record_fault(f"{proxy.mode} {proxy.server.name}")
+        seconds = self.rng.uniform(0.2, 1.5)
+        proxy.server.account.record_delay(trio.current_time() + seconds + 2 * DELAYED_DATA_SECONDS)
         with trio.CancelScope(shield=True):
-            await trio.sleep(self.rng.uniform(0.2, 1.5))
+            await trio.sleep(seconds)
         proxy.mode = "pass"
-        # Delayed requests reach the server now, and its answers may find no gateway waiting.
+        await self.record_delayed_data(proxy.server)
+
+    async def record_delayed_data(self, *servers: StandinServer) -> None:
+        """Record that delayed requests reach servers now, whose answers may find nobody waiting."""
         for pause in (0.0, DELAYED_DATA_SECONDS):
             await trio.sleep(pause)
             for gateway in self.gateways:
-                self._mark_disturbed(gateway, proxy.server)
+                self._mark_disturbed(gateway, *servers)
 
     async def _end_faults(self) -> None:
         for proxy in self.proxies:
             proxy.mode = "pass"
+        await self._restart_ended_processes()
+        if self.uneven is not None:
+            await self.uneven.end_all()
+
+    async def _restart_ended_processes(self) -> None:
         for name in (*REGISTRIES, *self.gateways):
             if not self.site.is_running(name):
                 code = self.site.exit_code(name)
@@ -480,7 +520,7 @@
         for name in REGISTRIES:
             with trio.move_on_after(15):
                 while True:
-                    status, read = await self._call_registry(name, "GET", "/config/get")
+                    status, read = await self.call_registry(name, "GET", "/config/get")
                     if status == 200:
                         break
                     await trio.sleep(0.1)
@@ -503,11 +543,15 @@
     return not alive()
 
 
-def run_soak(seed: int, folder: Path, net: int, seconds: float, gateways: int = 2) -> Soak:
-    """Run one seed and return the finished run."""
+def run_soak(
+    seed: int, folder: Path, net: int, seconds: float, gateways: int = 2, uneven: bool = False
+) -> Soak:
+    """Run one seed and return the finished run; ``uneven`` adds evacuations and cold servers."""
     names = tuple(f"g{number + 1}" for number in range(gateways))
     sources = [random.Random(seed + number * 1_000_000) for number in range(3)]
     soak = Soak(seed, GroupSite(folder, net), *sources, names)
+    if uneven:
+        soak.uneven = UnevenFaults(soak, random.Random(seed + 3_000_000), REGISTRIES)
     try:
         trio.run(soak.run, seconds)
     finally:
@@ -515,13 +559,15 @@
     return soak
 
 
-def main(first: int, count: int, seconds: float = 12.0, gateways: float = 2) -> int:
+def main(
+    first: int, count: int, seconds: float = 12.0, gateways: float = 2, uneven: float = 0
+) -> int:
     """Run seeds in sequence and print the result of each."""
     failed = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         net = MANUAL_SOAK_NETS[first % len(MANUAL_SOAK_NETS)]
-        soak = run_soak(seed, folder, net, seconds, int(gateways))
+        soak = run_soak(seed, folder, net, seconds, int(gateways), bool(uneven))
         served_count = sum(n for (_, status), n in soak.status_counts.items() if status == 200)
         request_count = sum(soak.status_counts.values())
         print(
@@ -538,4 +584,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:5])))
+    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:6])))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,22 @@
         assert sum(soak.status_counts.values()) > 20
 
 
+class TestUnevenSoak:
+    """Domains are evacuated, cut off and return cold while processes are killed and frozen.
+
+    Guards against requests to an evacuated domain after 5 s, orders without an acknowledgement, and
+    cold servers that get more than their bound in a second.
+    """
+
+    RUN_SECONDS = 20.0
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_invariants_hold(self, seed, tmp_path):
+        soak = run_soak(seed, tmp_path / "site", _next_net(), self.RUN_SECONDS, uneven=True)
+        assert not soak.violations, soak.violations
+        assert sum(soak.status_counts.values()) > 20
+
+
 class TestStopTimeout:
     """The time limit of the soak for a process to stop."""
 
--- a/tests/testing/test_server_account.py
+++ b/tests/testing/test_server_account.py
@@ -88,3 +88,63 @@
         assert not account.violations
         account.record_request("a", 2.1)
         assert len(account.violations) == 1
+
+
+class TestEvacuation:
+    """No VM may send to an evacuated failure domain from 5 s after the acknowledgement on."""
+
+    def test_late_request_is_a_violation(self):
+        account = ServerAccount("i-1")
+        account.record_request("a", 1.0)
+        account.record_evacuation(2.0)
+        account.record_request("a", 6.9)
+        assert not account.violations
+        account.record_request("a", 7.1)
+        assert len(account.violations) == 1
+
+    def test_nothing_is_forbidden_after_the_end(self):
+        account = ServerAccount("i-1")
+        account.record_evacuation(2.0)
+        account.record_evacuation_end()
+        account.record_request("a", 9.0)
+        assert not account.violations
+
+    def test_disturbed_vm_has_as_long_again(self):
+        """A VM that was cut off learns of the evacuation when it is back."""
+        account = ServerAccount("i-1")
+        account.record_evacuation(2.0)
+        account.record_disturbance("a", 8.0)
+        account.record_request("a", 12.9)
+        assert not account.violations
+        account.record_request("b", 12.9)
+        account.record_request("a", 13.1)
+        assert len(account.violations) == 2
+
+
+class TestCold:
+    """All VMs together send at most the bound to a cold server in any second."""
+
+    def test_bound(self):
+        account = ServerAccount("i-1")
+        account.record_cold(until=20.0, bound=3)
+        for number, vm in enumerate("abcabc"):
+            account.record_request(vm, 10.0 + number * 0.34)
+        assert not account.violations
+        account.record_request("a", 11.75)
+        assert len(account.violations) == 1
+
+    def test_warm_server_has_no_bound(self):
+        account = ServerAccount("i-1")
+        account.record_cold(until=5.0, bound=3)
+        for _ in range(10):
+            account.record_request("a", 5.0)
+        assert not account.violations
+
+    def test_delayed_requests_do_not_count(self):
+        """A stalled connection delivers the requests of several seconds at once."""
+        account = ServerAccount("i-1")
+        account.record_cold(until=20.0, bound=3)
+        account.record_delay(until=11.0)
+        for _ in range(10):
+            account.record_request("a", 10.5)
+        assert not account.violations
