Let other tasks run between the events of a buffered stream

Cause: data that the kernel takes at once was sent without a checkpoint, and one read may bring hundreds of events.

Change: a checkpoint after each such write.

--- a/siskinspoke/gateway/client_buffers.py
+++ b/siskinspoke/gateway/client_buffers.py
@@ -63,6 +63,8 @@
         if not self._held:
             data = self._client.send_available(data)
         if not data:
+            # One read may bring hundreds of events; other tasks must run in between.
+            await trio.lowlevel.checkpoint()
             return
         if not self._budget.fits(self._held, len(data)):
             self._record_pause()
