--- a/tests/platform/test_regions.py
+++ b/tests/platform/test_regions.py
@@ -87,6 +87,31 @@
 
         trio.run(run)
 
+    def test_service_with_an_allowed_server_is_chosen(self, tmp_path):
+        """A route is split; its heavier service has no server in the allowed region.
+
+        Guards against refusing nearly all of its requests although the other service has one.
+        """
+
+        async def run():
+            split = [{"service": "plain", "weight": 99}, {"service": "other", "weight": 1}]
+            base = document()
+            changes = {
+                "routes": [{**route, "traffic_split": split} for route in base["routes"]],
+                "services": [*base["services"], {"name": "other"}],
+                "tenants": tenants(SOUTH),
+            }
+            async with (
+                region_site(tmp_path, "plain", [[Whole()]], [], **changes) as (site, near, _),
+                servers(site, "other", [Whole()], first=80, domain="b") as other,
+            ):
+                for number in range(5):
+                    assert (await site.ask("/again/x", f"r{number}")).status == 200
+                assert requests_at(near) == 0
+                assert requests_at(other) == 5
+
+        trio.run(run)
+
     def test_all_servers_are_used_without_regions(self, tmp_path):
         """Guards against a map of regions that restricts requests which have none."""
 
