--- a/tests/gateway/test_cold_permits.py
+++ b/tests/gateway/test_cold_permits.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import math
 import random
 
 import pytest
@@ -43,7 +44,7 @@
         self.hosts = [f"10.0.{number // 200}.{number % 200}" for number in range(vms)]
         self.domains = {host: "abc"[number % 3] for number, host in enumerate(self.hosts)}
         self.account = ServerAccount("i-1")
-        self.account.record_cold(rate * OVERSHOOT + SLACK)
+        self.account.record_cold(math.inf, rate * OVERSHOOT + SLACK)
         self.paused: dict[str, trio.Event] = {}
         self.cut: set[str] = set()
         self.dead: set[str] = set()
--- a/tests/platform/test_cold_servers.py
+++ b/tests/platform/test_cold_servers.py
@@ -1,6 +1,7 @@
 """Tests for backend servers that are cold, to which several VMs send."""
 
 import json
+import math
 import signal
 import time
 from contextlib import asynccontextmanager
@@ -222,7 +223,7 @@
             async with fleet(tmp_path, VMS, services=SERVICES) as running:
                 running.service = "plain"
                 (server,) = await running.start_servers([[Whole()]])
-                server.account.record_cold(ALLOWED)
+                server.account.record_cold(math.inf, ALLOWED)
                 load, began = Load(), trio.current_time()
                 addresses = [(site.host, site.port) for site in running.sites]
                 async with trio.open_nursery() as nursery:
@@ -245,7 +246,7 @@
             async with fleet(tmp_path, 4, services=SERVICES) as running:
                 servers = await running.start_servers([[Events()], [Events()]])
                 for server in servers:
-                    server.account.record_cold(ALLOWED)
+                    server.account.record_cold(math.inf, ALLOWED)
                 await trio.sleep(1.5)
                 load, began = Load(), trio.current_time()
                 addresses = [(site.host, site.port) for site in running.sites] * 4
@@ -268,7 +269,7 @@
                 addresses = [(site.host, site.port) for site in running.sites] * 4
                 await load.run(addresses, "/again/x", 1.0)
                 for server in servers:
-                    server.account.record_cold(ALLOWED)
+                    server.account.record_cold(math.inf, ALLOWED)
                 for site in running.sites:
                     for server in servers:
                         site.announce(server, "plain", seq=1, started=2, cold_left_ms=30_000)
@@ -359,7 +360,7 @@
                 await nursery.start(processes.server.serve)
                 nursery.start_soon(processes.announce_forever)
                 await trio.sleep(3.0)
-                processes.server.account.record_cold(ALLOWED)
+                processes.server.account.record_cold(math.inf, ALLOWED)
                 load, began = Load(), trio.current_time()
                 addresses = [(site.host_of(name), PUBLIC_PORT) for name in processes.gateways]
                 async with trio.open_nursery() as senders:
