Test a planned attempt whose server is evacuated

Cause: no test covered an attempt that was planned, with its retry taken, before the evacuation of its server began.

--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -18,6 +18,7 @@
 from siskinspoke.gateway import upstream
 from siskinspoke.gateway.context import now_ms as gateway_now_ms
 from siskinspoke.gateway.evacuations import report_evacuations
+from siskinspoke.gateway.failover import RetryState
 from siskinspoke.gateway.holds import (
     BACK_OFF,
     EVACUATED,
@@ -511,6 +512,43 @@
 
         trio.run(run)
 
+    def test_planned_attempt_is_evacuated(self, tmp_path, monkeypatch):
+        """Guards against a planned attempt that is sent, or uses up a second retry."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, timeout_ms=5_500) as site,
+                servers(site, "engines", [Events(last=2, then="silent")]) as (first,),
+            ):
+                planned_for = []
+
+                def take(retry_state, gateway):
+                    planned = take_planned(retry_state, gateway)
+                    if planned is not None and not planned_for:
+                        announcement = planned.assignment.server.announcement
+                        planned_for.append(announcement.server)
+                        obey(site, 3, announcement.failure_domain)
+                    return planned
+
+                take_planned = RetryState.take_planned
+                monkeypatch.setattr(RetryState, "take_planned", take)
+                async with site.request_in_background(
+                    "/stream/x", Deadline_Ms="5000", **PROMPT
+                ) as answers:
+                    await until(lambda: requests_seen(first))
+                    async with (
+                        servers(site, "engines", [Events(last=4)], first=1, zone="b") as (one,),
+                        servers(site, "engines", [Events(last=4)], first=2, zone="c") as (two,),
+                    ):
+                        await until(lambda: answers, 6.0)
+                assert data_of(answers[0].body) == whole_stream(4)
+                by_name = {server.name: server for server in (one, two)}
+                assert requests_seen(by_name.pop(planned_for[0])) == 0
+                assert requests_seen(*by_name.values()) == 1
+                assert repeats(site) == 1
+
+        trio.run(run)
+
     def test_groups_have_no_evacuated_helpers(self, tmp_path):
         async def run():
             async with (
