Do not count servers that a request has tried as an alternative to a cold one

A call that may run only once was not sent to a cold server while a warm one existed, even if that one had just refused the call; it was refused although the cold server had permits. The servers that a request may not be sent to any more no longer count. Leases and permits get tests of their own, with the clock passed in.

--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -63,7 +63,8 @@
     now = now_ms()
     holds = [(record, find_hold(gateway, record, now)) for record in records]
     cold = [record for record, hold in holds if hold is not None and hold.reason == COLD]
-    gateway.counters.count("cold.left_out", len(cold))
+    if cold:
+        gateway.counters.count("cold.left_out", len(cold))
     free = [record for record, hold in holds if hold is None]
     if free or patience_ms <= 0:
         return free
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -280,7 +280,8 @@
             track_attempt(gateway, request, server) as run,
             gateway.attempts.attempt(server, fail_over=fail_over) as attempt,
         ):
-            prepare_permits(gateway, request, server, attempt)
+            excluded = retry_state.excluded.current(gateway.directory, began_at)
+            prepare_permits(gateway, request, server, attempt, excluded)
             usual_ms = gateway.server_health.median_latency_ms([name], began_at)
             attempt.expect_answer_within(answer_timeout_ms(usual_ms), began_at)
             with attempt.wait_scope(left / 1000):
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -97,15 +97,22 @@
 
 
 def prepare_permits(
-    gateway: Gateway, request: Request, server: ServerRecord, attempt: Attempt
+    gateway: Gateway,
+    request: Request,
+    server: ServerRecord,
+    attempt: Attempt,
+    excluded: set[str],
 ) -> None:
-    """Decide how long an attempt may wait for the permits that its server needs."""
+    """Decide how long an attempt may wait for the permits that its server needs.
+
+    ``excluded`` are the servers that the request may not be sent to any more.
+    """
     attempt.permit_wait_ms = max_permit_wait_ms(gateway, request, server)
     attempt.urgent = request.rank == 0
     now = now_ms()
     if not is_cold(gateway, server, now):
         return
-    others = candidates(gateway, request.service, {server.announcement.server})
+    others = candidates(gateway, request.service, excluded | {server.announcement.server})
     attempt.cold_decision = decide_cold(
         ColdRequest(
             permit_patience_ms(request),
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -255,7 +255,8 @@
             attempt = stack.enter_context(
                 gateway.attempts.attempt(*assignment.servers, fail_over=failover.fail_over)
             )
-            prepare_permits(gateway, request, assignment.server, attempt)
+            excluded = retry_state.excluded.current(gateway.directory, began_at)
+            prepare_permits(gateway, request, assignment.server, attempt, excluded)
             hold = await check_hold(gateway, request.call.id, assignment.server, attempt)
             if hold is not None:
                 outcome = not_run_on_hold(hold)
--- a/tests/coordination/test_cold_servers.py
+++ b/tests/coordination/test_cold_servers.py
@@ -4,7 +4,16 @@
 
 import pytest
 
-from siskinspoke.coordination.cold_limiters import choose_cold_limiters, cold_budget
+from siskinspoke.coordination.cold_limiters import (
+    DEMAND_MS,
+    LEASE_MS,
+    SETTLE_MS,
+    STALL_MS,
+    ColdLimiter,
+    ColdQuery,
+    choose_cold_limiters,
+    cold_budget,
+)
 from siskinspoke.coordination.cold_servers import (
     OLD_NEWS_MS,
     ColdRequest,
@@ -18,7 +27,7 @@
     has_cold_changed,
     remaining_cold_ms,
 )
-from siskinspoke.coordination.limiters import PERMIT_LIFETIME_MS
+from siskinspoke.coordination.limiters import PERMIT_LIFETIME_MS, Outcome
 
 START, NEXT_START = ("i-1", 7), ("i-1", 8)
 PERIOD = 10_000.0
@@ -230,3 +239,111 @@
 
     def test_few_vms(self):
         assert len(choose_cold_limiters("i-1", "b", {"h1": "a", "h2": "a"})) == 2
+
+
+LIMITERS = ("a", "b", "c")
+BUDGET = cold_budget(14, 1.5, 5)
+
+
+def settled_limiter(host: str, now: float = 0.0) -> ColdLimiter:
+    """Return a limiter that has reached most control VMs for long enough at ``now``."""
+    limiter = ColdLimiter(host)
+    for ago in (SETTLE_MS, 800, 400, 0):
+        limiter.observe(True, now - ago)
+    return limiter
+
+
+def holding_limiter(now: float = 0.0) -> ColdLimiter:
+    """Return a limiter that has got the lease of the server at ``now``."""
+    limiter = settled_limiter("a", now)
+    assert limiter.begin_campaign("i-1", LIMITERS, now)
+    limiter.end_campaign("i-1", True, now, 0, now, 0.0)
+    return limiter
+
+
+def ask(limiter: ColdLimiter, now: float, urgent: bool = True, patience_ms: float = 0.0):
+    """Ask a limiter of the first rank for a permit."""
+    return limiter.decide(ColdQuery("x", "i-1", BUDGET, patience_ms, urgent), 0, now)
+
+
+class TestLeases:
+    """At most one limiter grants permits at a time."""
+
+    def test_vote_is_given_once(self):
+        """Two limiters got the vote of a third, and a majority each."""
+        voter = settled_limiter("c")
+        assert voter.grant_lease("i-1", "a", LIMITERS, 0.0)
+        assert not voter.grant_lease("i-1", "b", LIMITERS, LEASE_MS - 1)
+        assert voter.grant_lease("i-1", "a", LIMITERS, 500.0)
+        assert not voter.grant_lease("i-1", "b", LIMITERS, LEASE_MS + 1)
+        assert voter.grant_lease("i-1", "b", LIMITERS, LEASE_MS + 501)
+
+    def test_lease_ends_at_its_holder_first(self):
+        """A lease that counted from the last vote outlived the votes."""
+        limiter = settled_limiter("a")
+        limiter.begin_campaign("i-1", LIMITERS, 0.0)
+        limiter.end_campaign("i-1", True, 0.0, 0, 50.0, 0.0)
+        assert limiter.holds_lease("i-1", LEASE_MS - 1)
+        assert not limiter.holds_lease("i-1", LEASE_MS)
+
+    def test_vm_without_control_neither_votes_nor_grants(self):
+        limiter = holding_limiter()
+        limiter.observe(False, 100.0)
+        assert ask(limiter, 100.0).outcome is Outcome.ELSEWHERE
+        assert not limiter.grant_lease("i-2", "b", LIMITERS, 100.0)
+
+    def test_vm_that_stood_still_waits(self):
+        """A VM that resumed voted by a view of the fleet from before its pause."""
+        limiter = settled_limiter("a")
+        now = STALL_MS + 1
+        limiter.observe(True, now)
+        assert not limiter.grant_lease("i-1", "b", LIMITERS, now)
+        limiter.observe(True, now + SETTLE_MS / 2)
+        limiter.observe(True, now + SETTLE_MS)
+        assert limiter.grant_lease("i-1", "b", LIMITERS, now + SETTLE_MS)
+
+    def test_outdated_view(self):
+        """A VM that is no limiter any more got votes by its own view."""
+        voter = settled_limiter("c")
+        assert not voter.grant_lease("i-1", "d", LIMITERS, 0.0)
+
+    def test_limiters_take_over_one_after_another(self):
+        """All limiters tried at once after the end of a lease, and each voted for itself."""
+        first, second = settled_limiter("b"), settled_limiter("c")
+        for limiter in (first, second):
+            limiter.grant_lease("i-1", "a", LIMITERS, 0.0)
+            limiter.observe(True, 500.0)
+            limiter.observe(True, LEASE_MS + 50)
+        assert first.begin_campaign("i-1", LIMITERS, LEASE_MS + 50)
+        assert not second.begin_campaign("i-1", LIMITERS, LEASE_MS + 50)
+
+    def test_lease_is_kept_while_in_demand(self):
+        limiter = holding_limiter()
+        ask(limiter, 1.0)
+        limiter.observe(True, 450.0)
+        assert limiter.campaigns_due(450.0) == ["i-1"]
+        assert limiter.campaigns_due(DEMAND_MS + 2) == []
+
+
+class TestPermits:
+    """The holder of a lease grants permits."""
+
+    def test_new_holder_begins_with_an_empty_bucket(self):
+        """Two holders in a row granted a burst each within a second."""
+        assert ask(holding_limiter(), 1.0).outcome is Outcome.LATER
+
+    def test_token_in_advance_is_usable_before_the_lease_ends(self):
+        limiter = holding_limiter()
+        now = LEASE_MS - 5
+        limiter.observe(True, 500.0)
+        taken = [ask(limiter, now, patience_ms=200.0) for _ in range(6)]
+        granted = [item for item in taken if item.outcome is Outcome.GRANTED]
+        assert granted
+        assert all(now + item.wait_ms < LEASE_MS for item in granted)
+
+    def test_urgent_requests_go_first(self):
+        """Requests of low priority took the tokens that urgent ones were waiting for."""
+        limiter = holding_limiter()
+        now = 1.2 / BUDGET.rate * 1000
+        assert ask(limiter, now, urgent=False).outcome is Outcome.LATER
+        assert ask(limiter, now, urgent=True).outcome is Outcome.GRANTED
--- a/tests/platform/test_cold_servers.py
+++ b/tests/platform/test_cold_servers.py
@@ -21,8 +21,9 @@
     gateway_site,
     read_answer,
     request_bytes,
+    until,
 )
-from tests.platform.standin_server import Events, StandinServer, Whole
+from tests.platform.standin_server import Events, Refuse, StandinServer, Whole
 from tests.platform.test_rate_limits import retry_after
 from tests.platform.test_streams import PROMPT
 
@@ -123,6 +124,39 @@
 
         trio.run(run)
 
+    def test_call_that_runs_once_after_a_refusal(self, tmp_path):
+        """A warm server that had refused a call kept it from the cold one that was left."""
+
+        async def run():
+            async with fleet(tmp_path, 1, services=SERVICES) as running:
+                running.service = "plain"
+                warm, cold = await running.start_servers([[Refuse()], [Whole()]])
+                site = running.sites[0]
+                site.announce(warm, "plain", seq=2, cold_left_ms=0)
+                site.announce(cold, "plain", seq=2, cold_left_ms=30_000)
+                limiter = site.gateway.cold_permits._limiter
+                await until(lambda: limiter.is_settled(lease_clock_ms()))
+                answer = await site.ask("/once/x", "r1")
+                assert answer.status == 200
+                assert requests_at(cold) == 1
+
+        trio.run(run)
+
+    def test_vm_that_has_just_started(self, tmp_path):
+        """A VM took servers for warm that it knew from the disk of a control VM only."""
+
+        async def run():
+            async with gateway_site(tmp_path, services=SERVICES) as site, _servers(1) as (server,):
+                site.announce(server, "plain", cold_left_ms=0)
+                record = site.gateway.directory.latest(server.name)
+                stored = record.announcement._replace(server="i-stored", cold_ms=0)
+                site.daemon._on_remembered_servers([stored])
+                now = trio.current_time() * 1000
+                assert is_cold(site.gateway, site.gateway.directory.latest("i-stored"), now)
+                assert not is_cold(site.gateway, record, now)
+
+        trio.run(run)
+
     def test_nothing_without_control(self, tmp_path):
         """A VM that reaches no limiter sent to a cold server, or held the request for long."""
 
