Let plain calls wait for a place with queue_capacity, and record servers' loads

Plain calls were sent to servers that were full, and lost once four servers had refused them or the retry budget was spent. With queue_capacity above 0, a call is sent where a place is expected, waits for one for up to half of its target, or is refused at once (OVERLOADED) with the forecast as its Retry-After. A call that a full server refused goes to the front of its order; the server is not ejected for it. Server-Load is decoded, open calls are reported to the cell with other updates, and at once where a server becomes full or free, once a second at most. With 0 nothing changes, neither behaviour nor datagrams (TestSwitch, TestReports.test_off).

--- a/siskinspoke/coordination/excluded_servers.py
+++ b/siskinspoke/coordination/excluded_servers.py
@@ -19,6 +19,10 @@
         """Exclude a server until it restarts, since the failure was of the old process."""
         self._failed_starts.add(start)
 
+    def readmit(self, start: tuple[str, int]) -> None:
+        """Undo ``exclude_until_restart``."""
+        self._failed_starts.discard(start)
+
     def exclude_temporarily(self, server: str, now: float) -> None:
         """Exclude a server for TEMPORARY_EXCLUSION_MS."""
         self._excluded_until[server] = now + TEMPORARY_EXCLUSION_MS
--- a/siskinspoke/coordination/place_queue.py
+++ b/siskinspoke/coordination/place_queue.py
@@ -37,9 +37,13 @@
 
 @dataclass(frozen=True)
 class TakePlace:
-    """The call is sent to this server now; ``waited_ms`` is 0 if it has not waited."""
+    """The call is sent to this server now; ``waited_ms`` is 0 if it has not waited.
+
+    ``was_known`` tells that the number of the server's places was known.
+    """
 
     server: str
+    was_known: bool
     waited_ms: float
     overtaken: int
 
@@ -73,7 +77,8 @@
     ) -> Decision:
         """Return what to do with a call that may wait until ``last_at``.
 
-        At most ``capacity`` more calls may begin to wait.
+        After a wait it is then sent where a place has likely become free, though nothing was heard
+        of it.  At most ``capacity`` more calls may begin to wait.
         """
         taken = self.take(waiter, choices, may_repeat, now)
         if taken is not None:
@@ -81,15 +86,22 @@
         usable = usable_choices(choices, may_repeat)
         ahead = len(self._queue.ahead(waiter, now))
         room_in_ms = expected_wait_ms([item.estimate for item in usable], ahead)
-        waits = waiter.name in self._begun_at
-        if now + room_in_ms < last_at and (waits or capacity > 0):
+        # The forecast knows nothing of how long the calls have run, so the time that a call has
+        # waited counts towards it.
+        begun_at = self._begun_at.get(waiter.name, now)
+        in_time = begun_at + room_in_ms < last_at and now < last_at
+        if in_time and (waiter.name in self._begun_at or capacity > 0):
             self._queue.add(waiter)
             self._begun_at.setdefault(waiter.name, now)
             recheck_ms = min(MAX_RECHECK_MS, max(MIN_RECHECK_MS, room_in_ms))
             return Wait(min(last_at, now + recheck_ms), ahead)
+        unsure = [item for item in usable if item.estimate.may_have_place]
+        if waiter.name in self._begun_at and now >= last_at and unsure:
+            # To refuse the call would lose it for certain.
+            return self._take_at(unsure, waiter, now)
         self._queue.remove(waiter.name)
         self._end_wait(waiter.name, now)
-        reason = WAITED if now >= last_at else FULL if now + room_in_ms < last_at else LATE
+        reason = FULL if in_time else LATE if now < last_at else WAITED
         return Refuse(retry_after_ms(room_in_ms, rng), reason)
 
     def take(
@@ -101,9 +113,13 @@
         placed = [item for item in usable if not item.estimate.is_full]
         if not placed or _places(placed) <= ahead:
             return None
-        server = min(placed, key=lambda item: item.expected_ms).server
+        return self._take_at(placed, waiter, now)
+
+    def _take_at(self, choices: Sequence[PlaceChoice], waiter: Waiter, now: float) -> TakePlace:
+        chosen = min(choices, key=lambda item: item.expected_ms)
         overtaken = self._queue.place(waiter, now)
-        return TakePlace(server, self._end_wait(waiter.name, now), overtaken)
+        is_known = chosen.estimate.is_known
+        return TakePlace(chosen.server, is_known, self._end_wait(waiter.name, now), overtaken)
 
     def leave(self, name: str) -> None:
         """Remove a call whose client has left."""
--- a/siskinspoke/coordination/server_health.py
+++ b/siskinspoke/coordination/server_health.py
@@ -156,15 +156,20 @@
         ejected.sort(key=lambda name: self._records[name].ejected_until)
         return available + ejected[: min_available - len(available)]
 
-    def expected_ms(self, server: str, now: float, default_latency_ms: float) -> float:
-        """Return the expected time of a request at a server, from its latency and queue."""
+    def expected_ms(
+        self, server: str, now: float, default_latency_ms: float, others: float = 0.0
+    ) -> float:
+        """Return the expected time of a request at a server, from its latency and queue.
+
+        ``others`` is the estimated number of open requests of other VMs.
+        """
         record = self._records.get(server)
         if record is None:
-            return default_latency_ms
+            return default_latency_ms * (1 + 0.5 * others)
         latency = record.latency_ms
         if latency is None or now - record.latency_at > LATENCY_TTL_MS:
             latency = default_latency_ms
-        return latency * (1 + 0.5 * record.open_requests) * (1 + 4 * record.failure_ewma)
+        return latency * (1 + 0.5 * (record.open_requests + others)) * (1 + 4 * record.failure_ewma)
 
     def median_latency_ms(self, servers: Iterable[str], now: float) -> float:
         """Return the median latency of some servers, as a default for those without one."""
--- a/siskinspoke/coordination/server_places.py
+++ b/siskinspoke/coordination/server_places.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -14,10 +15,16 @@
 # A server that stated or showed that it is full is taken to be full for this many mean durations of
 # its calls.  After that most of those calls have ended, and the next call finds out.
 FULL_DURATIONS = 2.0
+# A call that would be refused otherwise is sent there after this many: earlier it would mostly be
+# refused by the server and use up a retry.
+LIKELY_FREE_DURATIONS = 1.0
 MIN_FULL_MS = 10.0
 # Reports of other VMs count for this many mean durations.  Older ones made VMs choose the same
 # server, since most of the calls that they counted have ended.
 PEER_DURATIONS = 0.5
+# Own calls that ended so recently may still be in a load that is heard now.  Milliseconds.
+RECENT_END_MS = 5.0
+MAX_RECENT_ENDS = 16
 # Weights of the latest value in the moving averages of the load of others and of durations.
 OTHERS_EWMA_WEIGHT = 0.1
 DURATION_EWMA_WEIGHT = 0.2
@@ -56,6 +63,14 @@
         """Return whether the number of places is known."""
         return self.slots > 0
 
+    @property
+    def may_have_place(self) -> bool:
+        """Return whether a place has likely become free, though the server was full before."""
+        is_old = (
+            min(self.load_age_ms, self.peers_age_ms) >= LIKELY_FREE_DURATIONS * self.duration_ms
+        )
+        return not self.is_full or (is_old and self.own < self.slots)
+
     @property
     def free(self) -> int:
         """Return the expected number of free places, at least one unless the server is full."""
@@ -81,6 +96,8 @@
 @dataclass(slots=True)
 class _Server:
     own: int = 0
+    # When the last calls of this VM ended that have run.
+    ended_at: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_ENDS))
     load: _StatedLoad | None = None
     mean_others: float | None = None
     peers: dict[str, _PeerCount] = field(default_factory=dict)
@@ -116,10 +133,12 @@
         self._server(server).own += 1
         self._unsent.add(server)
 
-    def end(self, server: str) -> None:
+    def end(self, server: str, has_run: bool, now: float) -> None:
         """Count the end of a call of this VM, whatever its outcome."""
         known = self._server(server)
         known.own = max(0, known.own - 1)
+        if has_run:
+            known.ended_at.append(now)
         self._unsent.add(server)
 
     def has_open_call(self, server: str) -> bool:
@@ -141,13 +160,17 @@
         """Record the load that a server states in an answer to a call that is still open here.
 
         A refused call has no place.  Whether a server counts the call that it answers is learned
-        from its answers: if it does, no answer states zero running requests.
+        from its answers: if it does, no answer states zero running requests.  Own calls that ended
+        a moment ago are taken to be among those stated: answers are read in another order than they
+        were sent.
         """
         known = self._server(start[0])
         occupied = load.running + load.waiting
         if not refused and occupied == 0:
             known.counts_answered = False
-        counted = known.own if known.counts_answered and not refused else known.own - 1
+        counted = known.own - (refused or not known.counts_answered)
+        if not refused:
+            counted += sum(now - at <= RECENT_END_MS for at in known.ended_at)
         others = max(0, occupied - max(0, counted))
         known.set_load(_StatedLoad(start, load.slots, others, now))
 
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -30,6 +30,7 @@
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
+from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.gateway.wire import Call, Wire
@@ -74,6 +75,8 @@
     rng: random.Random
     no_room_cache: NoRoomCache = field(default_factory=NoRoomCache)
     first_token_margin: FirstTokenMargin = field(default_factory=FirstTokenMargin)
+    # None where requests do not wait at this VM.
+    plain_admission: PlainAdmission | None = None
     nursery: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since_ms: float | None = None
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -32,6 +32,7 @@
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
+from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.gateway.reachability import (
@@ -110,6 +111,10 @@
             lambda question: self.gateway.permits.answer(question),
         )
         rate_limits = RateLimits()
+        latencies, rng = Latencies(), random.Random()
+        plain_admission = None
+        if settings.queue_capacity:
+            plain_admission = PlainAdmission(settings.queue_capacity, counters, latencies, log, rng)
         self.gateway = Gateway(
             settings=settings,
             wire=wire,
@@ -150,12 +155,14 @@
                 self._feeds.handle_control_up,
                 lambda work: recheck_streams(self.gateway, work),
                 lambda news: apply_peer_rate_limit(self.gateway, news),
+                open_calls=plain_admission,
             ),
             crashes=CrashWatch(self._send_crashes, counters, log),
             counters=counters,
-            latencies=Latencies(),
+            latencies=latencies,
             log=log,
-            rng=random.Random(),
+            rng=rng,
+            plain_admission=plain_admission,
         )
 
     def _has_quorum(self) -> bool:
@@ -290,6 +297,9 @@
             gateway.back_offs.prune(names, now)
             gateway.peers.expire_peers(now)
             gateway.crashes.prune(now)
+            if gateway.plain_admission is not None:
+                gateway.plain_admission.places.prune(names)
+                gateway.counters.gauge("admission.waiting", gateway.plain_admission.waiting_count)
             gateway.pool.prune(now)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected_count)
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -4,6 +4,7 @@
 updates go to this VM's own cell only.
 """
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -16,11 +17,13 @@
 from siskinspoke.coordination.work_table import Job, Work, WorkTable
 from siskinspoke.core.counters import Counters
 from siskinspoke.gateway.cells import CellView
+from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.protocol.crashes import CrashNews
 from siskinspoke.protocol.feed import ControlUp
 from siskinspoke.protocol.peers import (
     EnginePace,
+    OpenCalls,
     PermitReply,
     PermitRequest,
     PlaceOffer,
@@ -48,6 +51,12 @@
 BUDGET_TIMEOUT_MS = 5_000.0
 
 
+# Changed numbers of open plain calls travel with other updates.  Where a server becomes full or
+# free they are sent without any, no more often than this: with 24 VMs in a cell each message is
+# sent 23 times.
+OPEN_CALLS_INTERVAL_MS = 1_000.0
+
+
 class Peers:
     """Send and receive the datagrams between entry VMs."""
 
@@ -67,6 +76,7 @@
         on_control: Callable[[str], None] = lambda host: None,
         on_work_began: Callable[[Work], None] = lambda work: None,
         on_rate_limit: Callable[[RateLimitNews], None] = lambda news: None,
+        open_calls: PlainAdmission | None = None,
     ):
         self._host = host
         self._domain = domain
@@ -82,6 +92,8 @@
         self._on_control = on_control
         self._on_work_began = on_work_began
         self._on_rate_limit = on_rate_limit
+        self._open_calls = open_calls
+        self._open_calls_sent_ms = -math.inf
         self._pending_crashes: list[CrashNews] = []
         self._pending_rate_limits: dict[tuple[str, int], tuple[float | None, float]] = {}
         self._last_number = 0
@@ -153,6 +165,15 @@
         self._has_updates.set()
         self._send_now.set()
 
+    def send_open_calls(self) -> None:
+        """Send the changed numbers of open calls now, unless some were sent a short time ago."""
+        now = trio.current_time() * 1000
+        if self._open_calls is None or now - self._open_calls_sent_ms < OPEN_CALLS_INTERVAL_MS:
+            return
+        self._own_cell_update()
+        self._has_updates.set()
+        self._send_now.set()
+
     def update_pace(self, server: str, pace: float) -> None:
         """Record the pace reported by an engine, and send it to the peers if it has changed."""
         changed = abs(self._work_table.engine(server).slowdown - pace) > MIN_PACE_CHANGE
@@ -227,6 +248,10 @@
             )
         for cell in self._cells_due(now):
             updates.setdefault(cell, self._empty_update())
+        if own_cell in updates and self._open_calls is not None:
+            changed = self._open_calls.places.take_unsent()
+            updates[own_cell].open_calls.extend(OpenCalls(*item) for item in changed)
+            self._open_calls_sent_ms = now
         for cell, item in updates.items():
             self._last_sent_ms[cell] = now
             await port.send_to_all(item, self._cells.addresses(cell))
@@ -263,15 +288,27 @@
                 self._counters.count("peers.silent")
             if now - at > BUDGET_TIMEOUT_MS:
                 del self._last_heard[host]
+                self._drop_open_calls(host)
 
     def _record_sender(self, host: str, start: str, domain: str) -> None:
         """Record the sender; if its process has restarted, drop the work of the old one."""
         known = self._last_heard.get(host)
         if known is not None and known[0] != start:
             self._work_table.remove_with_prefix(_work_key(host, known[0], ""))
+            self._drop_open_calls(host)
         self._last_heard[host] = (start, trio.current_time() * 1000)
         self._on_peer(host, domain)
 
+    def _drop_open_calls(self, host: str) -> None:
+        if self._open_calls is not None:
+            self._open_calls.places.drop_peer(host)
+
+    def _handle_open_calls(self, admission: PlainAdmission, item: WorkNews, now: float) -> None:
+        for calls in item.open_calls:
+            admission.places.record_peer(item.host, calls.server, calls.count, now)
+        if item.open_calls:
+            admission.places_changed()
+
     async def _handle(self, item: Any) -> None:
         match item:
             case WorkNews():
@@ -312,6 +349,8 @@
             self._on_unreachable_server(server)
         for pace in item.paces:
             self._work_table.engine(pace.server).slowdown = pace.pace
+        if self._open_calls is not None:
+            self._handle_open_calls(self._open_calls, item, now)
 
 
 def _work_key(host: str, start: str, number: int | str) -> str:
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -1,15 +1,21 @@
 """Serve a request whose answer is not a stream: a plain service's, or a stream's failure."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
 import trio
 
+from siskinspoke.coordination.admission import Refuse, Waiter
 from siskinspoke.coordination.crash_watch import RunEnd
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.liveness import answer_timeout_ms
+from siskinspoke.coordination.place_queue import (
+    REFUSED_PAUSE_MS,
+    PlaceChoice,
+    TakePlace,
+)
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
@@ -17,11 +23,13 @@
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
 from siskinspoke.gateway.failover import Failover, RetryState
 from siskinspoke.gateway.holds import hold_ends_in_ms
+from siskinspoke.gateway.plain_admission import PlaceSearch, PlainAdmission
 from siskinspoke.gateway.servers import (
     candidates,
     choose_service,
     least_loaded,
     max_permit_wait_ms,
+    place_choices,
     reachable,
     reachable_unlimited,
     record_failure,
@@ -54,6 +62,10 @@
 # Retry-After of refusals because all servers are busy or gone.  Milliseconds.
 RETRY_AFTER_MS = 400
 RETRY_AFTER_JITTER = 0.5
+# A call waits for a place for this share of its target; what has been tried before may wait for
+# this share of its deadline.
+WAIT_SHARE = 0.5
+NO_PLACE = "no backend server has a place for the request now"
 
 
 class WholeAnswer(NamedTuple):
@@ -121,13 +133,18 @@
         self._nursery = nursery
         self._retry_state = RetryState(open_attempts=0)
         self._last_result: WholeAnswer | Failure | None = None
+        self._refusal: Failure | None = None
+        self._admission = gateway.plain_admission
+        # Whether the last attempt was refused for lack of a place.
+        self._was_refused = False
+        self._name = self._admission.next_name() if self._admission is not None else ""
         self._send_event, self._events = trio.open_memory_channel[_AttemptLate | _AttemptEnded](
             math.inf
         )
 
     async def run(self) -> WholeAnswer | Failure:
         """Run attempts until one has an answer, or none is open and none may be started."""
-        self._start_attempt()
+        await self._start_attempt_in_turn()
         while self._retry_state.open_attempts:
             match await self._events.receive():
                 case _AttemptLate():
@@ -138,9 +155,11 @@
                     if result is not None:
                         return result
                     if await self._may_retry():
-                        self._start_attempt()
+                        await self._start_attempt_in_turn()
+        if self._last_result is not None or self._refusal is not None:
+            return self._last_result or self._refusal
         message = "no backend server can take the request now"
-        return self._last_result or no_server_failure(self._gateway, self._request, message)
+        return no_server_failure(self._gateway, self._request, message)
 
     def release_retry(self) -> None:
         """Return a retry to the budget that was reserved for an attempt which never started."""
@@ -165,6 +184,11 @@
     def _start_attempt(self) -> None:
         """Start an attempt at another server, if there is one and the retry budget allows it."""
         gateway, request, retry_state = self._gateway, self._request, self._retry_state
+        if self._admission is not None:
+            taken = self._admission.take(self._search())
+            if taken is not None:
+                self._start_at_place(self._admission, taken)
+            return
         records = _remaining_servers(gateway, request, retry_state)
         if not records:
             return
@@ -172,9 +196,107 @@
             gateway.counters.count("retry.budget_spent")
             return
         server = least_loaded(gateway, reachable(gateway, records) or records)
-        retry_state.excluded.exclude_until_restart(server.start)
-        retry_state.open_attempts += 1
-        self._nursery.start_soon(self._attempt, server)
+        self._begin_attempt(self._attempt, server)
+
+    def _begin_attempt(self, attempt: Callable[..., Awaitable[None]], server, *args) -> None:
+        self._retry_state.excluded.exclude_until_restart(server.start)
+        self._retry_state.open_attempts += 1
+        self._nursery.start_soon(attempt, server, *args)
+
+    async def _start_attempt_in_turn(self) -> None:
+        """Start an attempt, with admission once a place is free for it.
+
+        A call with an attempt open does not wait: that attempt may answer first.
+        """
+        if self._admission is None or self._retry_state.open_attempts:
+            self._start_attempt()
+            return
+        if self._was_refused:
+            self._was_refused = False
+            await trio.sleep(REFUSED_PAUSE_MS / 1000)
+        if not self._can_spend_retry():
+            self._gateway.counters.count("retry.budget_spent")
+            return
+        decision = await self._admission.admit(self._search())
+        match decision:
+            case TakePlace():
+                self._start_at_place(self._admission, decision)
+            case Refuse(retry_after_ms=retry_after_ms):
+                self._refusal = Failure(ResultCode.OVERLOADED, NO_PLACE, math.ceil(retry_after_ms))
+
+    def _can_spend_retry(self) -> bool:
+        retry_state, request = self._retry_state, self._request
+        if retry_state.retry_reserved or not retry_state.delivered:
+            return True
+        return self._gateway.budget.can_spend(request.service, now_ms())
+
+    def _start_at_place(self, admission: PlainAdmission, taken: TakePlace) -> None:
+        """Start an attempt at the server whose place was taken, if the retry budget allows it."""
+        gateway = self._gateway
+        server = gateway.directory.latest(taken.server)
+        if server is None or not self._retry_state.reserve_retry(gateway, self._request):
+            gateway.counters.count("retry.budget_spent", server is not None)
+            admission.places.end(taken.server, False, now_ms())
+            return
+        self._begin_attempt(self._attempt_at_place, server, admission, taken)
+
+    def _search(self) -> PlaceSearch:
+        """Return how a place is looked for.  A call that a server refused goes before others."""
+        request, was_tried = self._request, bool(self._request.attempts)
+        arrived_ms, target_ms = request.arrived_ms, request.route.target_ms
+        waiter = Waiter(
+            name=self._name,
+            rank=request.rank,
+            customer=request.customer.name if request.customer else "",
+            arrived_at=arrived_ms,
+            target_at=arrived_ms if was_tried else arrived_ms + target_ms,
+            leaves_at=arrived_ms + request.deadline_ms,
+            cost_ms=self._gateway.server_health.median_latency_ms(
+                self._gateway.cells.servers(request.service), now_ms()
+            ),
+            value=1.0,
+        )
+        useful_ms = request.deadline_ms if self._last_result else target_ms
+        wait_ms = WAIT_SHARE * min(useful_ms, request.deadline_ms)
+        return PlaceSearch(
+            request.call.id,
+            request.service,
+            waiter,
+            request.route.repeatable,
+            arrived_ms + wait_ms,
+            self._find_places,
+        )
+
+    def _find_places(self) -> list[PlaceChoice]:
+        records = _remaining_servers(self._gateway, self._request, self._retry_state)
+        return place_choices(self._gateway, records)
+
+    async def _attempt_at_place(
+        self, server: ServerRecord, admission: PlainAdmission, taken: TakePlace
+    ) -> None:
+        gateway, name = self._gateway, server.announcement.server
+        began_at, has_run = now_ms(), False
+        try:
+            _report_turn(gateway, server)
+            outcome = await _attempt(
+                gateway, self._request, server, self._retry_state, self._on_late
+            )
+            if isinstance(outcome, WholeAnswer):
+                has_run = True
+                admission.places.record_duration(name, now_ms() - began_at)
+            if _refused_when_full(gateway, server, outcome):
+                self._was_refused = True
+                self._retry_state.excluded.readmit(server.start)
+        finally:
+            admission.places.end(name, has_run, now_ms())
+            _report_turn(gateway, server)
+            admission.places_changed()
+        was_refused = isinstance(outcome, NotRun)
+        if was_refused and outcome.failure_kind is FailureKind.BUSY:
+            gateway.counters.count("places.wrong", taken.was_known)
+        elif taken.waited_ms and not was_refused:
+            gateway.counters.count("places.foreseen")
+        self._send_event.send_nowait(_AttemptEnded(server, outcome))
 
     async def _attempt(self, server: ServerRecord) -> None:
         outcome = await _attempt(
@@ -219,6 +341,30 @@
     return candidates(gateway, request.service, excluded)
 
 
+def _has_place(gateway: Gateway, records: list[ServerRecord]) -> bool:
+    """Tell whether a server is expected to take another call; all are without admission."""
+    if gateway.plain_admission is None:
+        return bool(records)
+    return any(not item.estimate.is_full for item in place_choices(gateway, records))
+
+
+def _refused_when_full(gateway: Gateway, server: ServerRecord, outcome: object) -> bool:
+    """Tell whether a server refused a call for lack of a place, as far as its load shows."""
+    if gateway.plain_admission is None or not isinstance(outcome, NotRun):
+        return False
+    if outcome.failure_kind is not FailureKind.BUSY or outcome.at_fault is not None:
+        return False
+    return place_choices(gateway, [server])[0].estimate.is_full
+
+
+def _report_turn(gateway: Gateway, server: ServerRecord) -> None:
+    """Report to the cell at once that a server has become full or free."""
+    places, name = gateway.plain_admission.places, server.announcement.server
+    estimate = place_choices(gateway, [server])[0].estimate
+    if places.has_turned(name, estimate):
+        gateway.peers.send_open_calls()
+
+
 def no_server_failure(gateway: Gateway, request: Request, message: str) -> Failure:
     """Return the refusal of a request that no server can take, with the time to retry."""
     wait_ms = hold_ends_in_ms(gateway, request.service)
@@ -244,7 +390,8 @@
     left = request.remaining_ms(began_at)
 
     def has_other() -> bool:
-        return bool(reachable_unlimited(gateway, _remaining_servers(gateway, request, retry_state)))
+        remaining = _remaining_servers(gateway, request, retry_state)
+        return _has_place(gateway, reachable_unlimited(gateway, remaining))
 
     failover = Failover(gateway, request, name, retry_state, has_other)
     reported = False
@@ -301,6 +448,10 @@
                 gateway.server_health.record_failure(name, FailureKind.ERROR, now)
             else:
                 gateway.server_health.record_success(name, now - began_at, now)
+        case NotRun() if _refused_when_full(gateway, server, outcome):
+            # The estimate of its places keeps calls away; it is not unhealthy.
+            gateway.counters.count(f"attempt.{outcome.failure_kind.value}")
+            request.record_attempt(name, outcome.reason, now)
         case _:
             record_failure(gateway, request, server, outcome)
     return outcome
--- a/siskinspoke/gateway/restrictions.py
+++ b/siskinspoke/gateway/restrictions.py
@@ -21,6 +21,7 @@
         return
     for field in response.restrictions.unreadable:
         gateway.counters.count(f"restrictions.unreadable.{field}")
+    _record_load(gateway, server, response)
     _apply_rate_limit(gateway, request_id, server, response, sent_at)
     if response.restrictions.back_off_ms is not None:
         _apply_back_off(gateway, request_id, server, response.restrictions.back_off_ms)
@@ -28,6 +29,18 @@
         _apply_leaving(gateway, request_id, server)
 
 
+def _record_load(gateway: Gateway, server: ServerRecord, response: Answer) -> None:
+    """Record the load that a server states in an answer to a plain call of this VM."""
+    admission = gateway.plain_admission
+    if admission is None or not admission.places.has_open_call(server.announcement.server):
+        return
+    refused = response.never_ran and response.status >= 400
+    if response.load is not None:
+        admission.places.record_load(server.start, response.load, refused, now_ms())
+    elif refused and server.announcement.slots:
+        admission.places.record_refusal(server.start, server.announcement.slots, now_ms())
+
+
 def _lifts_omitted(response: Answer) -> bool:
     """Return whether the absence of a restriction in a response means that it has been lifted."""
     return (
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -1,6 +1,7 @@
 """Selection of backend servers for a request, and evaluation of its failed attempts."""
 
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.place_queue import PlaceChoice
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.holds import hold_ends_in_ms, without_hold, without_rate_limit
@@ -120,6 +121,28 @@
     )
 
 
+def place_choices(gateway: Gateway, records: list[ServerRecord]) -> list[PlaceChoice]:
+    """Return the places of some servers; those that are likely to fail a call are avoided."""
+    now = now_ms()
+    names = [record.announcement.server for record in records]
+    typical_ms = gateway.server_health.median_latency_ms(names, now)
+    within_reach = {record.start for record in reachable(gateway, records)}
+    choices = []
+    for record in gateway.rng.sample(records, len(records)):
+        announcement = record.announcement
+        estimate = gateway.plain_admission.places.estimate(
+            record.start, announcement.slots, record.heard_at, now
+        )
+        is_avoided = record.start not in within_reach or gateway.server_health.is_ejected(
+            announcement.server, now
+        )
+        expected_ms = gateway.server_health.expected_ms(
+            announcement.server, now, typical_ms, estimate.others
+        )
+        choices.append(PlaceChoice(announcement.server, estimate, is_avoided, expected_ms))
+    return choices
+
+
 def record_failure(
     gateway: Gateway, request: Request, record: ServerRecord, outcome: NotRun | OutcomeUnknown
 ) -> None:
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -5,6 +5,7 @@
 from expression import Result
 
 from siskinspoke.coordination.routes import RouteTable
+from siskinspoke.coordination.server_places import ServerLoad
 from siskinspoke.core.codes import Failure
 from siskinspoke.transport.http1 import Headers, RequestHead, ResponseHead
 
@@ -81,6 +82,7 @@
     ``never_ran`` means that the server has not run the request and never will.  ``misdirected``
     means that another incarnation has the address.  ``at_fault`` is the address of a helper that
     failed.  ``idle_seconds`` is how long the server keeps the idle connection open, if it says so.
+    ``load`` is None if the server states none, or none that can be read.
     """
 
     status: int
@@ -93,6 +95,7 @@
     idle_seconds: float | None
     framed: bool
     restrictions: Restrictions = Restrictions()
+    load: ServerLoad | None = None
 
 
 class EngineReport(NamedTuple):
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -4,6 +4,7 @@
 from expression import Error, Ok, Result
 
 from siskinspoke.coordination.routes import RouteTable
+from siskinspoke.coordination.server_places import ServerLoad
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
 from siskinspoke.gateway.wire import (
     Answer,
@@ -23,6 +24,8 @@
 # Statuses with which a server may say when it will accept requests from this VM again.
 BACK_OFF_STATUSES = frozenset({429, 503})
 LOWEST_PRIORITY = 9
+# Larger numbers in a stated load are errors.
+MAX_STATED_LOAD = 1_000_000
 
 
 def _first_header(headers: Headers, name: bytes) -> str | None:
@@ -128,6 +131,7 @@
             idle_seconds=_parse_idle_seconds(_first_header(head.headers, b"Keep-Alive")),
             framed=head.framed,
             restrictions=_parse_restrictions(head.status, head.headers),
+            load=_parse_load(_first_header(head.headers, names.LOAD)),
         )
 
     def encode_failure(self, call_id: str, failure: Failure) -> tuple[int, Headers, bytes]:
@@ -180,6 +184,17 @@
     )
 
 
+def _parse_load(text: str | None) -> ServerLoad | None:
+    """Return the load that a server states, or None if it is missing or cannot be read."""
+    parts = (text or "").split(",")
+    if len(parts) != 3 or not all(part.strip().isascii() for part in parts):
+        return None
+    numbers = [int(part) for part in parts if part.strip().isdigit()]
+    if len(numbers) != 3 or max(numbers) > MAX_STATED_LOAD:
+        return None
+    return ServerLoad(*numbers)
+
+
 def _parse_idle_seconds(text: str | None) -> float | None:
     """Return the idle timeout of a connection from a Keep-Alive header."""
     for part in (text or "").split(","):
