--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -34,6 +34,7 @@
 from siskinspoke.gateway.cold_permits import ColdPermits
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
+from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.gateway.wire import Call, Wire
@@ -83,6 +84,8 @@
     unserved_services: frozenset[str] = frozenset()
     cold_servers: ColdServers = field(default_factory=ColdServers)
     cold_permits: ColdPermits | None = None
+    # None where requests do not wait at this VM.
+    plain_admission: PlainAdmission | None = None
     nursery: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since_ms: float | None = None
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -41,6 +41,7 @@
 from siskinspoke.gateway.evacuations import apply_evacuations, report_evacuations
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
+from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import PermitQuestion, Queries
 from siskinspoke.gateway.reachability import (
@@ -120,6 +121,10 @@
             self._answer_permit_question,
         )
         rate_limits = RateLimits()
+        latencies, rng = Latencies(), random.Random()
+        plain_admission = None
+        if settings.queue_capacity:
+            plain_admission = PlainAdmission(settings.queue_capacity, counters, latencies, log, rng)
         self.gateway = Gateway(
             settings=settings,
             wire=wire,
@@ -160,12 +165,13 @@
                 self._feeds.handle_control_up,
                 lambda work: recheck_streams(self.gateway, work),
                 lambda news: apply_peer_rate_limit(self.gateway, news),
+                open_calls=plain_admission,
             ),
             crashes=CrashWatch(self._send_crashes, counters, log),
             counters=counters,
-            latencies=Latencies(),
+            latencies=latencies,
             log=log,
-            rng=random.Random(),
+            rng=rng,
             buffers=ByteBudget(settings.buffer_bytes),
             cold_permits=ColdPermits(
                 EntryPeer(settings.host, settings.peer_port, settings.failure_domain),
@@ -175,6 +181,7 @@
                 counters,
                 random.Random(),
             ),
+            plain_admission=plain_admission,
         )
 
     def _answer_permit_question(self, question: PermitQuestion) -> PermitReply | LeaseReply:
@@ -328,6 +335,9 @@
             gateway.back_offs.prune(names, now)
             gateway.peers.expire_peers(now)
             gateway.crashes.prune(now)
+            if gateway.plain_admission is not None:
+                gateway.plain_admission.places.prune(names)
+                gateway.counters.gauge("admission.waiting", gateway.plain_admission.waiting_count)
             gateway.pool.prune(now)
             report_evacuations(gateway)
             gateway.counters.gauge("requests.open", gateway.open_requests)
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -2,6 +2,7 @@
 
 from siskinspoke.coordination.cold_servers import ColdRequest, decide_cold
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.place_queue import PlaceChoice
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.cold import is_cold, next_permit_at
@@ -196,6 +197,30 @@
     return [first, second]
 
 
+def place_choices(gateway: Gateway, records: list[ServerRecord]) -> list[PlaceChoice]:
+    """Return the places of some servers; those that are likely to fail a call are avoided."""
+    now = now_ms()
+    names = [record.announcement.server for record in records]
+    typical_ms = gateway.server_health.median_latency_ms(names, now)
+    within_reach = {record.start for record in reachable(gateway, records)}
+    choices = []
+    for record in gateway.rng.sample(records, len(records)):
+        announcement = record.announcement
+        estimate = gateway.plain_admission.places.estimate(
+            record.start, announcement.slots, record.heard_at, now
+        )
+        is_avoided = (
+            record.start not in within_reach
+            or gateway.server_health.is_ejected(announcement.server, now)
+            or is_cold(gateway, record, now)
+        )
+        expected_ms = gateway.server_health.expected_ms(
+            announcement.server, now, typical_ms, estimate.others
+        )
+        choices.append(PlaceChoice(announcement.server, estimate, is_avoided, expected_ms))
+    return choices
+
+
 def record_failure(
     gateway: Gateway, request: Request, record: ServerRecord, outcome: NotRun | OutcomeUnknown
 ) -> None:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -235,7 +235,8 @@
 async def gateway_site(tmp_path, **changes):
     """Run a gateway that has a configuration, unless told otherwise, and knows no servers.
 
-    ``settings`` are changes of the VM's settings, ``send_buffer`` is that of ``serve_clients``.
+    ``settings`` are changes of the VM's settings, ``send_buffer`` is that of ``serve_clients``, and
+    other keywords change the configuration document.
     """
     settings = vm_settings()._replace(**changes.pop("settings", {}))
     send_buffer = changes.pop("send_buffer", 0)
