--- a/siskinspoke/coordination/server_places.py
+++ b/siskinspoke/coordination/server_places.py
@@ -89,7 +89,7 @@
 class _PeerCount(NamedTuple):
     """The number of calls that another VM reported, and when."""
 
-    count: int
+    calls: int
     at: float
 
 
@@ -99,7 +99,7 @@
     # When the last calls of this VM ended that have run.
     ended_at: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_ENDS))
     load: _StatedLoad | None = None
-    mean_others: float | None = None
+    mean_others: float = 0.0
     peers: dict[str, _PeerCount] = field(default_factory=dict)
     duration_ms: float | None = None
     # Whether a stated load includes the call whose answer states it.
@@ -107,9 +107,9 @@
     was_full: bool = False
 
     def set_load(self, load: _StatedLoad) -> None:
-        self.load = load
-        if self.mean_others is None:
+        if self.load is None:
             self.mean_others = load.others
+        self.load = load
         self.mean_others += OTHERS_EWMA_WEIGHT * (load.others - self.mean_others)
 
     def expected_others(self, load: _StatedLoad, duration_ms: float, now: float) -> float:
@@ -201,7 +201,7 @@
         reports = [
             item for item in known.peers.values() if now - item.at <= PEER_DURATIONS * duration_ms
         ]
-        reported = sum(item.count for item in reports)
+        reported = sum(item.calls for item in reports)
         others = float(reported)
         load_age_ms, was_full = math.inf, False
         load = known.load
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -250,7 +250,8 @@
             updates.setdefault(cell, self._empty_update())
         if own_cell in updates and self._open_calls is not None:
             changed = self._open_calls.places.take_unsent()
-            updates[own_cell].open_calls.extend(OpenCalls(*item) for item in changed)
+            open_calls = [OpenCalls(*item) for item in changed]
+            updates[own_cell] = updates[own_cell]._replace(open_calls=open_calls)
             self._open_calls_sent_ms = now
         for cell, item in updates.items():
             self._last_sent_ms[cell] = now
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -17,6 +17,7 @@
     TakePlace,
 )
 from siskinspoke.coordination.server_health import FailureKind
+from siskinspoke.coordination.server_places import ServerPlaces
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.context import Gateway, Request, now_ms
@@ -62,9 +63,11 @@
 # Retry-After of refusals because all servers are busy or gone.  Milliseconds.
 RETRY_AFTER_MS = 400
 RETRY_AFTER_JITTER = 0.5
-# A call waits for a place for this share of its target; what has been tried before may wait for
-# this share of its deadline.
+# A call waits for a place for this share of its target, and after an error for this share of its
+# deadline.
 WAIT_SHARE = 0.5
+# Server time that a call is charged with: a measured one would order calls by its changes.
+CALL_COST_MS = 50.0
 NO_PLACE = "no backend server has a place for the request now"
 
 
@@ -156,8 +159,9 @@
                         return result
                     if await self._may_retry():
                         await self._start_attempt_in_turn()
-        if self._last_result is not None or self._refusal is not None:
-            return self._last_result or self._refusal
+        result = self._last_result or self._refusal
+        if result is not None:
+            return result
         message = "no backend server can take the request now"
         return no_server_failure(self._gateway, self._request, message)
 
@@ -185,7 +189,7 @@
         """Start an attempt at another server, if there is one and the retry budget allows it."""
         gateway, request, retry_state = self._gateway, self._request, self._retry_state
         if self._admission is not None:
-            taken = self._admission.take(self._search())
+            taken = self._admission.take(self._search(self._admission.places))
             if taken is not None:
                 self._start_at_place(self._admission, taken)
             return
@@ -217,7 +221,7 @@
         if not self._can_spend_retry():
             self._gateway.counters.count("retry.budget_spent")
             return
-        decision = await self._admission.admit(self._search())
+        decision = await self._admission.admit(self._search(self._admission.places))
         match decision:
             case TakePlace():
                 self._start_at_place(self._admission, decision)
@@ -240,7 +244,7 @@
             return
         self._begin_attempt(self._attempt_at_place, server, admission, taken)
 
-    def _search(self) -> PlaceSearch:
+    def _search(self, places: ServerPlaces) -> PlaceSearch:
         """Return how a place is looked for.  A call that a server refused goes before others."""
         request, was_tried = self._request, bool(self._request.attempts)
         arrived_ms, target_ms = request.arrived_ms, request.route.target_ms
@@ -251,9 +255,7 @@
             arrived_at=arrived_ms,
             target_at=arrived_ms if was_tried else arrived_ms + target_ms,
             leaves_at=arrived_ms + request.deadline_ms,
-            cost_ms=self._gateway.server_health.median_latency_ms(
-                self._gateway.cells.servers(request.service), now_ms()
-            ),
+            cost_ms=CALL_COST_MS,
             value=1.0,
         )
         useful_ms = request.deadline_ms if self._last_result else target_ms
@@ -264,12 +266,12 @@
             waiter,
             request.route.repeatable,
             arrived_ms + wait_ms,
-            self._find_places,
+            lambda: self._find_places(places),
         )
 
-    def _find_places(self) -> list[PlaceChoice]:
+    def _find_places(self, places: ServerPlaces) -> list[PlaceChoice]:
         records = _remaining_servers(self._gateway, self._request, self._retry_state)
-        return place_choices(self._gateway, records)
+        return place_choices(self._gateway, places, records)
 
     async def _attempt_at_place(
         self, server: ServerRecord, admission: PlainAdmission, taken: TakePlace
@@ -277,7 +279,7 @@
         gateway, name = self._gateway, server.announcement.server
         began_at, has_run = now_ms(), False
         try:
-            _report_turn(gateway, server)
+            _report_turn(gateway, admission.places, server)
             outcome = await _attempt(
                 gateway, self._request, server, self._retry_state, self._on_late
             )
@@ -289,7 +291,7 @@
                 self._retry_state.excluded.readmit(server.start)
         finally:
             admission.places.end(name, has_run, now_ms())
-            _report_turn(gateway, server)
+            _report_turn(gateway, admission.places, server)
             admission.places_changed()
         was_refused = isinstance(outcome, NotRun)
         if was_refused and outcome.failure_kind is FailureKind.BUSY:
@@ -345,7 +347,8 @@
     """Tell whether a server is expected to take another call; all are without admission."""
     if gateway.plain_admission is None:
         return bool(records)
-    return any(not item.estimate.is_full for item in place_choices(gateway, records))
+    choices = place_choices(gateway, gateway.plain_admission.places, records)
+    return any(not item.estimate.is_full for item in choices)
 
 
 def _refused_when_full(gateway: Gateway, server: ServerRecord, outcome: object) -> bool:
@@ -354,14 +357,14 @@
         return False
     if outcome.failure_kind is not FailureKind.BUSY or outcome.at_fault is not None:
         return False
-    return place_choices(gateway, [server])[0].estimate.is_full
+    places = gateway.plain_admission.places
+    return place_choices(gateway, places, [server])[0].estimate.is_full
 
 
-def _report_turn(gateway: Gateway, server: ServerRecord) -> None:
+def _report_turn(gateway: Gateway, places: ServerPlaces, server: ServerRecord) -> None:
     """Report to the cell at once that a server has become full or free."""
-    places, name = gateway.plain_admission.places, server.announcement.server
-    estimate = place_choices(gateway, [server])[0].estimate
-    if places.has_turned(name, estimate):
+    estimate = place_choices(gateway, places, [server])[0].estimate
+    if places.has_turned(server.announcement.server, estimate):
         gateway.peers.send_open_calls()
 
 
--- a/siskinspoke/gateway/plain_admission.py
+++ b/siskinspoke/gateway/plain_admission.py
@@ -125,27 +125,29 @@
         known: int,
     ) -> None:
         """Count a decision, and log it if the call waited or was refused."""
-        refusal = decision if isinstance(decision, Refuse) else None
-        if refusal is not None:
-            self._counters.count(f"admission.refused.{refusal.reason}")
-        else:
-            self._counters.count("admission.placed")
-            if decision.overtaken:
-                self._counters.count("admission.overtaken", decision.overtaken)
-        if refusal is None and waited_ms is None:
-            return
+        match decision:
+            case Refuse(retry_after_ms=retry_after_ms, reason=reason):
+                self._counters.count(f"admission.refused.{reason}")
+                outcome = {
+                    "decision": "refused",
+                    "why": reason,
+                    "retry_after": round(retry_after_ms),
+                }
+            case TakePlace(server=server, overtaken=overtaken):
+                self._counters.count("admission.placed")
+                self._counters.count("admission.overtaken", overtaken)
+                outcome = {"decision": "placed", "server": server}
+                if waited_ms is None:
+                    return
         self._latencies.record("admission_wait", waited_ms or 0.0)
         self._log.note(
             "admission",
             request=search.request_id,
-            decision="placed" if refusal is None else "refused",
-            why=refusal.reason if refusal else None,
+            **outcome,
             rank=search.waiter.rank,
             customer=search.waiter.customer,
             known=known,
             waited=round(waited_ms or 0.0),
-            retry_after=round(refusal.retry_after_ms) if refusal else None,
-            server=None if refusal else decision.server,
             places={item.server: _describe(item.estimate) for item in choices},
         )
 
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -3,6 +3,7 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.place_queue import PlaceChoice
 from siskinspoke.coordination.server_health import FailureKind
+from siskinspoke.coordination.server_places import ServerPlaces
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.holds import hold_ends_in_ms, without_hold, without_rate_limit
 from siskinspoke.gateway.upstream import NotRun, OutcomeUnknown
@@ -121,7 +122,9 @@
     )
 
 
-def place_choices(gateway: Gateway, records: list[ServerRecord]) -> list[PlaceChoice]:
+def place_choices(
+    gateway: Gateway, places: ServerPlaces, records: list[ServerRecord]
+) -> list[PlaceChoice]:
     """Return the places of some servers; those that are likely to fail a call are avoided."""
     now = now_ms()
     names = [record.announcement.server for record in records]
@@ -130,9 +133,7 @@
     choices = []
     for record in gateway.rng.sample(records, len(records)):
         announcement = record.announcement
-        estimate = gateway.plain_admission.places.estimate(
-            record.start, announcement.slots, record.heard_at, now
-        )
+        estimate = places.estimate(record.start, announcement.slots, record.heard_at, now)
         is_avoided = record.start not in within_reach or gateway.server_health.is_ejected(
             announcement.server, now
         )
