--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -4,6 +4,7 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.place_queue import PlaceChoice
 from siskinspoke.coordination.server_health import FailureKind
+from siskinspoke.coordination.server_places import ServerPlaces
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.cold import is_cold, next_permit_at
 from siskinspoke.gateway.context import Gateway, Request, now_ms
@@ -197,7 +198,9 @@
     return [first, second]
 
 
-def place_choices(gateway: Gateway, records: list[ServerRecord]) -> list[PlaceChoice]:
+def place_choices(
+    gateway: Gateway, places: ServerPlaces, records: list[ServerRecord]
+) -> list[PlaceChoice]:
     """Return the places of some servers; those that are likely to fail a call are avoided."""
     now = now_ms()
     names = [record.announcement.server for record in records]
@@ -206,9 +209,7 @@
     choices = []
     for record in gateway.rng.sample(records, len(records)):
         announcement = record.announcement
-        estimate = gateway.plain_admission.places.estimate(
-            record.start, announcement.slots, record.heard_at, now
-        )
+        estimate = places.estimate(record.start, announcement.slots, record.heard_at, now)
         is_avoided = (
             record.start not in within_reach
             or gateway.server_health.is_ejected(announcement.server, now)
--- a/tests/platform/plain_server.py
+++ b/tests/platform/plain_server.py
@@ -8,7 +8,7 @@
 import trio
 
 from siskinspoke.platform.control_app import announcement_from
-from tests.platform.site import Site, gateway_site, vm_settings
+from tests.platform.site import Site, gateway_site
 from tests.platform.standin_server import Refuse, StandinServer, Whole
 
 QUEUE_CAPACITY = 200
@@ -84,7 +84,7 @@
 @asynccontextmanager
 async def plain_site(tmp_path, servers, capacity: int = QUEUE_CAPACITY, **changes):
     """Run a gateway at which up to ``capacity`` calls may wait, and announce the servers to it."""
-    settings = vm_settings()._replace(queue_capacity=capacity)
+    settings = {"queue_capacity": capacity}
     async with gateway_site(tmp_path, settings=settings, **changes) as site:
         for server in servers:
             announce_plain(site, server)
