--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -3,6 +3,8 @@
 All functions are pure: the clock, in milliseconds, and random numbers are passed in.
 """
 
+import math
+import random
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -50,3 +52,119 @@
 
 
 Decision = PlaceNow | Wait | Refuse
+
+# Share of its useful time that a request may wait; after that it is refused.
+MAX_WAIT_SHARE = 0.5
+# A waiting request that this many others have overtaken goes before all others.
+MAX_OVERTAKEN = 40
+# Engine or server time that a customer has used counts less with time, by half in this time.
+USAGE_HALF_LIFE_MS = 4_000.0
+# Longest time between two decisions on a waiting request.
+MAX_RECHECK_MS = 200.0
+# Least Retry-After, and the share of the forecast that is added to it at random.
+MIN_RETRY_AFTER_MS = 200.0
+RETRY_AFTER_JITTER = 0.5
+
+
+def useful_time_ms(target_ms: float, pause_ms: float, deadline_ms: float) -> float:
+    """Return how long after its arrival a stream is still of use to its caller."""
+    return min(deadline_ms, max(2_000.0, 4 * target_ms, 8 * pause_ms))
+
+
+class AdmissionQueue:
+    """The requests of one service that wait for room, in this VM and in others of its cell.
+
+    Use: ``decide`` for every request, with the time in which room is forecast for it.  On ``Wait``
+    call ``add`` (repeating it is harmless), and decide again when room may have become free and at
+    ``Wait.until`` at the latest.  On ``PlaceNow`` call ``place``, in the same step in which the
+    place is taken; on ``Refuse``, and when the client leaves, call ``remove``.  Requests that other
+    VMs announce are added and removed under names with the prefix of their VM.
+
+    The queue knows nothing of engines or servers: whether there is a place, and when there will be
+    one, is for the caller to find out; ``ahead`` returns the requests that will take room first.
+    """
+
+    def __init__(self, max_overtaken: int = MAX_OVERTAKEN):
+        self._max_overtaken = max_overtaken
+        self._waiters: dict[str, Waiter] = {}
+        self._overtaken: dict[str, int] = {}
+        self._usage: dict[str, tuple[float, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._waiters
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a request, replacing any of the same name."""
+        self._waiters[waiter.name] = waiter
+        self._overtaken.setdefault(waiter.name, 0)
+
+    def remove(self, name: str) -> Waiter | None:
+        """Remove a request that no longer waits, and return it if it did."""
+        self._overtaken.pop(name, None)
+        return self._waiters.pop(name, None)
+
+    def remove_with_prefix(self, prefix: str) -> int:
+        """Remove all requests whose names start with ``prefix``; return their number."""
+        names = [name for name in self._waiters if name.startswith(prefix)]
+        for name in names:
+            self.remove(name)
+        return len(names)
+
+    def place(self, waiter: Waiter, now: float) -> int:
+        """Remove a request that takes a place; return how many others it overtakes.
+
+        Its cost is charged to its customer.
+        """
+        overtaken = self.ahead(waiter, now)
+        for other in overtaken:
+            self._overtaken[other.name] += 1
+        self.remove(waiter.name)
+        self._usage[waiter.customer] = (self._used(waiter.customer, now) + waiter.cost_ms, now)
+        return len(overtaken)
+
+    def ordered(self, now: float) -> list[Waiter]:
+        """Return all waiting requests, the one that is served first at the front."""
+        return sorted(self._waiters.values(), key=lambda item: self._key(item, now))
+
+    def ahead(self, waiter: Waiter, now: float) -> list[Waiter]:
+        """Return the requests that go before this one, which may or may not be in the queue."""
+        own_key = self._key(waiter, now)
+        return [
+            item
+            for item in self._waiters.values()
+            if item.name != waiter.name and self._key(item, now) < own_key
+        ]
+
+    def decide(
+        self, waiter: Waiter, has_place: bool, room_in_ms: float, now: float, rng: random.Random
+    ) -> Decision:
+        """Return whether a request takes the place that was found, waits or is refused.
+
+        ``has_place`` tells that there is a place which no request ahead of it is to take.
+        ``room_in_ms`` is the time in which a place is forecast for it, after those ahead of it;
+        ``math.inf`` if it will not get one.
+        """
+        if has_place:
+            return PlaceNow()
+        last = waiter.arrived_at + MAX_WAIT_SHARE * (waiter.leaves_at - waiter.arrived_at)
+        if now + room_in_ms >= last:
+            return Refuse(retry_after_ms(room_in_ms, rng), "late" if now < last else "waited")
+        until = min(last, now + min(MAX_RECHECK_MS, max(1.0, room_in_ms)))
+        return Wait(until, len(self.ahead(waiter, now)))
+
+    def _used(self, customer: str, now: float) -> float:
+        used, at = self._usage.get(customer, (0.0, now))
+        return used * 0.5 ** ((now - at) / USAGE_HALF_LIFE_MS)
+
+    def _key(self, waiter: Waiter, now: float) -> tuple:
+        first = self._overtaken.get(waiter.name, 0) >= self._max_overtaken
+        return (not first, waiter.rank, not waiter.returned, waiter.target_at, waiter.name)
+
+
+def retry_after_ms(room_in_ms: float, rng: random.Random) -> float:
+    """Return a Retry-After for room that is forecast, with jitter."""
+    known = room_in_ms if math.isfinite(room_in_ms) else MIN_RETRY_AFTER_MS
+    return max(MIN_RETRY_AFTER_MS, known) * (1 + RETRY_AFTER_JITTER * rng.random())
