Let streams wait for room at the entry VM, in an order shared by the cell

Streams waited inside engines, in the engine's order, or were refused at once. With queue_capacity above 0 a stream that no engine can begin in time waits at its VM or is refused with the time of room.

--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -55,6 +55,8 @@
 
 # Share of its useful time that a request may wait; after that it is refused.
 MAX_WAIT_SHARE = 0.5
+# Longest wait in units of the target, where the caller of ``decide`` gives none.
+MAX_WAIT_TARGETS = 0.5
 # A waiting request that this many others have overtaken goes before all others.
 MAX_OVERTAKEN = 40
 # Engine or server time that a customer has used counts less with time, by half in this time.
@@ -127,29 +129,41 @@
 
     def ordered(self, now: float) -> list[Waiter]:
         """Return all waiting requests, the one that is served first at the front."""
-        return sorted(self._waiters.values(), key=lambda item: self._key(item, now))
+        over_share = self._over_share(now)
+        return sorted(self._waiters.values(), key=lambda item: self._key(item, over_share))
 
     def ahead(self, waiter: Waiter, now: float) -> list[Waiter]:
         """Return the requests that go before this one, which may or may not be in the queue."""
-        own_key = self._key(waiter, now)
+        over_share = self._over_share(now, waiter.customer)
+        own_key = self._key(waiter, over_share)
         return [
             item
             for item in self._waiters.values()
-            if item.name != waiter.name and self._key(item, now) < own_key
+            if item.name != waiter.name and self._key(item, over_share) < own_key
         ]
 
     def decide(
-        self, waiter: Waiter, has_place: bool, room_in_ms: float, now: float, rng: random.Random
+        self,
+        waiter: Waiter,
+        has_place: bool,
+        room_in_ms: float,
+        now: float,
+        rng: random.Random,
+        wait_targets: float = MAX_WAIT_TARGETS,
     ) -> Decision:
         """Return whether a request takes the place that was found, waits or is refused.
 
         ``has_place`` tells that there is a place which no request ahead of it is to take.
         ``room_in_ms`` is the time in which a place is forecast for it, after those ahead of it;
-        ``math.inf`` if it will not get one.
+        ``math.inf`` if it will not get one.  A request waits at most for half of its useful time
+        and for ``wait_targets`` times its target: one that is placed later is late anyway, and
+        takes the room of one that is not.
         """
         if has_place:
             return PlaceNow()
-        last = waiter.arrived_at + MAX_WAIT_SHARE * (waiter.leaves_at - waiter.arrived_at)
+        useful = waiter.leaves_at - waiter.arrived_at
+        target = waiter.target_at - waiter.arrived_at
+        last = waiter.arrived_at + min(MAX_WAIT_SHARE * useful, wait_targets * target)
         if now + room_in_ms >= last:
             return Refuse(retry_after_ms(room_in_ms, rng), "late" if now < last else "waited")
         until = min(last, now + min(MAX_RECHECK_MS, max(1.0, room_in_ms)))
@@ -159,9 +173,24 @@
         used, at = self._usage.get(customer, (0.0, now))
         return used * 0.5 ** ((now - at) / USAGE_HALF_LIFE_MS)
 
-    def _key(self, waiter: Waiter, now: float) -> tuple:
-        first = self._overtaken.get(waiter.name, 0) >= self._max_overtaken
-        return (not first, waiter.rank, not waiter.returned, waiter.target_at, waiter.name)
+    def _over_share(self, now: float, customer: str | None = None) -> set[str]:
+        """Return the customers that have used more than an equal share, while others wait."""
+        customers = {item.customer for item in self._waiters.values()}
+        if customer is not None:
+            customers.add(customer)
+        used = {name: self._used(name, now) for name in customers}
+        share = sum(used.values()) / max(1, len(used))
+        return {name for name, value in used.items() if value > share}
+
+    def _key(self, waiter: Waiter, over_share: set[str]) -> tuple:
+        return (
+            self._overtaken.get(waiter.name, 0) < self._max_overtaken,
+            waiter.rank,
+            waiter.customer in over_share,
+            waiter.target_at,
+            not waiter.returned,
+            waiter.name,
+        )
 
 
 def retry_after_ms(room_in_ms: float, rng: random.Random) -> float:
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -106,8 +106,13 @@
 class Placement:
     """Choose engines for jobs, based on the in-flight work in ``work_table``."""
 
-    def __init__(self, work_table: WorkTable):
+    def __init__(self, work_table: WorkTable, streams_per_slot: float = MAX_STREAMS_PER_SLOT):
         self.work_table = work_table
+        self._streams_per_slot = streams_per_slot
+
+    def with_streams_per_slot(self, streams_per_slot: float) -> "Placement":
+        """Return a placement on the same work table with another limit on streams."""
+        return Placement(self.work_table, streams_per_slot)
 
     def _state(self, costs: EngineCosts, candidate: Candidate, now: float) -> _EngineState:
         engine = self.work_table.engine(candidate.server)
@@ -156,7 +161,7 @@
     ) -> list[_EngineState]:
         """Return the states of the engines that are not full, queued streams included."""
         states = [self._state(costs, item, now) for item in candidates]
-        return [state for state in states if state.streams < costs.slots * MAX_STREAMS_PER_SLOT]
+        return [state for state in states if state.streams < costs.slots * self._streams_per_slot]
 
     def pass_ms(self, costs: EngineCosts, server: str) -> float:
         """Return the time of an engine's next pass if it does no prefill."""
--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -5,7 +5,7 @@
 from siskinspoke.coordination.cell_offers import lacks_room
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.no_room_cache import RoomSearch
-from siskinspoke.coordination.placement import SAMPLED_ENGINES, Candidate, Place
+from siskinspoke.coordination.placement import SAMPLED_ENGINES, Candidate, Place, Placement
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.work_table import Job
 from siskinspoke.gateway.context import Gateway, Request, now_ms
@@ -84,8 +84,8 @@
     crashed goes to an idle engine, and may have to wait for one: on a shared engine it would end
     other requests too, and if it is not the cause of the crashes, that could not be told.
     """
-    costs = _costs(gateway, request.service)
-    job = _job(request, last_event_at)
+    costs = engine_costs(gateway, request.service)
+    job = stream_job(request, last_event_at)
     if costs is None or job is None:
         records = _local_servers(
             gateway, candidates(gateway, request.service, excluded), local_only
@@ -123,8 +123,8 @@
 
     ``other_cells`` allows engines of other cells, whose load this VM does not know.
     """
-    costs = _costs(gateway, request.service)
-    job = _job(request, last_event_at)
+    costs = engine_costs(gateway, request.service)
+    job = stream_job(request, last_event_at)
     if costs is None or job is None:
         records = reachable_unlimited(gateway, candidates(gateway, request.service, excluded))
         records = _local_servers(gateway, records, local_only)
@@ -142,7 +142,7 @@
     return None if found is None else _assignment(gateway, found, job, costs)
 
 
-def _costs(gateway: Gateway, service: str) -> EngineCosts | None:
+def engine_costs(gateway: Gateway, service: str) -> EngineCosts | None:
     """Return the engine costs of a service, None for plain and for unknown services."""
     found = gateway.table.services.get(service) if gateway.table else None
     return found.engine if found is not None else None
@@ -184,7 +184,8 @@
     )
 
 
-def _job(request: Request, last_event_at: float | None) -> Job | None:
+def stream_job(request: Request, last_event_at: float | None) -> Job | None:
+    """Return the properties of a request that placement uses, None if it has no prompt."""
     prompt = request.call.prompt
     if prompt is None:
         return None
@@ -211,8 +212,21 @@
     return choose_engines(gateway, costs, job, idle) if idle else None
 
 
-def choose_engines(
+def choose_within_slots(
     gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
+) -> Assignment | None:
+    """Return engines that have a free slot for a job, or None; no stream queues in an engine."""
+    placement = gateway.placement.with_streams_per_slot(1.0)
+    found = choose_engines(gateway, costs, job, records, placement)
+    return None if found is None else _assignment(gateway, found, job, costs)
+
+
+def choose_engines(
+    gateway: Gateway,
+    costs: EngineCosts,
+    job: Job,
+    records: list[ServerRecord],
+    placement: Placement | None = None,
 ) -> Place | None:
     """Return the engines for a job among some servers, or None where none can take it.
 
@@ -231,12 +245,13 @@
         if announcement.failure_domain != own_domain:
             penalty += REMOTE_DOMAIN_MS
         offered.append(Candidate(announcement.server, penalty))
-    return gateway.placement.choose(costs, job, offered, now_ms(), gateway.rng)
+    placement = placement or gateway.placement
+    return placement.choose(costs, job, offered, now_ms(), gateway.rng)
 
 
 def make_offer(gateway: Gateway, question: PlaceQuestion) -> PlaceOffer:
     """Return where this VM would place a prompt that a VM of another cell received."""
-    costs = _costs(gateway, question.service)
+    costs = engine_costs(gateway, question.service)
     found = None
     if costs is not None:
         job = Job(question.tokens, question.max_tokens, question.target_ms, question.pause_ms)
@@ -249,7 +264,7 @@
 
 def decode_pass_ms(gateway: Gateway, request: Request, assignment: Assignment) -> float:
     """Return how long a pass of the writing engine takes, according to the work table."""
-    costs = _costs(gateway, request.service)
+    costs = engine_costs(gateway, request.service)
     if costs is None:
         return request.route.pause_ms or DEFAULT_PAUSE_MS
     return gateway.placement.pass_ms(costs, assignment.name)
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -262,6 +262,9 @@
         suspect = gateway.crashes.is_suspect(request.subject)
         gateway.latencies.record(f"request_{kind}", took)
         gateway.counters.count(f"ended.{request.end.replace(' ', '_')}")
+        waited = {}
+        if gateway.waiting is not None and gateway.waiting.enabled:
+            waited = {"waited_ms": round(request.waited_ms), "ahead": request.ahead}
         gateway.log.note(
             "request",
             request=request.call.id,
@@ -287,6 +290,7 @@
             idle=request.idle,
             offers=request.offers,
             widened=request.widened,
+            **waited,
             events=request.events,
             longest_pause=round(request.longest_pause_ms),
             tried=[list(item) for item in request.attempts],
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -20,6 +20,7 @@
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.rate_limits import RateLimits
 from siskinspoke.coordination.retries import SharedRetryBudget
+from siskinspoke.coordination.room_forecast import RoomForecast
 from siskinspoke.coordination.routes import CallKind, ClientLimits, Customer, Route, RouteTable
 from siskinspoke.coordination.server_health import ServerHealth
 from siskinspoke.coordination.work_table import WorkTable
@@ -32,6 +33,7 @@
 from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import Queries
+from siskinspoke.gateway.waiting import WaitingRequests
 from siskinspoke.gateway.wire import Call, Wire
 
 # How long after the stop signal a VM still accepts requests. The load balancer stops sending new
@@ -74,6 +76,8 @@
     rng: random.Random
     no_room_cache: NoRoomCache = field(default_factory=NoRoomCache)
     first_token_margin: FirstTokenMargin = field(default_factory=FirstTokenMargin)
+    waiting: WaitingRequests | None = None
+    forecasts: dict[str, RoomForecast] = field(default_factory=dict)
     nursery: trio.Nursery | None = None
     table: RouteTable | None = None
     draining_since_ms: float | None = None
@@ -146,6 +150,9 @@
     considered: int = 0
     idle: int = 0
     offers: int | None = None
+    # How long the request waited for room, and how many requests were ahead of it.
+    waited_ms: float = 0.0
+    ahead: int = 0
     widened: bool = False
     events: int = 0
     longest_pause_ms: float = 0.0
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -41,7 +41,8 @@
 )
 from siskinspoke.gateway.reports import poll_forever, probe_unreachable_domains_forever
 from siskinspoke.gateway.restrictions import apply_peer_rate_limit
-from siskinspoke.gateway.streams import recheck_streams
+from siskinspoke.gateway.stream_checks import recheck_streams
+from siskinspoke.gateway.waiting import WaitingRequests
 from siskinspoke.gateway.wire import Wire
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.crashes import CrashNews
@@ -110,6 +111,17 @@
             lambda question: self.gateway.permits.answer(question),
         )
         rate_limits = RateLimits()
+        latencies, rng = Latencies(), random.Random()
+        waiting = WaitingRequests(
+            settings.queue_capacity,
+            counters,
+            latencies,
+            log,
+            rng,
+            lambda item: self.gateway.peers.begin_wait(item),
+            lambda number: self.gateway.peers.end_wait(number),
+            lambda number: self.gateway.peers.wait_key(number),
+        )
         self.gateway = Gateway(
             settings=settings,
             wire=wire,
@@ -150,12 +162,14 @@
                 self._feeds.handle_control_up,
                 lambda work: recheck_streams(self.gateway, work),
                 lambda news: apply_peer_rate_limit(self.gateway, news),
+                waiting if waiting.enabled else None,
             ),
             crashes=CrashWatch(self._send_crashes, counters, log),
             counters=counters,
-            latencies=Latencies(),
+            latencies=latencies,
             log=log,
-            rng=random.Random(),
+            rng=rng,
+            waiting=waiting,
         )
 
     def _has_quorum(self) -> bool:
@@ -290,6 +304,9 @@
             gateway.back_offs.prune(names, now)
             gateway.peers.expire_peers(now)
             gateway.crashes.prune(now)
+            if gateway.waiting.enabled:
+                gateway.waiting.expire(now)
+                gateway.counters.gauge("admission.waiting", gateway.waiting.own_count)
             gateway.pool.prune(now)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected_count)
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -5,8 +5,8 @@
 """
 
 import random
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
 
 import trio
 
@@ -26,6 +26,7 @@
     PlaceOffer,
     PlaceQuestion,
     RateLimitNews,
+    WaitBegan,
     WorkBegan,
     WorkNews,
 )
@@ -48,6 +49,25 @@
 BUDGET_TIMEOUT_MS = 5_000.0
 
 
+class WaitingView(Protocol):
+    """The requests of the cell that wait for room, which ``Peers`` keeps up to date."""
+
+    def anybody_waits(self) -> bool:
+        """Return whether a request of this VM or another is known to wait."""
+
+    def add_remote(self, prefix: str, items: Sequence[WaitBegan]) -> None:
+        """Add requests of another VM; their names begin with ``prefix``."""
+
+    def remove_remote(self, prefix: str, numbers: Sequence[int]) -> None:
+        """Remove requests of another VM that no longer wait."""
+
+    def remove_vm(self, prefix: str) -> None:
+        """Remove all requests of a VM that is silent or has restarted."""
+
+    def room_changed(self) -> None:
+        """Handle the end of work at some engine."""
+
+
 class Peers:
     """Send and receive the datagrams between entry VMs."""
 
@@ -67,6 +87,7 @@
         on_control: Callable[[str], None] = lambda host: None,
         on_work_began: Callable[[Work], None] = lambda work: None,
         on_rate_limit: Callable[[RateLimitNews], None] = lambda news: None,
+        waiting: WaitingView | None = None,
     ):
         self._host = host
         self._domain = domain
@@ -82,6 +103,8 @@
         self._on_control = on_control
         self._on_work_began = on_work_began
         self._on_rate_limit = on_rate_limit
+        self._waiting = waiting
+        self._open_waits: set[int] = set()
         self._pending_crashes: list[CrashNews] = []
         self._pending_rate_limits: dict[tuple[str, int], tuple[float | None, float]] = {}
         self._last_number = 0
@@ -128,6 +151,25 @@
         self._work_table.remove(self._own_work_key(number))
         for cell in self._tracking_cells.pop(number):
             self._enqueue(self._update_for(cell).ended, number)
+        if self._waiting is not None and self._waiting.anybody_waits():
+            self._send_now.set()
+            self._waiting.room_changed()
+
+    def wait_key(self, number: int) -> str:
+        """Return the name of a waiting request of this VM, unique in the fleet."""
+        return self._own_work_key(number)
+
+    def begin_wait(self, item: WaitBegan) -> None:
+        """Tell the other VMs of the cell that a request waits."""
+        self._open_waits.add(item.number)
+        self._enqueue(self._own_cell_update().waiting, item)
+        self._send_now.set()
+
+    def end_wait(self, number: int) -> None:
+        """Tell the other VMs of the cell that a request no longer waits."""
+        self._open_waits.discard(number)
+        self._enqueue(self._own_cell_update().left, number)
+        self._send_now.set()
 
     def send_unreachable_domain(self, domain: str) -> None:
         """Tell the other VMs that a failure domain has become unreachable."""
@@ -234,6 +276,8 @@
     def _cells_due(self, now: float) -> set[Cell]:
         """Return the cells that track open work of this VM and are due for a keep-alive."""
         open_at = {cell for cells in self._tracking_cells.values() for cell in cells}
+        if self._open_waits:
+            open_at.add(self._cells.own_cell)
         for cell in self._last_sent_ms.keys() - open_at:
             del self._last_sent_ms[cell]
         return {
@@ -257,10 +301,10 @@
     def expire_peers(self, now: float) -> None:
         """Drop the work of VMs no longer heard from; ``now`` is in milliseconds."""
         for host, (start, at) in list(self._last_heard.items()):
-            if now - at > PEER_TIMEOUT_MS and self._work_table.remove_with_prefix(
-                _work_key(host, start, "")
-            ):
-                self._counters.count("peers.silent")
+            if now - at > PEER_TIMEOUT_MS:
+                self._drop_waiting(_work_key(host, start, ""))
+                if self._work_table.remove_with_prefix(_work_key(host, start, "")):
+                    self._counters.count("peers.silent")
             if now - at > BUDGET_TIMEOUT_MS:
                 del self._last_heard[host]
 
@@ -269,9 +313,14 @@
         known = self._last_heard.get(host)
         if known is not None and known[0] != start:
             self._work_table.remove_with_prefix(_work_key(host, known[0], ""))
+            self._drop_waiting(_work_key(host, known[0], ""))
         self._last_heard[host] = (start, trio.current_time() * 1000)
         self._on_peer(host, domain)
 
+    def _drop_waiting(self, prefix: str) -> None:
+        if self._waiting is not None:
+            self._waiting.remove_vm(prefix)
+
     async def _handle(self, item: Any) -> None:
         match item:
             case WorkNews():
@@ -312,6 +361,17 @@
             self._on_unreachable_server(server)
         for pace in item.paces:
             self._work_table.engine(pace.server).slowdown = pace.pace
+        if self._waiting is not None:
+            self._handle_waiting(self._waiting, item)
+
+    def _handle_waiting(self, waiting: WaitingView, item: WorkNews) -> None:
+        prefix = _work_key(item.host, item.start, "")
+        if item.waiting:
+            waiting.add_remote(prefix, item.waiting)
+        if item.left:
+            waiting.remove_remote(prefix, item.left)
+        if item.ended or item.left:
+            waiting.room_changed()
 
 
 def _work_key(host: str, start: str, number: int | str) -> str:
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -1,48 +1,43 @@
 """Serve a stream: assign it to engines, and resume it on others after a failure."""
 
 import math
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack
 
 import trio
 
-from siskinspoke.coordination.cost_model import prefill_ms
 from siskinspoke.coordination.crash_watch import RunEnd
-from siskinspoke.coordination.liveness import event_timeout_ms, first_token_timeout_ms
-from siskinspoke.coordination.retry_timing import decide_retry, first_check_after_ms
+from siskinspoke.coordination.liveness import event_timeout_ms
 from siskinspoke.coordination.server_health import FailureKind
-from siskinspoke.coordination.stream_moves import PauseForecast, should_move
-from siskinspoke.coordination.work_table import Work
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.assignment import (
     ISOLATION_CRASHES,
-    MIN_TARGET_MS,
     Assignment,
     assign,
-    choose_engines,
     decode_pass_ms,
     failover_assignment,
 )
-from siskinspoke.gateway.attempts import ANSWER_TIMED_OUT, MOVED, RECHECK_SECONDS, Attempt
+from siskinspoke.gateway.attempts import MOVED, RECHECK_SECONDS
+from siskinspoke.gateway.booking import book, log_group, reserve_memory
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
 from siskinspoke.gateway.failover import Failover, PlannedAttempt, RetryObstacle, RetryState
 from siskinspoke.gateway.holds import check_hold
 from siskinspoke.gateway.plain import MAX_IDLE_MS, WholeAnswer, no_server_failure, run_end
 from siskinspoke.gateway.relaying import (
-    Reconsider,
     Relay,
     StreamAttempt,
     StreamCompleted,
     abandoned_outcome,
     relay_stream,
 )
-from siskinspoke.gateway.reservations import Member, ReservationRefused, reserved
+from siskinspoke.gateway.reservations import ReservationRefused
 from siskinspoke.gateway.servers import (
-    cell_candidates,
     choose_service,
     max_permit_wait_ms,
     record_failure,
 )
+from siskinspoke.gateway.stream_admission import admit_stream
+from siskinspoke.gateway.stream_checks import prefill_check, watch_first_token
 from siskinspoke.gateway.upstream import (
     AnswerStarted,
     NotRun,
@@ -96,6 +91,8 @@
             obstacle = RetryObstacle.QUARANTINE
             break
         planned = await _plan_attempt(gateway, request, relay, retry_state)
+        if isinstance(planned, Failure):
+            return planned
         if isinstance(planned, RetryObstacle):
             obstacle = planned
             break
@@ -161,14 +158,20 @@
 
 async def _plan_attempt(
     gateway: Gateway, request: Request, relay: Relay, retry_state: RetryState
-) -> PlannedAttempt | RetryObstacle:
+) -> PlannedAttempt | RetryObstacle | Failure:
     """Return the next attempt, or the reason why there is none.
 
-    A stream that has begun waits for an assignment until its deadline: the client already holds a
-    part of the answer, and capacity is freed as soon as another stream ends. A request during which
-    servers have crashed waits for an idle engine, for ISOLATION_WAIT_SHARE of its remaining time.
-    Anything else is refused at once.
+    A stream that has not been sent anywhere enters admission, where that is on.  A stream that has
+    begun waits for an assignment until its deadline: the client already holds a part of the answer,
+    and capacity is freed as soon as another stream ends.  A request during which servers have
+    crashed waits for an idle engine, for ISOLATION_WAIT_SHARE of its remaining time.  Anything else
+    is refused at once.
     """
+    if not request.attempts and not request.crashes and not relay.head_sent:
+        excluded = retry_state.excluded.current(gateway.directory, now_ms())
+        admitted = await admit_stream(gateway, request, excluded)
+        if admitted is not None:
+            return admitted
     logged: RetryObstacle | None = None
     isolation_deadline = now_ms() + ISOLATION_WAIT_SHARE * request.remaining_ms(now_ms())
     while (planned := retry_state.take_planned(gateway)) is None:
@@ -178,7 +181,7 @@
             gateway, request, relay.last_event_at, excluded, retry_state.local_only, may_wait
         )
         if assignment is not None and retry_state.reserve_retry(gateway, request):
-            return _book(gateway, assignment)
+            return book(gateway, assignment)
         obstacle = RetryObstacle.PLACE if assignment is None else RetryObstacle.BUDGET
         if obstacle is not logged:
             gateway.counters.count("place.none" if assignment is None else "retry.budget_spent")
@@ -192,20 +195,6 @@
     return planned
 
 
-def _book(gateway: Gateway, assignment: Assignment) -> PlannedAttempt:
-    """Enter the work into the work table before it is sent; no other request may take its place.
-
-    Every entry must be ended by the caller.
-    """
-    now = now_ms()
-    if assignment.job is None:
-        return PlannedAttempt(assignment, None, now)
-    work = Work(
-        assignment.job, assignment.names, now, assignment.held_tokens, exclusive=assignment.isolated
-    )
-    return PlannedAttempt(assignment, gateway.peers.begin_work(work), now)
-
-
 def _log_cut(gateway: Gateway, request: Request, relay: Relay, obstacle: RetryObstacle) -> None:
     """Log the state at which a stream that had begun was truncated."""
     now = now_ms()
@@ -243,7 +232,7 @@
     request.engines = 1 + len(assignment.helpers)
     request.expected_first_token_ms = assignment.expected_ms
     request.considered, request.idle = assignment.considered, assignment.idle
-    _log_group(gateway, request, assignment)
+    log_group(gateway, request, assignment)
     failover = _failover(gateway, request, assignment, relay, retry_state)
     gateway.server_health.request_started(assignment.name)
     outcome: StreamCompleted | WholeAnswer | NotRun | OutcomeUnknown = OutcomeUnknown(
@@ -261,9 +250,7 @@
                 outcome = not_run_on_hold(hold)
                 run.end = RunEnd.NOT_RUN
                 return outcome
-            reservation = await stack.enter_async_context(
-                _reserve_memory(gateway, assignment, work)
-            )
+            reservation = await stack.enter_async_context(reserve_memory(gateway, assignment, work))
             if isinstance(reservation, ReservationRefused):
                 failure_kind = FailureKind.BUSY if reservation.full else FailureKind.UNREACHABLE
                 reason = f"memory could not be reserved at {reservation.server}"
@@ -274,7 +261,7 @@
             seconds = _first_token_timeout(request, assignment, began_at)
             sent = None
             if assignment.job is not None:
-                _watch_first_token(gateway, request, assignment, retry_state, attempt, failover)
+                watch_first_token(gateway, request, assignment, retry_state, attempt, failover)
             max_idle_ms = MAX_IDLE_AFTER_LOSS_MS if retry_state.lost_servers else MAX_IDLE_MS
             with attempt.wait_scope(math.inf):
                 sent = await send(
@@ -286,7 +273,7 @@
                 retry_state.release(gateway, request)
                 due = event_timeout_ms(decode_pass_ms(gateway, request, assignment))
                 give_up_at = began_at + seconds * 1000
-                reconsider = _prefill_check(
+                reconsider = prefill_check(
                     gateway, request, assignment, relay, retry_state, failover
                 )
                 stream = StreamAttempt(
@@ -302,27 +289,6 @@
         _record_attempt(gateway, request, assignment, outcome, began_at)
 
 
-def _log_group(gateway: Gateway, request: Request, assignment: Assignment) -> None:
-    """Log which engines are about to prefill a prompt together, where there are several.
-
-    An engine emits no tokens to its streams while it prefills its part.
-    """
-    if not assignment.helpers:
-        return
-    gateway.log.note(
-        "attempt.group",
-        request=request.call.id,
-        servers=assignment.names,
-        leaving=[
-            item.announcement.server for item in assignment.servers if item.announcement.leaving
-        ],
-        tokens=assignment.job.tokens,
-        held=assignment.held_tokens,
-        expected=round(assignment.expected_ms),
-        read=round(prefill_ms(assignment.costs, assignment.job.tokens, len(assignment.servers))),
-    )
-
-
 def _failover(
     gateway: Gateway,
     request: Request,
@@ -342,111 +308,12 @@
             other_cells=gateway.server_health.is_unreachable(assignment.name),
         )
         if found is not None:
-            retry_state.planned = _book(gateway, found)
+            retry_state.planned = book(gateway, found)
         return found is not None
 
     return Failover(gateway, request, assignment.name, retry_state, plan_next)
 
 
-def _watch_first_token(
-    gateway: Gateway,
-    request: Request,
-    assignment: Assignment,
-    retry_state: RetryState,
-    attempt: Attempt,
-    failover: Failover,
-) -> None:
-    """Set when the servers are probed and the assignment is reconsidered for a late first token."""
-    now = now_ms()
-    attempt.expect_answer_within(first_token_timeout_ms(assignment.expected_ms), now)
-    if not assignment.job.short or failover.obstacle in (
-        RetryObstacle.NOT_RETRYABLE,
-        RetryObstacle.ATTEMPTS,
-    ):
-        return
-    if request.crashes:
-        # If the request crashes servers, it may crash the one that it leaves all the same, and then
-        # the next one.
-        return
-
-    def reconsider(attempt: Attempt, now: float) -> str:
-        left = request.route.target_ms - (now - request.arrived_ms)
-        excluded = retry_state.excluded.current(gateway.directory, now) | {assignment.name}
-        others = cell_candidates(gateway, request.service, excluded)
-        urgent_job = assignment.job._replace(target_ms=max(MIN_TARGET_MS, left))
-        best = choose_engines(gateway, assignment.costs, urgent_job, others) if others else None
-        expected = None if best is None else best.first_token_ms
-        chosen = decide_retry(left, expected, gateway.first_token_margin.margin_ms)
-        if chosen is None:
-            return ""
-        if chosen.now and failover.fail_over():
-            return ANSWER_TIMED_OUT
-        attempt.recheck_at = now + (
-            RECHECK_SECONDS * 1000 if chosen.now else chosen.recheck_after_ms
-        )
-        return ""
-
-    attempt.reconsider = reconsider
-    attempt.recheck_at = now + first_check_after_ms(assignment.expected_ms)
-
-
-def _prefill_check(
-    gateway: Gateway,
-    request: Request,
-    assignment: Assignment,
-    relay: Relay,
-    retry_state: RetryState,
-    failover: Failover,
-) -> Reconsider | None:
-    """Return the check that moves a stream off an engine about to prefill a long prompt."""
-    if assignment.job is None or request.crashes:
-        return None
-
-    def reconsider(attempt: Attempt, now: float) -> str:
-        reads_ms = gateway.placement.remaining_prefill_ms(assignment.costs, assignment.name, now)
-        pause_ms = assignment.job.pause_ms
-        if reads_ms <= pause_ms or failover.obstacle is not None:
-            return ""
-        excluded = retry_state.excluded.current(gateway.directory, now) | {assignment.name}
-        others = cell_candidates(gateway, request.service, excluded)
-        urgent_job = assignment.job._replace(target_ms=pause_ms)
-        best = choose_engines(gateway, assignment.costs, urgent_job, others) if others else None
-        expected = None if best is None else best.first_token_ms
-        silent_ms = now - relay.last_event_at
-        margin_ms = gateway.first_token_margin.margin_ms
-        prospect = PauseForecast(silent_ms, reads_ms, pause_ms, expected, margin_ms)
-        if not should_move(prospect) or not failover.fail_over():
-            return ""
-        gateway.counters.count("stream.moved")
-        gateway.log.note(
-            "stream.moved", request=request.call.id, server=assignment.name, **prospect._asdict()
-        )
-        return MOVED
-
-    return reconsider
-
-
-def recheck_streams(gateway: Gateway, work: Work) -> None:
-    """Have streams reconsidered whose engines are about to prefill a long prompt."""
-    if not work.job.short:
-        gateway.attempts.recheck_streams_at(work.servers, now_ms())
-
-
-@asynccontextmanager
-async def _reserve_memory(gateway: Gateway, assignment: Assignment, work: int | None):
-    """Reserve the helpers' memory; yield the reservation's name, "" where none is needed.
-
-    Yield ReservationRefused where the memory cannot be reserved.
-    """
-    if not any(assignment.held_tokens):
-        yield ""
-        return
-    name = f"{gateway.settings.host}-{work}-{gateway.rng.getrandbits(32):x}"
-    pairs = zip(assignment.helpers, assignment.held_tokens, strict=True)
-    async with reserved(gateway, name, [Member(*pair) for pair in pairs]) as result:
-        yield result if isinstance(result, ReservationRefused) else name
-
-
 def _dispatch(request: Request, assignment: Assignment, relay: Relay, reservation: str) -> Dispatch:
     """Return the message for the writing server."""
     held = assignment.held_tokens or (0,) * len(assignment.helpers)
