Order waiting streams by value, offer them to other cells, and test their faults

Waiting requests are counted as overtaken by those that arrived later; the count used those ahead, which never grew, so that nothing bounded it. Streams keep 1.5 places for each slot: the limit on the expected first token is what keeps engines from being late.

--- a/siskinspoke/bench/admission_bench.py
+++ b/siskinspoke/bench/admission_bench.py
@@ -122,19 +122,18 @@
 POLICIES = (
     Policy("engines", False, 1.5, limited=False),
     Policy("refuse", False, 1.0, limited=False),
-    Policy("refuse, limited", False, 1.0),
-    Policy("wait", True, 1.0, wait_targets=0.3),
-    Policy("wait, 1.5", True, 1.5, wait_targets=0.3),
-    Policy("wait, 1.17", True, 1.17, wait_targets=0.3),
-    Policy("wait, large 6", True, 1.0, large_group=6, wait_targets=0.3),
-    Policy("wait, large 3", True, 1.0, large_group=3, wait_targets=0.3),
-    Policy("wait, target", True, 1.0, "target", wait_targets=0.3),
-    Policy("wait, unbounded", True, 1.0, max_overtaken=math.inf, wait_targets=0.3),
-    Policy("wait, fifo", True, 1.0, "fifo", wait_targets=0.3),
-    Policy("wait, value", True, 1.0, "value", wait_targets=0.3),
-    Policy("wait, own", True, 1.0, view="own", wait_targets=0.3),
-    Policy("wait, strict", True, 1.0, view="strict", wait_targets=0.3),
-    Policy("wait, grant", True, 1.0, view="grant", wait_targets=0.3),
+    Policy("refuse, limited", False, 1.5),
+    Policy("wait", True, 1.5, wait_targets=0.3),
+    Policy("wait, one per slot", True, 1.0, wait_targets=0.3),
+    Policy("wait, large 4", True, 1.5, large_group=4, wait_targets=0.3),
+    Policy("wait, no share", True, 1.5, "no share", wait_targets=0.3),
+    Policy("wait, unbounded", True, 1.5, max_overtaken=math.inf, wait_targets=0.3),
+    Policy("wait, by target", True, 1.5, "target", wait_targets=0.3),
+    Policy("wait, by arrival", True, 1.5, "fifo", wait_targets=0.3),
+    Policy("wait, own", True, 1.5, view="own", wait_targets=0.3),
+    Policy("wait, strict", True, 1.5, view="strict", wait_targets=0.3),
+    Policy("wait, grant", True, 1.5, view="grant", wait_targets=0.3),
+    Policy("wait, longer", True, 1.5, wait_targets=0.5),
 )
 
 
@@ -162,9 +161,7 @@
                 return (waiter.rank, waiter.arrived_at, waiter.name)
             case "target":
                 return (waiter.rank, waiter.target_at, waiter.name)
-            case "fair":
-                return (waiter.rank, waiter.customer in over_share, waiter.target_at, waiter.name)
-            case "value":
+            case "no share":
                 return (waiter.rank, -waiter.value / waiter.cost_ms, waiter.name)
         raise ValueError(self._order)
 
--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -116,14 +116,14 @@
         return len(names)
 
     def place(self, waiter: Waiter, now: float) -> int:
-        """Remove a request that takes a place; return how many others it overtakes.
+        """Remove a request that takes a place; return how many earlier ones it overtakes.
 
         Its cost is charged to its customer.
         """
-        overtaken = self.ahead(waiter, now)
+        self.remove(waiter.name)
+        overtaken = [item for item in self._waiters.values() if item.arrived_at < waiter.arrived_at]
         for other in overtaken:
             self._overtaken[other.name] += 1
-        self.remove(waiter.name)
         self._usage[waiter.customer] = (self._used(waiter.customer, now) + waiter.cost_ms, now)
         return len(overtaken)
 
@@ -187,6 +187,7 @@
             self._overtaken.get(waiter.name, 0) < self._max_overtaken,
             waiter.rank,
             waiter.customer in over_share,
+            -waiter.value / max(1.0, waiter.cost_ms),
             waiter.target_at,
             not waiter.returned,
             waiter.name,
--- a/siskinspoke/coordination/placement.py
+++ b/siskinspoke/coordination/placement.py
@@ -110,10 +110,6 @@
         self.work_table = work_table
         self._streams_per_slot = streams_per_slot
 
-    def with_streams_per_slot(self, streams_per_slot: float) -> "Placement":
-        """Return a placement on the same work table with another limit on streams."""
-        return Placement(self.work_table, streams_per_slot)
-
     def _state(self, costs: EngineCosts, candidate: Candidate, now: float) -> _EngineState:
         engine = self.work_table.engine(candidate.server)
         decoding, pending, min_pause, weight, used, shorts, streams = [], 0.0, 1e9, 0.0, 0, 0, 0
--- a/siskinspoke/coordination/room_forecast.py
+++ b/siskinspoke/coordination/room_forecast.py
@@ -141,5 +141,6 @@
     that it can meet.
     """
     left = left_ms if left_ms >= MIN_LEFT_MS else job.target_ms
-    alone = prefill_ms(costs, job.tokens, large_group) + costs.pass_steps * costs.step_ms
+    parts = 1 if job.short else large_group
+    alone = prefill_ms(costs, job.tokens, parts) + costs.pass_steps * costs.step_ms
     return max(MAX_FIRST_SHARE * left, MAX_LARGE_RATIO * alone)
--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -5,7 +5,7 @@
 from siskinspoke.coordination.cell_offers import lacks_room
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.no_room_cache import RoomSearch
-from siskinspoke.coordination.placement import SAMPLED_ENGINES, Candidate, Place, Placement
+from siskinspoke.coordination.placement import SAMPLED_ENGINES, Candidate, Place
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.work_table import Job
 from siskinspoke.gateway.context import Gateway, Request, now_ms
@@ -95,7 +95,7 @@
         gateway, cell_candidates(gateway, request.service, excluded), local_only
     )
     if request.crashes and (found := _choose_idle(gateway, costs, job, records)) is not None:
-        return replace(_assignment(gateway, found, job, costs), isolated=True)
+        return replace(to_assignment(gateway, found, job, costs), isolated=True)
     if request.crashes >= ISOLATION_CRASHES and may_wait:
         return None
     found = choose_engines(gateway, costs, job, records)
@@ -108,7 +108,7 @@
         )
     if found is None:
         return None
-    return _assignment(gateway, found, job, costs)
+    return to_assignment(gateway, found, job, costs)
 
 
 def failover_assignment(
@@ -139,7 +139,7 @@
             gateway.no_room_cache.record(search, tokens, now)
     if found is None and other_cells and gateway.cells.other_cells:
         found = _choose_in_other_cells(gateway, request.service, job, costs, excluded)
-    return None if found is None else _assignment(gateway, found, job, costs)
+    return None if found is None else to_assignment(gateway, found, job, costs)
 
 
 def engine_costs(gateway: Gateway, service: str) -> EngineCosts | None:
@@ -170,7 +170,8 @@
     return choose_engines(gateway, costs, job, drawn)
 
 
-def _assignment(gateway: Gateway, found: Place, job: Job, costs: EngineCosts) -> Assignment:
+def to_assignment(gateway: Gateway, found: Place, job: Job, costs: EngineCosts) -> Assignment:
+    """Return a place as an assignment, with what this VM knows of its servers."""
     chosen = [gateway.directory.latest(name) for name in found.servers]
     return Assignment(
         server=chosen[0],
@@ -212,21 +213,11 @@
     return choose_engines(gateway, costs, job, idle) if idle else None
 
 
-def choose_within_slots(
-    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
-) -> Assignment | None:
-    """Return engines that have a free slot for a job, or None; no stream queues in an engine."""
-    placement = gateway.placement.with_streams_per_slot(1.0)
-    found = choose_engines(gateway, costs, job, records, placement)
-    return None if found is None else _assignment(gateway, found, job, costs)
-
-
 def choose_engines(
     gateway: Gateway,
     costs: EngineCosts,
     job: Job,
     records: list[ServerRecord],
-    placement: Placement | None = None,
 ) -> Place | None:
     """Return the engines for a job among some servers, or None where none can take it.
 
@@ -245,8 +236,7 @@
         if announcement.failure_domain != own_domain:
             penalty += REMOTE_DOMAIN_MS
         offered.append(Candidate(announcement.server, penalty))
-    placement = placement or gateway.placement
-    return placement.choose(costs, job, offered, now_ms(), gateway.rng)
+    return gateway.placement.choose(costs, job, offered, now_ms(), gateway.rng)
 
 
 def make_offer(gateway: Gateway, question: PlaceQuestion) -> PlaceOffer:
--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from siskinspoke.coordination.admission import Waiter, useful_time_ms
+from siskinspoke.coordination.placement import Place
 from siskinspoke.coordination.room_forecast import RoomForecast, first_token_limit_ms, job_cost_ms
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.work_table import Job
@@ -11,13 +12,15 @@
 from siskinspoke.gateway.assignment import (
     DEFAULT_PAUSE_MS,
     Assignment,
-    choose_within_slots,
+    choose_engines,
     engine_costs,
     stream_job,
+    to_assignment,
 )
 from siskinspoke.gateway.booking import book
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.failover import PlannedAttempt
+from siskinspoke.gateway.remote_placement import request_remote_place
 from siskinspoke.gateway.servers import cell_candidates
 from siskinspoke.gateway.waiting import Search
 
@@ -40,6 +43,10 @@
     if not cell_candidates(gateway, request.service, excluded):
         return None
 
+    elsewhere = await _find_elsewhere(gateway, request, costs, excluded)
+    if elsewhere is not None:
+        return book(gateway, elsewhere)
+
     def find() -> PlannedAttempt | None:
         found = _find_room(gateway, request, costs, excluded)
         return None if found is None else book(gateway, found)
@@ -70,14 +77,33 @@
 def _find_room(
     gateway: Gateway, request: Request, costs: EngineCosts, excluded: set[str]
 ) -> Assignment | None:
-    """Return engines on which the first token is expected in time, or None."""
+    """Return engines of this cell on which the first token is expected in time, or None."""
     job = stream_job(request, None)
     records = cell_candidates(gateway, request.service, excluded)
-    found = choose_within_slots(gateway, costs, job, records)
-    if found is None:
+    found = choose_engines(gateway, costs, job, records)
+    return _within_limit(gateway, request, costs, job, found)
+
+
+async def _find_elsewhere(
+    gateway: Gateway, request: Request, costs: EngineCosts, excluded: set[str]
+) -> Assignment | None:
+    """Return engines of another cell, if this one has no room and another offers some."""
+    if not gateway.cells.other_cells:
+        return None
+    if _find_room(gateway, request, costs, excluded) is not None:
         return None
+    job = stream_job(request, None)
+    found = await request_remote_place(gateway, request, job, excluded, None)
+    return _within_limit(gateway, request, costs, stream_job(request, None), found)
+
+
+def _within_limit(
+    gateway: Gateway, request: Request, costs: EngineCosts, job: Job, found: Place | None
+) -> Assignment | None:
     left_ms = request.route.target_ms - (now_ms() - request.arrived_ms)
-    return found if found.expected_ms <= first_token_limit_ms(costs, job, left_ms) else None
+    if found is None or found.first_token_ms > first_token_limit_ms(costs, job, left_ms):
+        return None
+    return to_assignment(gateway, found, job, costs)
 
 
 def _waiter(request: Request, costs: EngineCosts, job: Job) -> Waiter:
