--- a/siskinspoke/bench/admission_bench.py
+++ b/siskinspoke/bench/admission_bench.py
@@ -121,19 +121,33 @@
 
 POLICIES = (
     Policy("engines", False, 1.5, limited=False),
-    Policy("refuse", False, 1.0, limited=False),
-    Policy("refuse, limited", False, 1.5),
+    Policy("refuse", False, 1.5),
     Policy("wait", True, 1.5, wait_targets=0.3),
-    Policy("wait, one per slot", True, 1.0, wait_targets=0.3),
-    Policy("wait, large 4", True, 1.5, large_group=4, wait_targets=0.3),
-    Policy("wait, no share", True, 1.5, "no share", wait_targets=0.3),
-    Policy("wait, unbounded", True, 1.5, max_overtaken=math.inf, wait_targets=0.3),
-    Policy("wait, by target", True, 1.5, "target", wait_targets=0.3),
-    Policy("wait, by arrival", True, 1.5, "fifo", wait_targets=0.3),
     Policy("wait, own", True, 1.5, view="own", wait_targets=0.3),
-    Policy("wait, strict", True, 1.5, view="strict", wait_targets=0.3),
-    Policy("wait, grant", True, 1.5, view="grant", wait_targets=0.3),
-    Policy("wait, longer", True, 1.5, wait_targets=0.5),
+)
+# Variants of single decisions, and the load on which each is compared.
+VARIANTS = (
+    ("mixes at 1.7", Policy("wait, large 12", True, 1.5, large_group=12, wait_targets=0.3)),
+    ("mixes at 1.7", Policy("wait, large 4", True, 1.5, large_group=4, wait_targets=0.3)),
+    (
+        "half by one customer, 1.7",
+        Policy("wait, no share", True, 1.5, "no share", wait_targets=0.3),
+    ),
+    (
+        "three priorities, 1.7",
+        Policy("wait, unbounded", True, 1.5, max_overtaken=math.inf, wait_targets=0.3),
+    ),
+    ("mixes at 1.7", Policy("wait, by target", True, 1.5, "target", wait_targets=0.3)),
+    ("mixes at 1.7", Policy("wait, by arrival", True, 1.5, "fifo", wait_targets=0.3)),
+    ("mixes at 1.7", Policy("wait, one per slot", True, 1.0, wait_targets=0.3)),
+    ("mixes at 1.7", Policy("wait, longer", True, 1.5, wait_targets=0.5)),
+    ("mixes at 1.7", Policy("wait, strict", True, 1.5, view="strict", wait_targets=0.3)),
+    ("mixes at 1.7", Policy("wait, grant", True, 1.5, view="grant", wait_targets=0.3)),
+    ("mixes at 1.7", Policy("refuse, no limit", False, 1.0, limited=False)),
+    (
+        "three priorities, 1.7",
+        Policy("wait, large 12", True, 1.5, large_group=12, wait_targets=0.3),
+    ),
 )
 
 
@@ -590,14 +604,14 @@
     )
     print("|---|---|---|---|---|---|---|---|---|---|---|---|")
     with ProcessPoolExecutor(3) as pool:
-        for load in LOADS:
-            if not load.name.startswith(prefix):
+        by_name = {load.name: load for load in LOADS}
+        pairs = [(load, policy) for load in LOADS for policy in POLICIES]
+        pairs += [(by_name[name], policy) for name, policy in VARIANTS]
+        for load, policy in pairs:
+            if not load.name.startswith(prefix) or (names and policy.name not in names):
                 continue
-            for policy in POLICIES:
-                if names and policy.name not in names:
-                    continue
-                results = list(pool.map(partial(run_one, load, policy), seeds))
-                print(format_row(load, policy, summarize(results)), flush=True)
+            results = list(pool.map(partial(run_one, load, policy), seeds))
+            print(format_row(load, policy, summarize(results)), flush=True)
 
 
 if __name__ == "__main__":
--- a/siskinspoke/coordination/room_forecast.py
+++ b/siskinspoke/coordination/room_forecast.py
@@ -17,7 +17,7 @@
 MIN_LEFT_MS = 40.0
 # The limit of a prompt too large for that, relative to its time on so many idle engines.
 MAX_LARGE_RATIO = 1.5
-LARGE_GROUP = 12
+LARGE_GROUP = 6
 
 
 class _Release(NamedTuple):
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -145,6 +145,9 @@
         self._work_table.mark_first_token(self._own_work_key(number))
         for cell in self._tracking_cells[number]:
             self._enqueue(self._update_for(cell).wrote, number)
+        if self._waiting is not None:
+            # The engines that only prefilled parts of the prompt have room again.
+            self._waiting.room_changed()
 
     def end_work(self, number: int) -> None:
         """Remove finished work from the work table."""
@@ -370,7 +373,7 @@
             waiting.add_remote(prefix, item.waiting)
         if item.left:
             waiting.remove_remote(prefix, item.left)
-        if item.ended or item.left:
+        if item.ended or item.left or item.wrote:
             waiting.room_changed()
 
 
--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -63,7 +63,7 @@
         return "draining" if gateway.refuses_streams else ""
 
     waiter = _waiter(request, costs, job)
-    search = Search(find, release, room_in_ms, refused_now, STREAM_WAIT_TARGETS)
+    search = Search(find, release, room_in_ms, refused_now, STREAM_WAIT_TARGETS, job.tokens)
     outcome = await gateway.waiting.admit(request.service, waiter, search)
     request.waited_ms, request.ahead = outcome.waited_ms, outcome.ahead
     if outcome.refusal is None:
--- a/siskinspoke/gateway/waiting.py
+++ b/siskinspoke/gateway/waiting.py
@@ -32,7 +32,7 @@
 STEP_MS = 4.0
 MAX_DELAY_MS = 40.0
 # Own requests that are tried in a row for room that they do not fit, at one wake-up.
-MAX_MISFITS = 6
+MAX_MISFITS = 3
 
 
 class WaitOutcome(NamedTuple):
@@ -51,7 +51,8 @@
     ``find`` returns a place and takes it, or None.  ``release`` gives back a place whose request
     has gone.  ``room_in_ms`` forecasts room, after the requests that are ahead.  ``refused_now``
     returns why the VM takes no more requests, "" if it does.  ``wait_targets`` is the longest wait
-    in units of the target.
+    in units of the target.  ``size`` compares requests of one service: where there is no room for
+    one, the larger ones are not tried.
     """
 
     find: Callable[[], Any]
@@ -59,6 +60,7 @@
     room_in_ms: Callable[[Sequence[Waiter]], float]
     refused_now: Callable[[], str] = lambda: ""
     wait_targets: float = MAX_WAIT_TARGETS
+    size: float = 0.0
 
 
 @dataclass
@@ -239,6 +241,7 @@
 
     def _give_room(self, queue: AdmissionQueue, now: float) -> None:
         remote = misfits = 0
+        smallest_misfit = math.inf
         for waiter in queue.ordered(now):
             item = self._own.get(waiter.name)
             if item is None:
@@ -248,9 +251,12 @@
                 item.try_at = min(item.try_at, now + delay)
                 item.woken.set()
                 return
+            elif item.search.size >= smallest_misfit:
+                continue
             elif self._try(queue, item, now):
                 item.woken.set()
             else:
+                smallest_misfit = item.search.size
                 misfits += 1
                 if misfits >= MAX_MISFITS:
                     return
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -37,9 +37,9 @@
 
     def run(self, tmp_path, scenario):
         async def main():
-            async with gateway_site(tmp_path) as site:
-                async with servers(site, "engines", [Events(last=2)]) as running:
-                    await scenario(site, running[0])
+            script = [Events(last=2)]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as running:
+                await scenario(site, running[0])
 
         trio.run(main)
 
