--- a/siskinspoke/bench/admission_bench.py
+++ b/siskinspoke/bench/admission_bench.py
@@ -38,6 +38,7 @@
 from siskinspoke.coordination.placement import Place, Placement
 from siskinspoke.coordination.room_forecast import (
     LARGE_GROUP,
+    SHORTAGE_RATIO,
     RoomForecast,
     first_token_limit_ms,
     job_cost_ms,
@@ -114,6 +115,7 @@
     view: str = "shared"
     wait_targets: float = math.inf
     limited: bool = True
+    always_limited: bool = False
     large_group: int = LARGE_GROUP
     max_overtaken: float = MAX_OVERTAKEN
     forecast: str = "table"
@@ -127,6 +129,14 @@
 )
 # Variants of single decisions, and the load on which each is compared.
 VARIANTS = (
+    (
+        "mixes at 0.6",
+        Policy("wait, always limited", True, 1.5, always_limited=True, wait_targets=0.3),
+    ),
+    (
+        "mixes at 1.7",
+        Policy("wait, always limited", True, 1.5, always_limited=True, wait_targets=0.3),
+    ),
     ("mixes at 1.7", Policy("wait, large 12", True, 1.5, large_group=12, wait_targets=0.3)),
     ("mixes at 1.7", Policy("wait, large 4", True, 1.5, large_group=4, wait_targets=0.3)),
     (
@@ -326,7 +336,12 @@
             limit = first_token_limit_ms(
                 self._load.costs, prompt.job, left, self._policy.large_group
             )
-            return place if place.first_token_ms <= limit else None
+            queue = self._queues[self._queue_of(prompt.vm)]
+            is_short = self._policy.always_limited or queue.is_short(self.now)
+            if place.first_token_ms > limit and is_short:
+                return None
+            if place.first_token_ms > limit * SHORTAGE_RATIO:
+                queue.note_shortage(self.now)
         return place
 
     def _place(self, prompt: Caller) -> None:
@@ -335,6 +350,7 @@
         if not self._policy.waits:
             place = self._choose(prompt)
             if place is None:
+                self._queues[prompt.vm].note_shortage(self.now)
                 self._refuse(prompt, RETRY_DELAY_MS)
             else:
                 self._book(prompt, place)
@@ -402,6 +418,7 @@
             match action:
                 case "add":
                     queue.add(waiter)
+                    queue.note_shortage(self.now)
                 case "place":
                     queue.place(waiter, self.now)
                 case _:
--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -63,6 +63,8 @@
 USAGE_HALF_LIFE_MS = 4_000.0
 # Longest time between two decisions on a waiting request.
 MAX_RECHECK_MS = 200.0
+# Room counts as short for this long after a request had to wait or was refused.
+SHORTAGE_MS = 1_000.0
 # Least Retry-After, and the share of the forecast that is added to it at random.
 MIN_RETRY_AFTER_MS = 200.0
 RETRY_AFTER_JITTER = 0.5
@@ -91,6 +93,7 @@
         self._waiters: dict[str, Waiter] = {}
         self._overtaken: dict[str, int] = {}
         self._usage: dict[str, tuple[float, float]] = {}
+        self._short_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -127,6 +130,14 @@
         self._usage[waiter.customer] = (self._used(waiter.customer, now) + waiter.cost_ms, now)
         return len(overtaken)
 
+    def note_shortage(self, now: float) -> None:
+        """Record that a request of this VM or of another found no room in time."""
+        self._short_at = now
+
+    def is_short(self, now: float) -> bool:
+        """Return whether room was short lately; otherwise any place may be taken."""
+        return now - self._short_at < SHORTAGE_MS
+
     def ordered(self, now: float) -> list[Waiter]:
         """Return all waiting requests, the one that is served first at the front."""
         over_share = self._over_share(now)
@@ -161,6 +172,7 @@
         """
         if has_place:
             return PlaceNow()
+        self.note_shortage(now)
         useful = waiter.leaves_at - waiter.arrived_at
         target = waiter.target_at - waiter.arrived_at
         last = waiter.arrived_at + min(MAX_WAIT_SHARE * useful, wait_targets * target)
--- a/siskinspoke/coordination/room_forecast.py
+++ b/siskinspoke/coordination/room_forecast.py
@@ -18,6 +18,9 @@
 # The limit of a prompt too large for that, relative to its time on so many idle engines.
 MAX_LARGE_RATIO = 1.5
 LARGE_GROUP = 6
+# Room is short where the first token of a placed request is expected after this many times its
+# limit, which is about its target.
+SHORTAGE_RATIO = 1.7
 
 
 class _Release(NamedTuple):
@@ -134,7 +137,7 @@
 def first_token_limit_ms(
     costs: EngineCosts, job: Job, left_ms: float, large_group: int = LARGE_GROUP
 ) -> float:
-    """Return the latest expected time to first token with which a place is taken.
+    """Return the latest expected time to first token with which a place is taken under overload.
 
     ``left_ms`` is the time left to the target; a request whose target has passed gets the limit of
     a new one.  A prompt so large that it could not begin in this time on idle engines gets a limit
--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -5,7 +5,12 @@
 
 from siskinspoke.coordination.admission import Waiter, useful_time_ms
 from siskinspoke.coordination.placement import Place
-from siskinspoke.coordination.room_forecast import RoomForecast, first_token_limit_ms, job_cost_ms
+from siskinspoke.coordination.room_forecast import (
+    SHORTAGE_RATIO,
+    RoomForecast,
+    first_token_limit_ms,
+    job_cost_ms,
+)
 from siskinspoke.coordination.routes import EngineCosts
 from siskinspoke.coordination.work_table import Job
 from siskinspoke.core.codes import Failure, ResultCode
@@ -100,9 +105,16 @@
 def _within_limit(
     gateway: Gateway, request: Request, costs: EngineCosts, job: Job, found: Place | None
 ) -> Assignment | None:
-    left_ms = request.route.target_ms - (now_ms() - request.arrived_ms)
-    if found is None or found.first_token_ms > first_token_limit_ms(costs, job, left_ms):
+    if found is None:
+        return None
+    now = now_ms()
+    left_ms = request.route.target_ms - (now - request.arrived_ms)
+    limit_ms = first_token_limit_ms(costs, job, left_ms)
+    queue = gateway.waiting.queue(request.service)
+    if found.first_token_ms > limit_ms and queue.is_short(now):
         return None
+    if found.first_token_ms > limit_ms * SHORTAGE_RATIO:
+        queue.note_shortage(now)
     return to_assignment(gateway, found, job, costs)
 
 
--- a/siskinspoke/gateway/waiting.py
+++ b/siskinspoke/gateway/waiting.py
@@ -133,7 +133,9 @@
                 item.value,
                 item.returned,
             )
-            self._queue(item.service).add(waiter)
+            queue = self.queue(item.service)
+            queue.add(waiter)
+            queue.note_shortage(now)
 
     def remove_remote(self, prefix: str, numbers: Sequence[int]) -> None:
         """Remove requests of another VM that no longer wait."""
@@ -167,7 +169,7 @@
 
         ``waiter.name`` is the request's ID, for the log; the queue has a name of its own for it.
         """
-        queue, began = self._queue(service), _now_ms()
+        queue, began = self.queue(service), _now_ms()
         self._last_number += 1
         item = _Waiting(
             waiter._replace(name=self._wait_key(self._last_number)), search, self._last_number
@@ -265,7 +267,8 @@
         ahead = queue.ahead(item.waiter, _now_ms())
         return all(other.name in self._own for other in ahead)
 
-    def _queue(self, service: str) -> AdmissionQueue:
+    def queue(self, service: str) -> AdmissionQueue:
+        """Return the queue of a service."""
         return self._queues.setdefault(service, AdmissionQueue())
 
     def _note(
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -129,6 +129,24 @@
         assert overtaken == MAX_OVERTAKEN + 1
 
 
+class TestShortage:
+    """Places are limited only while room is short: a calm fleet serves what it always served."""
+
+    def test_a_wait_or_a_refusal_is_a_shortage(self):
+        queue = AdmissionQueue()
+        assert not queue.is_short(5_000.0)
+        queue.decide(waiter("a", arrived_at=5_000.0), True, 0.0, 5_000.0, random.Random(1))
+        assert not queue.is_short(5_000.0)
+        queue.decide(waiter("b"), False, math.inf, 5_000.0, random.Random(1))
+        assert queue.is_short(5_000.0)
+
+    def test_shortage_ends_within_a_second(self):
+        """The mix of requests changes; the limits of the last phase must not last into the next."""
+        queue = AdmissionQueue()
+        queue.note_shortage(5_000.0)
+        assert queue.is_short(5_900.0) and not queue.is_short(6_000.0)
+
+
 class TestRemoval:
     """Requests of a VM that has died must not stand in the way of others."""
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -12,7 +12,7 @@
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.feed import EntryPeer
-from siskinspoke.protocol.peers import WorkBegan, WorkNews
+from siskinspoke.protocol.peers import WaitBegan, WorkBegan, WorkNews
 from siskinspoke.transport.datagrams import open_datagram_port
 from tests.feeds.test_follower import NullDecisionLog
 from tests.platform.site import until
@@ -174,3 +174,90 @@
 
     def test_reports_from_other_domains_are_ignored(self):
         assert not self.is_unreachable_after(("10.0.1.2", "c"), ("10.0.1.3", "c"))
+
+
+class RecordingWaits:
+    """Records the calls of ``Peers`` about waiting requests."""
+
+    def __init__(self, waits: bool):
+        self.waits = waits
+        self.calls: list[tuple] = []
+
+    def anybody_waits(self) -> bool:
+        return self.waits
+
+    def add_remote(self, prefix: str, items) -> None:
+        self.calls.append(("add", prefix, [item.number for item in items]))
+
+    def remove_remote(self, prefix: str, numbers) -> None:
+        self.calls.append(("remove", prefix, list(numbers)))
+
+    def remove_vm(self, prefix: str) -> None:
+        self.calls.append(("vm", prefix))
+
+    def room_changed(self) -> None:
+        self.calls.append(("room",))
+
+
+class TestWaitingRequests:
+    """Requests that wait for room are known to all VMs of the cell."""
+
+    def run(self, scenario, waits: bool = True):
+        async def main():
+            mine, view = peers("10.0.0.1", WorkTable()), RecordingWaits(waits)
+            mine._waiting = view
+            await scenario(mine, view)
+
+        trio.run(main)
+
+    def news(self, start: str = "a", **changes) -> WorkNews:
+        item = WaitBegan(1, "m", 0, "acme", 5.0, 295.0, 1_995.0, 300.0, 1.6)
+        news = WorkNews("10.0.0.2", start, [], [], [], [], [], "a", [], [], waiting=[item])
+        return news._replace(**changes)
+
+    def test_waits_of_another_vm_are_added_and_removed(self):
+        async def scenario(mine, view):
+            await mine._handle(self.news())
+            await mine._handle(self.news(waiting=[], left=[1]))
+            prefix = "10.0.0.2/a/"
+            assert view.calls == [("add", prefix, [1]), ("remove", prefix, [1]), ("room",)]
+
+        self.run(scenario)
+
+    def test_waits_of_a_silent_vm_expire_with_its_work(self):
+        """A VM dies with waiting requests; nothing may stand behind them any longer."""
+
+        async def scenario(mine, view):
+            await mine._handle(self.news())
+            mine.expire_peers(trio.current_time() * 1000 + PEER_TIMEOUT_MS + 100)
+            assert view.calls[-1] == ("vm", "10.0.0.2/a/")
+
+        self.run(scenario)
+
+    def test_waits_of_a_restarted_vm_are_dropped(self):
+        async def scenario(mine, view):
+            await mine._handle(self.news())
+            await mine._handle(self.news("b", waiting=[]))
+            assert view.calls[-1] == ("vm", "10.0.0.2/a/")
+
+        self.run(scenario)
+
+    def test_end_of_work_is_sent_at_once_while_anybody_waits(self):
+        """With the next batch the room would stay idle for up to 0.2 s."""
+
+        async def scenario(mine, view):
+            number = mine.begin_work(Work(JOB, ("e1",), 0.0))
+            mine._send_now = trio.Event()
+            mine.end_work(number)
+            assert mine._send_now.is_set() and view.calls[-1] == ("room",)
+
+        self.run(scenario)
+
+    def test_end_of_work_is_batched_while_nobody_waits(self):
+        async def scenario(mine, _view):
+            number = mine.begin_work(Work(JOB, ("e1",), 0.0))
+            mine._send_now = trio.Event()
+            mine.end_work(number)
+            assert not mine._send_now.is_set()
+
+        self.run(scenario, waits=False)
