--- a/siskinspoke/gateway/waiting.py
+++ b/siskinspoke/gateway/waiting.py
@@ -71,6 +71,7 @@
     search: Search
     number: int
     place: Any = None
+    expected_ms: float = 0.0
     try_at: float = math.inf
     woken: trio.Event = field(default_factory=trio.Event)
 
@@ -179,7 +180,7 @@
         if isinstance(decision, Wait):
             decision = await self._wait(service, queue, item, decision)
         waited = _now_ms() - began
-        self._note(waiter, decision, ahead, waited, len(queue))
+        self._note(waiter, decision, ahead, waited, len(queue), item.expected_ms)
         refusal = decision if isinstance(decision, Refuse) else None
         return WaitOutcome(item.place, refusal, waited, ahead)
 
@@ -224,6 +225,7 @@
         room_in = 0.0
         if item.place is None:
             room_in = item.search.room_in_ms(queue.ahead(item.waiter, now))
+            item.expected_ms = item.expected_ms or room_in
         has_place, wait_targets = item.place is not None, item.search.wait_targets
         decision = queue.decide(item.waiter, has_place, room_in, now, self._rng, wait_targets)
         is_full = len(self._own) >= self._capacity and item.waiter.name not in self._own
@@ -272,7 +274,13 @@
         return self._queues.setdefault(service, AdmissionQueue())
 
     def _note(
-        self, waiter: Waiter, decision: Decision, ahead: int, waited: float, known: int
+        self,
+        waiter: Waiter,
+        decision: Decision,
+        ahead: int,
+        waited: float,
+        known: int,
+        expected_ms: float,
     ) -> None:
         """Count a decision, and log it if the request waited or was refused."""
         refusal = decision if isinstance(decision, Refuse) else None
@@ -293,6 +301,7 @@
             customer=waiter.customer,
             ahead=ahead,
             known=known,
+            expected=round(expected_ms) if math.isfinite(expected_ms) else None,
             waited=round(waited),
             retry_after=round(refusal.retry_after_ms) if refusal else None,
             age=round(heard_ms) if math.isfinite(heard_ms) else None,
