--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -87,8 +87,8 @@
     crashed goes to an idle engine, and may have to wait for one: on a shared engine it would end
     other requests too, and if it is not the cause of the crashes, that could not be told.
     """
-    costs = _costs(gateway, request.service)
-    job = _job(request, last_event_at)
+    costs = engine_costs(gateway, request.service)
+    job = stream_job(request, last_event_at)
     local_only = local_only and _may_stay_local(gateway, request)
     if costs is None or job is None:
         known = candidates(
@@ -101,7 +101,7 @@
     )
     records = _local_servers(gateway, known, local_only)
     if request.crashes and (found := _choose_idle(gateway, costs, job, records)) is not None:
-        return replace(_assignment(gateway, found, job, costs), isolated=True)
+        return replace(to_assignment(gateway, found, job, costs), isolated=True)
     if request.crashes >= ISOLATION_CRASHES and may_wait:
         return None
     found = choose_engines(gateway, costs, job, records)
@@ -112,7 +112,7 @@
             found = choose_engines(gateway, costs, job, records)
     if found is None:
         return None
-    return _assignment(gateway, found, job, costs)
+    return to_assignment(gateway, found, job, costs)
 
 
 def failover_assignment(
@@ -127,8 +127,8 @@
 
     ``other_cells`` allows engines of other cells, whose load this VM does not know.
     """
-    costs = _costs(gateway, request.service)
-    job = _job(request, last_event_at)
+    costs = engine_costs(gateway, request.service)
+    job = stream_job(request, last_event_at)
     local_only = local_only and _may_stay_local(gateway, request)
     if costs is None or job is None:
         records = reachable_unlimited(
@@ -150,10 +150,10 @@
     other_cells = other_cells or request.domains is not None
     if found is None and other_cells and gateway.cells.other_cells:
         found = _choose_in_other_cells(gateway, request, job, costs, excluded)
-    return None if found is None else _assignment(gateway, found, job, costs)
+    return None if found is None else to_assignment(gateway, found, job, costs)
 
 
-def _costs(gateway: Gateway, service: str) -> EngineCosts | None:
+def engine_costs(gateway: Gateway, service: str) -> EngineCosts | None:
     """Return the engine costs of a service, None for plain and for unknown services."""
     found = gateway.table.services.get(service) if gateway.table else None
     return found.engine if found is not None else None
@@ -194,7 +194,8 @@
     return choose_engines(gateway, costs, job, drawn)
 
 
-def _assignment(gateway: Gateway, found: Place, job: Job, costs: EngineCosts) -> Assignment:
+def to_assignment(gateway: Gateway, found: Place, job: Job, costs: EngineCosts) -> Assignment:
+    """Return a place as an assignment, with what this VM knows of its servers."""
     chosen = [gateway.directory.latest(name) for name in found.servers]
     return Assignment(
         server=chosen[0],
@@ -208,7 +209,8 @@
     )
 
 
-def _job(request: Request, last_event_at: float | None) -> Job | None:
+def stream_job(request: Request, last_event_at: float | None) -> Job | None:
+    """Return the properties of a request that placement uses, None if it has no prompt."""
     prompt = request.call.prompt
     if prompt is None:
         return None
@@ -236,7 +238,10 @@
 
 
 def choose_engines(
-    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord]
+    gateway: Gateway,
+    costs: EngineCosts,
+    job: Job,
+    records: list[ServerRecord],
 ) -> Place | None:
     """Return the engines for a job among some servers, or None where none can take it.
 
@@ -275,7 +280,7 @@
 
 def make_offer(gateway: Gateway, question: PlaceQuestion) -> PlaceOffer:
     """Return where this VM would place a prompt that a VM of another cell received."""
-    costs = _costs(gateway, question.service)
+    costs = engine_costs(gateway, question.service)
     found = None
     if costs is not None:
         job = Job(question.tokens, question.max_tokens, question.target_ms, question.pause_ms)
@@ -289,7 +294,7 @@
 
 def decode_pass_ms(gateway: Gateway, request: Request, assignment: Assignment) -> float:
     """Return how long a pass of the writing engine takes, according to the work table."""
-    costs = _costs(gateway, request.service)
+    costs = engine_costs(gateway, request.service)
     if costs is None:
         return request.route.pause_ms or DEFAULT_PAUSE_MS
     return gateway.placement.pass_ms(costs, assignment.name)
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -51,7 +51,8 @@
 )
 from siskinspoke.gateway.reports import poll_forever, probe_unreachable_domains_forever
 from siskinspoke.gateway.restrictions import apply_peer_rate_limit
-from siskinspoke.gateway.streams import recheck_streams
+from siskinspoke.gateway.stream_checks import recheck_streams
+from siskinspoke.gateway.waiting import WaitingRequests
 from siskinspoke.gateway.wire import Wire
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.crashes import CrashNews
@@ -125,6 +126,16 @@
         plain_admission = None
         if settings.queue_capacity:
             plain_admission = PlainAdmission(settings.queue_capacity, counters, latencies, log, rng)
+        waiting = WaitingRequests(
+            settings.queue_capacity,
+            counters,
+            latencies,
+            log,
+            rng,
+            lambda item: self.gateway.peers.begin_wait(item),
+            lambda number: self.gateway.peers.end_wait(number),
+            lambda number: self.gateway.peers.wait_key(number),
+        )
         self.gateway = Gateway(
             settings=settings,
             wire=wire,
@@ -166,6 +177,7 @@
                 lambda work: recheck_streams(self.gateway, work),
                 lambda news: apply_peer_rate_limit(self.gateway, news),
                 open_calls=plain_admission,
+                waiting=waiting if waiting.enabled else None,
             ),
             crashes=CrashWatch(self._send_crashes, counters, log),
             counters=counters,
@@ -182,6 +194,7 @@
                 random.Random(),
             ),
             plain_admission=plain_admission,
+            waiting=waiting,
         )
 
     def _answer_permit_question(self, question: PermitQuestion) -> PermitReply | LeaseReply:
@@ -335,9 +348,11 @@
             gateway.back_offs.prune(names, now)
             gateway.peers.expire_peers(now)
             gateway.crashes.prune(now)
-            if gateway.plain_admission is not None:
+            if gateway.waiting.enabled:
+                gateway.waiting.expire(now)
                 gateway.plain_admission.places.prune(names)
-                gateway.counters.gauge("admission.waiting", gateway.plain_admission.waiting_count)
+                waiting = gateway.waiting.own_count + gateway.plain_admission.waiting_count
+                gateway.counters.gauge("admission.waiting", waiting)
             gateway.pool.prune(now)
             report_evacuations(gateway)
             gateway.counters.gauge("requests.open", gateway.open_requests)
