--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -169,10 +169,12 @@
         self._send_now.set()
 
     def end_wait(self, number: int) -> None:
-        """Tell the other VMs of the cell that a request no longer waits."""
+        """Tell the other VMs of the cell that a request no longer waits.
+
+        If it got room, this leaves with the work that begins; otherwise it may wait for the batch.
+        """
         self._open_waits.discard(number)
         self._enqueue(self._own_cell_update().left, number)
-        self._send_now.set()
 
     def send_unreachable_domain(self, domain: str) -> None:
         """Tell the other VMs that a failure domain has become unreachable."""
