--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -537,8 +537,8 @@
                 ) as answers:
                     await until(lambda: requests_seen(first))
                     async with (
-                        servers(site, "engines", [Events(last=4)], first=1, zone="b") as (one,),
-                        servers(site, "engines", [Events(last=4)], first=2, zone="c") as (two,),
+                        servers(site, "engines", [Events(last=4)], first=1, domain="b") as (one,),
+                        servers(site, "engines", [Events(last=4)], first=2, domain="c") as (two,),
                     ):
                         await until(lambda: answers, 6.0)
                 assert data_of(answers[0].body) == whole_stream(4)
