Search for room once before a stream waits, and count the engines that can share a prompt

Cause: in a fleet with several cells, admission looked for room twice. The first search marked room as short where a long prompt would be late anyway, so that the second refused it on an idle fleet. The limit of a large prompt assumed six engines, also where fewer can take it.

Change: the question whether other cells are asked no longer marks a shortage; their offers are compared with the own place and checked against free memory; the limit assumes at most as many engines as there are.

--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -6,6 +6,7 @@
 from siskinspoke.coordination.admission import Waiter, useful_time_ms
 from siskinspoke.coordination.placement import Place
 from siskinspoke.coordination.room_forecast import (
+    LARGE_GROUP,
     SHORTAGE_RATIO,
     RoomForecast,
     first_token_limit_ms,
@@ -86,7 +87,7 @@
     job = stream_job(request, None)
     records = cell_candidates(gateway, request.service, excluded, request.domains)
     found = choose_engines(gateway, costs, job, records)
-    return _within_limit(gateway, request, costs, job, found)
+    return _within_limit(gateway, request, costs, job, found, len(records))
 
 
 async def _find_elsewhere(
@@ -95,21 +96,44 @@
     """Return engines of another cell, if this one has no room and another offers some."""
     if not gateway.cells.other_cells:
         return None
-    if _find_room(gateway, request, costs, excluded) is not None:
+    records = cell_candidates(gateway, request.service, excluded, request.domains)
+    found = choose_engines(gateway, costs, stream_job(request, None), records)
+    if found is not None and _is_in_time(request, costs, found, len(records)):
         return None
     job = stream_job(request, None)
-    found = await request_remote_place(gateway, request, job, excluded, None)
-    return _within_limit(gateway, request, costs, stream_job(request, None), found)
+    offered = await request_remote_place(gateway, request, job, excluded, found)
+    if offered is None or not gateway.placement.has_memory(costs, job, offered):
+        return None
+    return _within_limit(gateway, request, costs, stream_job(request, None), offered, len(records))
+
+
+def _first_token_limit(request: Request, costs: EngineCosts, job: Job, engines: int) -> float:
+    left_ms = request.route.target_ms - (now_ms() - request.arrived_ms)
+    return first_token_limit_ms(costs, job, left_ms, min(LARGE_GROUP, max(1, engines)))
+
+
+def _is_in_time(request: Request, costs: EngineCosts, found: Place, engines: int) -> bool:
+    """Return whether a place is taken also while room is short."""
+    job = stream_job(request, None)
+    return found.first_token_ms <= _first_token_limit(request, costs, job, engines)
 
 
 def _within_limit(
-    gateway: Gateway, request: Request, costs: EngineCosts, job: Job, found: Place | None
+    gateway: Gateway,
+    request: Request,
+    costs: EngineCosts,
+    job: Job,
+    found: Place | None,
+    engines: int,
 ) -> Assignment | None:
+    """Return the assignment to a place, or None where room is short and it would be late there.
+
+    ``engines`` is the number of engines that could prefill the prompt together.
+    """
     if found is None:
         return None
     now = now_ms()
-    left_ms = request.route.target_ms - (now - request.arrived_ms)
-    limit_ms = first_token_limit_ms(costs, job, left_ms)
+    limit_ms = _first_token_limit(request, costs, job, engines)
     queue = gateway.waiting.queue(request.service)
     if found.first_token_ms > limit_ms and queue.is_short(now):
         return None
