Take the wait of a refused call from the VM's own log in its test

Cause: test_call_that_would_be_late_is_refused_at_once failed once beside load 12: its bound of 0.35 s was on the client's time, which includes connecting 40 clients on a busy machine.

Change: the VM's own decision is checked instead: a call for which no place is foreseen is refused without any wait, and no call waits 0.35 s.

--- a/tests/platform/test_plain_admission.py
+++ b/tests/platform/test_plain_admission.py
@@ -83,14 +83,17 @@
             ):
                 await ask_at_once(site, 6)
                 answers = await ask_at_once(site, 40)
-                refused = [(a, s) for a, s in answers if a.status == 503]
+                refused = [answer for answer, _ in answers if answer.status == 503]
                 assert len(refused) >= 12
-                assert all(seconds < 0.35 for _, seconds in refused)
-                assert all(b'"not_run"' in answer.body for answer, _ in refused)
-                assert all(b"Retry-After: " in answer.raw for answer, _ in refused)
+                assert all(b'"not_run"' in answer.body for answer in refused)
+                assert all(b"Retry-After: " in answer.raw for answer in refused)
                 assert sum(server.refused for server in servers) == 0
 
         trio.run(run)
+        refusals = [line for line in log_lines(tmp_path, "admission") if line["why"]]
+        assert len(refusals) >= 12
+        assert all(line["waited"] == 0 for line in refusals if line["why"] == "late")
+        assert all(line["waited"] < 350 for line in refusals)
 
     def test_refused_calls_return_to_the_order(self, tmp_path):
         """Other VMs take the places unseen: a refused call waits and is sent again."""
