--- a/siskinspoke/coordination/cold_servers.py
+++ b/siskinspoke/coordination/cold_servers.py
@@ -26,6 +26,7 @@
     RESTARTED = "restarted"
     UNREACHABLE = "unreachable"
     JOINED = "joined"
+    REMEMBERED = "remembered"
     HEALTH = "health"
 
 
@@ -77,6 +78,9 @@
             if cold_ms is None and (joined or restarted):
                 source = ColdSource.RESTARTED if restarted else ColdSource.JOINED
                 state.presumed_at, state.counted_from, state.source = now, now, source
+        elif state.source is ColdSource.REMEMBERED:
+            # The same start announces itself, so it has not started while no VM could know.
+            state.presumed_at, state.source = None, ColdSource.ANNOUNCED
         if cold_ms is not None and seq > state.stated_seq:
             state.stated_seq = seq
             self._state(state, cold_ms, now, ColdSource.ANNOUNCED)
@@ -116,7 +120,7 @@
         """Presume a server cold that is known only from before a restart of control VMs."""
         if start[0] not in self._states:
             self._states[start[0]] = _ServerState(
-                start[1], presumed_at=now, counted_from=now, source=ColdSource.JOINED
+                start[1], presumed_at=now, counted_from=now, source=ColdSource.REMEMBERED
             )
 
     def lost(self, start: Start, now: float) -> None:
@@ -177,12 +181,14 @@
         """Return when a server's next permit is expected, minus infinity if it may be now."""
         return self._blocked_until.get(start[0], -math.inf)
 
-    def prune(self, servers: Iterable[str]) -> None:
-        """Drop the records of servers not in ``servers``."""
+    def prune(self, servers: Iterable[str], now: float) -> None:
+        """Drop the records of servers not in ``servers``, and expired refusals of permits."""
         kept = set(servers)
         for records in (self._states, self._blocked_until):
             for name in [name for name in records if name not in kept]:
                 del records[name]
+        for name in [name for name, until in self._blocked_until.items() if until < now]:
+            del self._blocked_until[name]
         self._noted_cold &= kept
 
 
--- a/siskinspoke/coordination/domains.py
+++ b/siskinspoke/coordination/domains.py
@@ -31,10 +31,10 @@
     def __init__(self) -> None:
         self._domains: dict[str, _Domain] = {}
 
-    def record_success(self, domain: str) -> bool:
-        """Record a connection to a server of a domain; return whether that ends a partition."""
+    def record_success(self, domain: str) -> float | None:
+        """Record a connection to a server; return since when a partition lasted that this ends."""
         record = self._domains.pop(domain, None)
-        return record is not None and record.partitioned_since is not None
+        return None if record is None else record.partitioned_since
 
     def record_failure(self, domain: str, server: str, now: float) -> bool:
         """Record a failed connection; return whether the domain is newly considered cut off."""
--- a/siskinspoke/gateway/assignment.py
+++ b/siskinspoke/gateway/assignment.py
@@ -257,9 +257,23 @@
     found = _choose(gateway, costs, job, records, cold)
     if found is None or cold.isdisjoint(found.servers[1:]):
         return found
-    # A permit allows one request to the decoding engine, none to those that help it.
+    return _choose_without_cold_helpers(gateway, costs, job, records, cold)
+
+
+def _choose_without_cold_helpers(
+    gateway: Gateway, costs: EngineCosts, job: Job, records: list[ServerRecord], cold: set[str]
+) -> Place | None:
+    """Return warm engines, or one cold engine alone, whichever emits the first token sooner.
+
+    A permit allows one request to the decoding engine, none to those that help it.
+    """
     warm = [item for item in records if item.announcement.server not in cold]
-    return _choose(gateway, costs, job, warm, set()) if warm else None
+    alone = [item for item in records if item.announcement.server in cold][:SAMPLED_ENGINES]
+    groups = [warm] if warm else []
+    groups += [[item] for item in alone]
+    places = [_choose(gateway, costs, job, group, cold) for group in groups]
+    found = [place for place in places if place is not None]
+    return min(found, key=lambda place: place.first_token_ms, default=None)
 
 
 def _choose(
--- a/siskinspoke/gateway/cold.py
+++ b/siskinspoke/gateway/cold.py
@@ -76,7 +76,7 @@
 
 def maintain_cold_servers(gateway: Gateway, names: list[str]) -> None:
     """Log the servers that have become warm, and drop the state of those that are gone."""
-    gateway.cold_servers.prune(names)
+    gateway.cold_servers.prune(names, now_ms())
     gateway.cold_permits.prune(names)
     if not has_cold_services(gateway):
         return
@@ -116,6 +116,8 @@
         gateway.queries, server, budget, max(0.0, patience_ms), attempt.urgent
     )
     _log_permit(gateway, request_id, server, budget.rate, found, now)
+    if isinstance(permit, Denied) and not is_cold(gateway, server, now_ms()):
+        return None
     if isinstance(permit, Denied):
         gateway.counters.count("cold.permit.refused")
         permit_at = now_ms() + max(0.0, permit.until - lease_clock_ms())
--- a/siskinspoke/gateway/holds.py
+++ b/siskinspoke/gateway/holds.py
@@ -21,6 +21,7 @@
 LEAVING = "leaving"
 EVACUATED = "evacuated"
 COLD = "cold"
+COLD_HELPER = "cold helper"
 
 
 class Hold(NamedTuple):
@@ -126,7 +127,7 @@
     return hold_ends_in_ms(gateway, service) == math.inf
 
 
-def _find_attempt_hold(
+def find_attempt_hold(
     gateway: Gateway, server: ServerRecord, attempt: Attempt, now: float
 ) -> Hold | None:
     """Return the hold of a server, or the evacuation of another server of its attempt."""
@@ -135,6 +136,9 @@
         for member in attempt.servers:
             if is_evacuated(gateway, member):
                 hold = Hold(EVACUATED, math.inf, member.announcement.server)
+            elif member is not server and is_cold(gateway, member, now):
+                # The permit is for the decoding engine alone.
+                hold = hold or Hold(COLD_HELPER, now, member.announcement.server)
     if hold is not None and hold.reason == EVACUATED:
         gateway.counters.count("evacuation.held")
     return hold
@@ -151,7 +155,15 @@
     if hold is not None:
         return hold
     permit_at = await check_cold_permit(gateway, request_id, server, attempt)
-    return None if permit_at is None else Hold(COLD, permit_at)
+    if permit_at is not None:
+        return Hold(COLD, permit_at)
+    # While the permit was awaited, the server may have been evacuated or have asked for a hold.
+    now = now_ms()
+    hold = find_attempt_hold(gateway, server, attempt, now)
+    has_permit = attempt.permit is not None and now < attempt.permit.until
+    if hold is None or hold.reason == COLD or (hold.reason == RATE_LIMIT and has_permit):
+        return None
+    return hold
 
 
 async def _check_rate_limit(
@@ -160,7 +172,7 @@
     limit = gateway.rate_limits.find(server.start)
     now = now_ms()
     has_permit = attempt.permit is not None and now < attempt.permit.until
-    hold = _find_attempt_hold(gateway, server, attempt, now)
+    hold = find_attempt_hold(gateway, server, attempt, now)
     is_permitted = hold is not None and has_permit and hold.reason == RATE_LIMIT
     if hold is not None and hold.reason != COLD and not is_permitted:
         return hold
@@ -174,7 +186,7 @@
         return Hold(RATE_LIMIT, permit.until)
     attempt.permit = permit
     # An evacuation may have begun while the permit was awaited.
-    hold = _find_attempt_hold(gateway, server, attempt, now_ms())
+    hold = find_attempt_hold(gateway, server, attempt, now_ms())
     return hold if hold is not None and hold.reason == EVACUATED else None
 
 
--- a/siskinspoke/gateway/reachability.py
+++ b/siskinspoke/gateway/reachability.py
@@ -4,9 +4,10 @@
 
 import trio
 
+from siskinspoke.coordination.cold_servers import OLD_NEWS_MS
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.server_health import FailureKind
-from siskinspoke.gateway.cold import log_cold_change
+from siskinspoke.gateway.cold import is_cold, log_cold_change
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.transport.http1 import ServerConnection, connect
 
@@ -138,11 +139,27 @@
             _presume_cold(gateway, server)
 
 
+def _presume_returned_domain_cold(gateway: Gateway, domain: str, cut_since: float) -> None:
+    """Presume the servers of a domain cold that were not heard from while it was cut off.
+
+    The presumptions count from now on: none of them would end if each server had to be reached
+    first.
+    """
+    now = now_ms()
+    for server in gateway.directory.all_records():
+        is_inside = server.announcement.failure_domain == domain
+        if is_inside and server.heard_at < cut_since + OLD_NEWS_MS:
+            if not is_cold(gateway, server, now):
+                _presume_cold(gateway, server)
+            gateway.cold_servers.reached(server.start, now)
+
+
 def _mark_reachable(gateway: Gateway, server: ServerRecord) -> None:
     announcement = server.announcement
-    if gateway.domains.record_success(announcement.failure_domain):
+    cut_since = gateway.domains.record_success(announcement.failure_domain)
+    if cut_since is not None:
         # The cut may have been told by another VM, so that none of them was probed here.
-        _presume_domain_cold(gateway, announcement.failure_domain)
+        _presume_returned_domain_cold(gateway, announcement.failure_domain, cut_since)
         gateway.log.note(
             "domain.back", domain=announcement.failure_domain, server=announcement.server
         )
--- a/siskinspoke/gateway/remote_placement.py
+++ b/siskinspoke/gateway/remote_placement.py
@@ -13,6 +13,7 @@
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.coordination.placement import Place
 from siskinspoke.coordination.work_table import Job
+from siskinspoke.gateway.cold import is_cold
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.holds import find_hold
 from siskinspoke.gateway.regions import Domains, within
@@ -34,7 +35,7 @@
     places = [
         place
         for offer in offers
-        if (place := _place_of(gateway, offer, request.domains)) is not None
+        if (place := place_of_offer(gateway, offer, request.domains)) is not None
     ]
     best = best_offer(found, places)
     if best is not None:
@@ -60,13 +61,15 @@
     return [gateway.rng.choice(addresses) for addresses in addresses_by_cell if addresses]
 
 
-def _place_of(gateway: Gateway, offer: PlaceOffer, domains: Domains) -> Place | None:
+def place_of_offer(gateway: Gateway, offer: PlaceOffer, domains: Domains) -> Place | None:
     """Return an offered place, or None if this VM knows that one of its servers is unusable."""
     records = [gateway.directory.latest(name) for name in offer.servers]
     if any(record is None or not _is_usable(gateway, record) for record in records):
         return None
     if len(within(records, domains)) < len(records):
         return None
+    if any(is_cold(gateway, record, now_ms()) for record in records[1:]):
+        return None
     first_ms = offer.first_token_ms
     if records[0].announcement.failure_domain != gateway.settings.failure_domain:
         first_ms += REMOTE_DOMAIN_MS
