Log the admission of a stream only if it waited or was refused

Cause: the time that the decision itself took counted as a wait, so each placed stream had a line.

Change: a request that is decided on at once has waited for nothing.

Result: tests/gateway/test_waiting.py and tests/platform/test_waiting.py pass.

--- a/siskinspoke/gateway/waiting.py
+++ b/siskinspoke/gateway/waiting.py
@@ -176,10 +176,10 @@
             waiter._replace(name=self._wait_key(self._last_number)), search, self._last_number
         )
         ahead = len(queue.ahead(item.waiter, began))
-        decision = self._decide(queue, item, may_try=not ahead)
+        decision, waited = self._decide(queue, item, may_try=not ahead), 0.0
         if isinstance(decision, Wait):
             decision = await self._wait(service, queue, item, decision)
-        waited = _now_ms() - began
+            waited = _now_ms() - began
         self._note(waiter, decision, ahead, waited, len(queue), item.expected_ms)
         refusal = decision if isinstance(decision, Refuse) else None
         return WaitOutcome(item.place, refusal, waited, ahead)
