Give each VM a share of servers that were warm before a restart of control VMs

Cause: after a loss of all VMs nobody grants permits for 1.2 s, and every server that control VMs remember from their disks counts as cold until its first heartbeat.

Change: a server that was warm before the restart gets up to one request a second from each VM of its cell without a permit; 24 VMs together stay within the limit of 26 (a rate of 14). A server that was cold gets none, and its first announcement ends the share.

--- a/siskinspoke/coordination/cold_limiters.py
+++ b/siskinspoke/coordination/cold_limiters.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from siskinspoke.coordination.cells import MAX_CELL_VMS
 from siskinspoke.coordination.limiters import (
     PERMIT_LIFETIME_MS,
     QUERIER_RETENTION_MS,
@@ -72,6 +73,15 @@
     return ColdBudget(max(0.0, rate), burst)
 
 
+def share_without_permit(cold_rate: float, overshoot: float, slack: float) -> int:
+    """Return how many requests a second each VM of a cell may send without a permit.
+
+    All VMs of the largest cell together then stay within the limit of one server.
+    """
+    allowed = cold_rate * overshoot + slack - UNPERMITTED_REQUESTS
+    return int(allowed / MAX_CELL_VMS)
+
+
 def choose_cold_limiters(server: str, domain: str, vms: Mapping[str, str]) -> tuple[str, ...]:
     """Return the limiters of a server in order, in as many failure domains as possible.
 
--- a/siskinspoke/coordination/cold_servers.py
+++ b/siskinspoke/coordination/cold_servers.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -14,6 +14,8 @@
 
 # Two statements whose ends differ by less than this are the same: announcements are delayed.
 STATEMENT_TOLERANCE_MS = 300.0
+# The time over which the requests to a cold server are limited.
+WINDOW_MS = 1_000.0
 # An announcement received this soon after a loss may have been sent before it: control VMs pass
 # renewals on in batches.
 OLD_NEWS_MS = 700.0
@@ -44,6 +46,8 @@
     presumed_at: float | None = None
     counted_from: float | None = None
     source: ColdSource = ColdSource.ANNOUNCED
+    # When this VM has sent the latest requests without a permit.
+    shares_taken_at: list[float] = field(default_factory=list)
 
 
 def remaining_cold_ms(cold_ms: int | None, heard_at: float, now: float) -> int | None:
@@ -116,12 +120,34 @@
         if state.incarnation == start[1]:
             self._state(state, cold_ms, now, ColdSource.HEALTH)
 
-    def remembered(self, start: Start, now: float) -> None:
-        """Presume a server cold that is known only from before a restart of control VMs."""
-        if start[0] not in self._states:
-            self._states[start[0]] = _ServerState(
-                start[1], presumed_at=now, counted_from=now, source=ColdSource.REMEMBERED
-            )
+    def remembered(self, start: Start, cold_ms: int | None, now: float) -> None:
+        """Presume a server cold that is known only from before a restart of control VMs.
+
+        ``cold_ms`` is what it stated then.
+        """
+        if start[0] in self._states:
+            return
+        self._states[start[0]] = _ServerState(
+            start[1], presumed_at=now, counted_from=now, source=ColdSource.REMEMBERED
+        )
+        if cold_ms:
+            self._state(self._states[start[0]], cold_ms, now, ColdSource.ANNOUNCED)
+
+    def take_share(self, start: Start, share: int, now: float) -> bool:
+        """Take one of the ``share`` requests a second that this VM may send without a permit.
+
+        This applies only to a server that was warm before a restart of control VMs.  No VM grants
+        permits for some time after that, and all of their servers would get nothing meanwhile.
+        ``share`` must be so small that all VMs together stay within the server's limit.
+        """
+        state = self._find(start)
+        if state is None or state.source is not ColdSource.REMEMBERED or state.presumed_at is None:
+            return False
+        state.shares_taken_at = [at for at in state.shares_taken_at if now - at < WINDOW_MS]
+        if len(state.shares_taken_at) >= share:
+            return False
+        state.shares_taken_at.append(now)
+        return True
 
     def lost(self, start: Start, now: float) -> None:
         """Presume a server cold that could not be reached, until it is reached again and longer."""
--- a/siskinspoke/gateway/cold.py
+++ b/siskinspoke/gateway/cold.py
@@ -4,14 +4,20 @@
 
 import trio
 
-from siskinspoke.coordination.cold_limiters import cold_budget
-from siskinspoke.coordination.cold_servers import GoElsewhere, RefuseNow, WaitForPermit
+from siskinspoke.coordination.cold_limiters import cold_budget, share_without_permit
+from siskinspoke.coordination.cold_servers import (
+    WINDOW_MS,
+    GoElsewhere,
+    RefuseNow,
+    WaitForPermit,
+)
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.limiters import PERMIT_LIFETIME_MS
 from siskinspoke.coordination.routes import Service
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.cold_permits import lease_clock_ms
 from siskinspoke.gateway.context import Gateway, now_ms
-from siskinspoke.gateway.permits import Decision, Denied
+from siskinspoke.gateway.permits import Decision, Denied, Permit
 
 # Servers that a VM hears of within this time after its start have not just joined.
 FIRST_NEWS_MS = 3_000.0
@@ -97,6 +103,10 @@
         return None
     if attempt.cold_permit is not None and lease_clock_ms() < attempt.cold_permit.until:
         return None
+    if _take_share(gateway, server, now):
+        attempt.cold_permit = Permit(server.start, lease_clock_ms() + PERMIT_LIFETIME_MS)
+        gateway.counters.count("cold.share_taken")
+        return None
     decision, attempt.cold_decision = attempt.cold_decision, None
     patience_ms = 0.0
     match decision:
@@ -128,6 +138,22 @@
     return None
 
 
+def _take_share(gateway: Gateway, server: ServerRecord, now: float) -> bool:
+    """Return whether a request may go to a server without a permit; see ``take_share``.
+
+    Only the VMs of the cells that track a server have a share, and only within their own cell.
+    """
+    settings, name = gateway.settings, server.announcement.server
+    service = cold_service(gateway, server.announcement.service)
+    if service is None or name not in gateway.cells.servers(service.name):
+        return False
+    share = share_without_permit(service.cold_rate, settings.cold_overshoot, settings.cold_slack)
+    if not gateway.cold_servers.take_share(server.start, share, now):
+        return False
+    gateway.cold_servers.block_until(server.start, now + WINDOW_MS / max(1, share))
+    return True
+
+
 def _log_permit(
     gateway: Gateway,
     request_id: str,
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -253,7 +253,7 @@
         now = now_ms()
         new = [item for item in announcements if self.gateway.directory.restore(item, now)]
         for item in new:
-            self.gateway.cold_servers.remembered(start_of(item), now)
+            self.gateway.cold_servers.remembered(start_of(item), item.cold_ms, now)
         self._log.note("servers.remembered", told=len(announcements), new=len(new))
 
     def _on_crashes(self, crashes: CrashNews) -> None:
--- a/tests/coordination/test_cold_servers.py
+++ b/tests/coordination/test_cold_servers.py
@@ -1,9 +1,11 @@
 """Tests of what a VM knows of cold servers, and of its decisions about requests to them."""
 
 import math
+import random
 
 import pytest
 
+from siskinspoke.coordination.cells import MAX_CELL_VMS
 from siskinspoke.coordination.cold_limiters import (
     DEMAND_MS,
     LEASE_MS,
@@ -13,6 +15,7 @@
     ColdQuery,
     choose_cold_limiters,
     cold_budget,
+    share_without_permit,
 )
 from siskinspoke.coordination.cold_servers import (
     OLD_NEWS_MS,
@@ -122,7 +125,7 @@
 
     def test_remembered(self):
         servers = ColdServers()
-        servers.remembered(START, 50.0)
+        servers.remembered(START, None, 50.0)
         assert until(servers) == 50 + PERIOD
         servers.announced(START, 1, 0, 2_000.0, joined=False)
         assert until(servers) <= 2_000
@@ -347,3 +350,43 @@
         now = 1.2 / BUDGET.rate * 1000
         assert ask(limiter, now, urgent=False).outcome is Outcome.LATER
         assert ask(limiter, now, urgent=True).outcome is Outcome.GRANTED
+
+
+class TestShares:
+    """Requests without a permit, after a restart of all VMs, when nobody grants permits yet."""
+
+    def test_all_vms_of_a_cell_stay_within_the_limit(self):
+        """Guards against a second in which each of 24 VMs sends what only one of them may send."""
+        rate, overshoot, slack = 14.0, 1.5, 5.0
+        share = share_without_permit(rate, overshoot, slack)
+        vms = [ColdServers() for _ in range(MAX_CELL_VMS)]
+        for vm in vms:
+            vm.remembered(START, 0, 0.0)
+        rng = random.Random(1)
+        sent = []
+        for step in range(600):
+            now = step * 5.0
+            for vm in rng.sample(vms, len(vms)):
+                if vm.take_share(START, share, now):
+                    sent.append(now)
+        worst = max(sum(at <= other < at + 1_000 for other in sent) for at in sent)
+        assert worst <= rate * overshoot + slack
+        assert len(sent) >= 3 * MAX_CELL_VMS
+
+    def test_server_that_was_cold_gets_none(self):
+        """Guards against a share of a server that was cold before the restart, and still is."""
+        servers = ColdServers()
+        servers.remembered(START, 2_000, 0.0)
+        assert not servers.take_share(START, 1, 10.0)
+
+    def test_share_ends_with_the_first_announcement(self):
+        """Guards against requests without a permit to a server that has stated that it is cold."""
+        servers = ColdServers()
+        servers.remembered(START, 0, 0.0)
+        assert servers.take_share(START, 1, 10.0)
+        servers.announced(START, 5, 3_000, 20.0, joined=False)
+        assert not servers.take_share(START, 1, 1_500.0)
+
+    def test_low_rate_leaves_no_share(self):
+        """Guards against a share that all VMs together could not keep."""
+        assert share_without_permit(2.0, 1.5, 5.0) == 0
--- a/tests/platform/test_cold_domains.py
+++ b/tests/platform/test_cold_domains.py
@@ -82,7 +82,7 @@
                 (record,) = announce(site, running)
                 start, gateway = start_of(record.announcement), site.gateway
                 gateway.cold_servers.prune([], now_ms())
-                gateway.cold_servers.remembered(start, now_ms())
+                gateway.cold_servers.remembered(start, None, now_ms())
                 assert is_cold(gateway, record, now_ms())
                 (record,) = announce(site, running, seq=2)
                 assert not is_cold(gateway, record, now_ms())
