Leave room to urgent ranks, and to the largest prompts of a kind

For a second after a more urgent request lacked room, a place is now taken only if the first token is expected within 0.25 of the time to the target, instead of 0.6.

--- a/siskinspoke/bench/admission_bench.py
+++ b/siskinspoke/bench/admission_bench.py
@@ -39,6 +39,7 @@
 from siskinspoke.coordination.room_forecast import (
     LARGE_GROUP,
     SHORTAGE_RATIO,
+    YIELDING_FIRST_SHARE,
     RoomForecast,
     first_token_limit_ms,
     job_cost_ms,
@@ -119,6 +120,8 @@
     large_group: int = LARGE_GROUP
     max_overtaken: float = MAX_OVERTAKEN
     forecast: str = "table"
+    yielding_share: float = YIELDING_FIRST_SHARE
+    urgent_wait_targets: float = 0.0
 
 
 POLICIES = (
@@ -158,20 +161,33 @@
         "three priorities, 1.7",
         Policy("wait, large 12", True, 1.5, large_group=12, wait_targets=0.3),
     ),
+    (
+        "three priorities, 1.7",
+        Policy(
+            "wait, urgent longer",
+            True,
+            1.5,
+            wait_targets=0.3,
+            yielding_share=0.6,
+            urgent_wait_targets=0.6,
+        ),
+    ),
 )
 
 
 class OrderedQueue(AdmissionQueue):
     """A queue whose order within a rank is replaced by a variant."""
 
-    def __init__(self, order: str, wait_targets: float, max_overtaken: float):
-        super().__init__(max_overtaken)
-        self._order, self._wait_targets = order, wait_targets
+    def __init__(self, policy: Policy):
+        super().__init__(policy.max_overtaken)
+        self._order, self._wait_targets = policy.order, policy.wait_targets
+        self._urgent_wait_targets = max(policy.wait_targets, policy.urgent_wait_targets)
 
     def decide(self, waiter, has_place, room_in_ms, now, rng):
         if has_place:
             return PlaceNow()
-        last = waiter.arrived_at + self._wait_targets * (waiter.target_at - waiter.arrived_at)
+        wait_targets = self._wait_targets if waiter.rank else self._urgent_wait_targets
+        last = waiter.arrived_at + wait_targets * (waiter.target_at - waiter.arrived_at)
         if now + room_in_ms >= last:
             return Refuse(retry_after_ms(room_in_ms, rng), "late")
         found = super().decide(waiter, has_place, room_in_ms, now, rng)
@@ -222,10 +238,7 @@
         )
         self._overload, self._policy = load, policy
         self._servers = [item.server for item in self._candidates]
-        self._queues = [
-            OrderedQueue(policy.order, policy.wait_targets, policy.max_overtaken)
-            for _ in range(VMS)
-        ]
+        self._queues = [OrderedQueue(policy) for _ in range(VMS)]
         self._own: list[dict[str, Caller]] = [{} for _ in range(VMS)]
         self._sequence_number = 0
         self._placed: deque[tuple[float, float]] = deque()
@@ -333,15 +346,20 @@
         if place is None:
             return None
         if self._policy.limited:
+            queue = self._queues[self._queue_of(prompt.vm)]
             limit = first_token_limit_ms(
-                self._load.costs, prompt.job, left, self._policy.large_group
+                self._load.costs,
+                prompt.job,
+                left,
+                self._policy.large_group,
+                queue.is_short_for_more_urgent(prompt.rank, self.now),
+                self._policy.yielding_share,
             )
-            queue = self._queues[self._queue_of(prompt.vm)]
             is_short = self._policy.always_limited or queue.is_short(self.now)
             if place.first_token_ms > limit and is_short:
                 return None
             if place.first_token_ms > limit * SHORTAGE_RATIO:
-                queue.note_shortage(self.now)
+                queue.note_shortage(self.now, prompt.rank)
         return place
 
     def _place(self, prompt: Caller) -> None:
@@ -350,7 +368,7 @@
         if not self._policy.waits:
             place = self._choose(prompt)
             if place is None:
-                self._queues[prompt.vm].note_shortage(self.now)
+                self._queues[prompt.vm].note_shortage(self.now, prompt.rank)
                 self._refuse(prompt, RETRY_DELAY_MS)
             else:
                 self._book(prompt, place)
@@ -418,7 +436,7 @@
             match action:
                 case "add":
                     queue.add(waiter)
-                    queue.note_shortage(self.now)
+                    queue.note_shortage(self.now, waiter.rank)
                 case "place":
                     queue.place(waiter, self.now)
                 case _:
--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -93,7 +93,7 @@
         self._waiters: dict[str, Waiter] = {}
         self._overtaken: dict[str, int] = {}
         self._usage: dict[str, tuple[float, float]] = {}
-        self._short_at = -math.inf
+        self._short_at: dict[int, float] = {}
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -130,13 +130,17 @@
         self._usage[waiter.customer] = (self._used(waiter.customer, now) + waiter.cost_ms, now)
         return len(overtaken)
 
-    def note_shortage(self, now: float) -> None:
+    def note_shortage(self, now: float, rank: int = 0) -> None:
         """Record that a request of this VM or of another found no room in time."""
-        self._short_at = now
+        self._short_at[rank] = now
 
     def is_short(self, now: float) -> bool:
         """Return whether room was short lately; otherwise any place may be taken."""
-        return now - self._short_at < SHORTAGE_MS
+        return any(now - at < SHORTAGE_MS for at in self._short_at.values())
+
+    def is_short_for_more_urgent(self, rank: int, now: float) -> bool:
+        """Return whether room was short lately for a request that is more urgent than ``rank``."""
+        return any(other < rank and now - at < SHORTAGE_MS for other, at in self._short_at.items())
 
     def ordered(self, now: float) -> list[Waiter]:
         """Return all waiting requests, the one that is served first at the front."""
@@ -172,7 +176,7 @@
         """
         if has_place:
             return PlaceNow()
-        self.note_shortage(now)
+        self.note_shortage(now, waiter.rank)
         useful = waiter.leaves_at - waiter.arrived_at
         target = waiter.target_at - waiter.arrived_at
         last = waiter.arrived_at + min(MAX_WAIT_SHARE * useful, wait_targets * target)
--- a/siskinspoke/coordination/room_forecast.py
+++ b/siskinspoke/coordination/room_forecast.py
@@ -13,11 +13,19 @@
 # A place is taken if its first token is expected within this share of the time to the target:
 # estimates are off by a third, and requests that are placed later delay those that are under way.
 MAX_FIRST_SHARE = 0.6
+# The same while room is short for a more urgent rank, whose next request would find an engine busy
+# with this one.
+YIELDING_FIRST_SHARE = 0.25
 # A request closer to its target than this is treated as one whose target has passed.
 MIN_LEFT_MS = 40.0
 # The limit of a prompt too large for that, relative to its time on so many idle engines.
 MAX_LARGE_RATIO = 1.5
 LARGE_GROUP = 6
+# Fewer engines, so a later limit, for prompts that would otherwise be served less often than the
+# smaller ones of their kind: up to a third of an engine's memory, and above one engine's memory.
+MIDDLE_MEMORY_SHARE = 1 / 3
+MIDDLE_GROUP = 2
+SPREAD_GROUP = 3
 # Room is short where the first token of a placed request is expected after this many times its
 # limit, which is about its target.
 SHORTAGE_RATIO = 1.7
@@ -135,15 +143,32 @@
 
 
 def first_token_limit_ms(
-    costs: EngineCosts, job: Job, left_ms: float, large_group: int = LARGE_GROUP
+    costs: EngineCosts,
+    job: Job,
+    left_ms: float,
+    large_group: int = LARGE_GROUP,
+    yields: bool = False,
+    yielding_share: float = YIELDING_FIRST_SHARE,
 ) -> float:
     """Return the latest expected time to first token with which a place is taken under overload.
 
     ``left_ms`` is the time left to the target; a request whose target has passed gets the limit of
     a new one.  A prompt so large that it could not begin in this time on idle engines gets a limit
-    that it can meet.
+    that it can meet.  ``yields`` tells that room is short for a more urgent rank.
     """
+    share = yielding_share if yields else MAX_FIRST_SHARE
     left = left_ms if left_ms >= MIN_LEFT_MS else job.target_ms
-    parts = 1 if job.short else large_group
+    parts = _limit_group(costs, job, large_group)
     alone = prefill_ms(costs, job.tokens, parts) + costs.pass_steps * costs.step_ms
-    return max(MAX_FIRST_SHARE * left, MAX_LARGE_RATIO * alone)
+    return max(share * left, MAX_LARGE_RATIO * alone)
+
+
+def _limit_group(costs: EngineCosts, job: Job, large_group: int) -> int:
+    """Return on how many idle engines the least limit of a prompt is based."""
+    if job.short:
+        return 1
+    if job.tokens <= costs.memory_tokens * MIDDLE_MEMORY_SHARE:
+        return min(MIDDLE_GROUP, large_group)
+    if job.tokens + job.max_tokens > costs.memory_tokens:
+        return min(SPREAD_GROUP, large_group)
+    return large_group
--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -98,7 +98,7 @@
         return None
     records = cell_candidates(gateway, request.service, excluded, request.domains)
     found = choose_engines(gateway, costs, stream_job(request, None), records)
-    if found is not None and _is_in_time(request, costs, found, len(records)):
+    if found is not None and _is_in_time(gateway, request, costs, found, len(records)):
         return None
     job = stream_job(request, None)
     offered = await request_remote_place(gateway, request, job, excluded, found)
@@ -107,15 +107,21 @@
     return _within_limit(gateway, request, costs, stream_job(request, None), offered, len(records))
 
 
-def _first_token_limit(request: Request, costs: EngineCosts, job: Job, engines: int) -> float:
-    left_ms = request.route.target_ms - (now_ms() - request.arrived_ms)
-    return first_token_limit_ms(costs, job, left_ms, min(LARGE_GROUP, max(1, engines)))
+def _first_token_limit(
+    gateway: Gateway, request: Request, costs: EngineCosts, job: Job, engines: int
+) -> float:
+    now = now_ms()
+    left_ms = request.route.target_ms - (now - request.arrived_ms)
+    yields = gateway.waiting.queue(request.service).is_short_for_more_urgent(request.rank, now)
+    return first_token_limit_ms(costs, job, left_ms, min(LARGE_GROUP, max(1, engines)), yields)
 
 
-def _is_in_time(request: Request, costs: EngineCosts, found: Place, engines: int) -> bool:
+def _is_in_time(
+    gateway: Gateway, request: Request, costs: EngineCosts, found: Place, engines: int
+) -> bool:
     """Return whether a place is taken also while room is short."""
     job = stream_job(request, None)
-    return found.first_token_ms <= _first_token_limit(request, costs, job, engines)
+    return found.first_token_ms <= _first_token_limit(gateway, request, costs, job, engines)
 
 
 def _within_limit(
@@ -133,12 +139,12 @@
     if found is None:
         return None
     now = now_ms()
-    limit_ms = _first_token_limit(request, costs, job, engines)
+    limit_ms = _first_token_limit(gateway, request, costs, job, engines)
     queue = gateway.waiting.queue(request.service)
     if found.first_token_ms > limit_ms and queue.is_short(now):
         return None
     if found.first_token_ms > limit_ms * SHORTAGE_RATIO:
-        queue.note_shortage(now)
+        queue.note_shortage(now, request.rank)
     return to_assignment(gateway, found, job, costs)
 
 
--- a/siskinspoke/gateway/waiting.py
+++ b/siskinspoke/gateway/waiting.py
@@ -136,7 +136,7 @@
             )
             queue = self.queue(item.service)
             queue.add(waiter)
-            queue.note_shortage(now)
+            queue.note_shortage(now, item.rank)
 
     def remove_remote(self, prefix: str, numbers: Sequence[int]) -> None:
         """Remove requests of another VM that no longer wait."""
--- a/tests/bench/test_admission_bench.py
+++ b/tests/bench/test_admission_bench.py
@@ -23,3 +23,14 @@
         found = summary("mixes at 0.6", "wait")
         assert found.value >= summary("mixes at 0.6", "engines").value - 0.01
         assert all(share > 0.99 for share in found.served.values())
+
+    def test_more_urgent_kinds_are_served_no_less_often(self):
+        """Less urgent requests took room that urgent ones could not wait for."""
+        served = summary("three priorities, 1.7", "wait").served
+        assert served["short"] >= served["middle"] - 0.05
+        assert served["middle"] >= served["long"] - 0.05
+        assert min(served.values()) >= 0.25
+
+    def test_largest_prompts_are_served_nearly_as_often_as_the_rest_of_their_kind(self):
+        """The limit on the first token shut out the largest prompts of a kind under overload."""
+        assert summary("mixes at 1.7", "wait").large >= 0.8
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -146,6 +146,15 @@
         queue.note_shortage(5_000.0)
         assert queue.is_short(5_900.0) and not queue.is_short(6_000.0)
 
+    def test_shortage_of_an_urgent_rank_is_seen_by_less_urgent_ones_only(self):
+        """Less urgent requests must leave room to urgent ones, and not the other way round."""
+        queue = AdmissionQueue()
+        item = waiter("a", rank=1, arrived_at=5_000.0)
+        queue.decide(item, False, math.inf, 5_000.0, random.Random(1))
+        found = [queue.is_short_for_more_urgent(rank, 5_500.0) for rank in (0, 1, 2)]
+        assert found == [False, False, True]
+        assert not queue.is_short_for_more_urgent(2, 6_000.0)
+
 
 class TestRemoval:
     """Requests of a VM that has died must not stand in the way of others."""
