Limit the largest prompts by fewer engines only in an overload

It now holds only after 3 s of shortage without a break, and a peak of the arrivals keeps six engines.

A request that is alone, as no other waits or lacked room in the last second, is no longer refused since it would be late: it takes any place, and waits for up to half of its useful time.

--- a/siskinspoke/bench/admission_bench.py
+++ b/siskinspoke/bench/admission_bench.py
@@ -169,7 +169,7 @@
             1.5,
             wait_targets=0.3,
             yielding_share=0.6,
-            urgent_wait_targets=0.6,
+            urgent_wait_targets=0.5,
         ),
     ),
 )
@@ -188,10 +188,13 @@
             return PlaceNow()
         wait_targets = self._wait_targets if waiter.rank else self._urgent_wait_targets
         last = waiter.arrived_at + wait_targets * (waiter.target_at - waiter.arrived_at)
-        if now + room_in_ms >= last:
+        if now + room_in_ms >= last and not self.is_alone(waiter.arrived_at, now):
             return Refuse(retry_after_ms(room_in_ms, rng), "late")
-        found = super().decide(waiter, has_place, room_in_ms, now, rng)
-        return found if isinstance(found, Refuse) else Wait(min(last, found.until), found.ahead)
+        alone = self.is_alone(waiter.arrived_at, now)
+        found = super().decide(waiter, has_place, room_in_ms, now, rng, math.inf)
+        if alone or isinstance(found, Refuse):
+            return found
+        return Wait(min(last, found.until), found.ahead)
 
     def _key(self, waiter: Waiter, over_share: set[str]) -> tuple:
         match self._order:
@@ -353,13 +356,15 @@
                 left,
                 self._policy.large_group,
                 queue.is_short_for_more_urgent(prompt.rank, self.now),
+                queue.is_overloaded(self.now),
                 self._policy.yielding_share,
             )
             is_short = self._policy.always_limited or queue.is_short(self.now)
-            if place.first_token_ms > limit and is_short:
+            is_alone = queue.is_alone(prompt.arrived_at, self.now)
+            if place.first_token_ms > limit and is_short and not is_alone:
                 return None
             if place.first_token_ms > limit * SHORTAGE_RATIO:
-                queue.note_shortage(self.now, prompt.rank)
+                queue.note_shortage(self.now, prompt.rank, prompt.arrived_at)
         return place
 
     def _place(self, prompt: Caller) -> None:
@@ -368,7 +373,7 @@
         if not self._policy.waits:
             place = self._choose(prompt)
             if place is None:
-                self._queues[prompt.vm].note_shortage(self.now, prompt.rank)
+                self._queues[prompt.vm].note_shortage(self.now, prompt.rank, prompt.arrived_at)
                 self._refuse(prompt, RETRY_DELAY_MS)
             else:
                 self._book(prompt, place)
@@ -436,7 +441,7 @@
             match action:
                 case "add":
                     queue.add(waiter)
-                    queue.note_shortage(self.now, waiter.rank)
+                    queue.note_shortage(self.now, waiter.rank, waiter.arrived_at)
                 case "place":
                     queue.place(waiter, self.now)
                 case _:
--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -65,6 +65,8 @@
 MAX_RECHECK_MS = 200.0
 # Room counts as short for this long after a request had to wait or was refused.
 SHORTAGE_MS = 1_000.0
+# An overload is a shortage without a break of so long; a shorter one is a peak of the arrivals.
+OVERLOAD_MS = 3_000.0
 # Least Retry-After, and the share of the forecast that is added to it at random.
 MIN_RETRY_AFTER_MS = 200.0
 RETRY_AFTER_JITTER = 0.5
@@ -94,6 +96,9 @@
         self._overtaken: dict[str, int] = {}
         self._usage: dict[str, tuple[float, float]] = {}
         self._short_at: dict[int, float] = {}
+        self._short_since = math.inf
+        # The last two requests that lacked room, by arrival: one of them is not the asking one.
+        self._lacking: dict[float, float] = {}
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -130,14 +135,31 @@
         self._usage[waiter.customer] = (self._used(waiter.customer, now) + waiter.cost_ms, now)
         return len(overtaken)
 
-    def note_shortage(self, now: float, rank: int = 0) -> None:
+    def note_shortage(self, now: float, rank: int = 0, arrived_at: float = math.nan) -> None:
         """Record that a request of this VM or of another found no room in time."""
+        if not self.is_short(now):
+            self._short_since = now
         self._short_at[rank] = now
+        self._lacking.pop(arrived_at, None)
+        self._lacking[arrived_at] = now
+        if len(self._lacking) > 2:
+            del self._lacking[next(iter(self._lacking))]
+
+    def is_alone(self, arrived_at: float, now: float) -> bool:
+        """Return whether no request but the one that arrived then lacked room lately."""
+        others = (item.arrived_at for item in self._waiters.values())
+        return all(other == arrived_at for other in others) and all(
+            other == arrived_at or now - at >= SHORTAGE_MS for other, at in self._lacking.items()
+        )
 
     def is_short(self, now: float) -> bool:
         """Return whether room was short lately; otherwise any place may be taken."""
         return any(now - at < SHORTAGE_MS for at in self._short_at.values())
 
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether room has been short without a break for longer than a peak lasts."""
+        return self.is_short(now) and now - self._short_since >= OVERLOAD_MS
+
     def is_short_for_more_urgent(self, rank: int, now: float) -> bool:
         """Return whether room was short lately for a request that is more urgent than ``rank``."""
         return any(other < rank and now - at < SHORTAGE_MS for other, at in self._short_at.items())
@@ -176,7 +198,7 @@
         """
         if has_place:
             return PlaceNow()
-        self.note_shortage(now, waiter.rank)
+        self.note_shortage(now, waiter.rank, waiter.arrived_at)
         useful = waiter.leaves_at - waiter.arrived_at
         target = waiter.target_at - waiter.arrived_at
         last = waiter.arrived_at + min(MAX_WAIT_SHARE * useful, wait_targets * target)
--- a/siskinspoke/coordination/room_forecast.py
+++ b/siskinspoke/coordination/room_forecast.py
@@ -22,7 +22,8 @@
 MAX_LARGE_RATIO = 1.5
 LARGE_GROUP = 6
 # Fewer engines, so a later limit, for prompts that would otherwise be served less often than the
-# smaller ones of their kind: up to a third of an engine's memory, and above one engine's memory.
+# smaller ones of their kind: up to a third of an engine's memory, and, in an overload, above one
+# engine's memory.  In a short peak the latter would delay too many others.
 MIDDLE_MEMORY_SHARE = 1 / 3
 MIDDLE_GROUP = 2
 SPREAD_GROUP = 3
@@ -148,27 +149,29 @@
     left_ms: float,
     large_group: int = LARGE_GROUP,
     yields: bool = False,
+    overloaded: bool = False,
     yielding_share: float = YIELDING_FIRST_SHARE,
 ) -> float:
     """Return the latest expected time to first token with which a place is taken under overload.
 
     ``left_ms`` is the time left to the target; a request whose target has passed gets the limit of
     a new one.  A prompt so large that it could not begin in this time on idle engines gets a limit
-    that it can meet.  ``yields`` tells that room is short for a more urgent rank.
+    that it can meet.  ``yields`` tells that room is short for a more urgent rank,
+    ``overloaded`` that it has been short for long.
     """
     share = yielding_share if yields else MAX_FIRST_SHARE
     left = left_ms if left_ms >= MIN_LEFT_MS else job.target_ms
-    parts = _limit_group(costs, job, large_group)
+    parts = _limit_group(costs, job, large_group, overloaded)
     alone = prefill_ms(costs, job.tokens, parts) + costs.pass_steps * costs.step_ms
     return max(share * left, MAX_LARGE_RATIO * alone)
 
 
-def _limit_group(costs: EngineCosts, job: Job, large_group: int) -> int:
+def _limit_group(costs: EngineCosts, job: Job, large_group: int, overloaded: bool) -> int:
     """Return on how many idle engines the least limit of a prompt is based."""
     if job.short:
         return 1
     if job.tokens <= costs.memory_tokens * MIDDLE_MEMORY_SHARE:
         return min(MIDDLE_GROUP, large_group)
-    if job.tokens + job.max_tokens > costs.memory_tokens:
+    if overloaded and job.tokens + job.max_tokens > costs.memory_tokens:
         return min(SPREAD_GROUP, large_group)
     return large_group
--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -69,7 +69,15 @@
         return "draining" if gateway.refuses_streams else ""
 
     waiter = _waiter(request, costs, job)
-    search = Search(find, release, room_in_ms, refused_now, STREAM_WAIT_TARGETS, job.tokens)
+    search = Search(
+        find,
+        release,
+        room_in_ms,
+        refused_now,
+        STREAM_WAIT_TARGETS,
+        job.tokens,
+        wait_targets_alone=math.inf,
+    )
     outcome = await gateway.waiting.admit(request.service, waiter, search)
     request.waited_ms, request.ahead = outcome.waited_ms, outcome.ahead
     if outcome.refusal is None:
@@ -112,8 +120,10 @@
 ) -> float:
     now = now_ms()
     left_ms = request.route.target_ms - (now - request.arrived_ms)
-    yields = gateway.waiting.queue(request.service).is_short_for_more_urgent(request.rank, now)
-    return first_token_limit_ms(costs, job, left_ms, min(LARGE_GROUP, max(1, engines)), yields)
+    queue = gateway.waiting.queue(request.service)
+    yields = queue.is_short_for_more_urgent(request.rank, now)
+    group = min(LARGE_GROUP, max(1, engines))
+    return first_token_limit_ms(costs, job, left_ms, group, yields, queue.is_overloaded(now))
 
 
 def _is_in_time(
@@ -141,10 +151,11 @@
     now = now_ms()
     limit_ms = _first_token_limit(gateway, request, costs, job, engines)
     queue = gateway.waiting.queue(request.service)
-    if found.first_token_ms > limit_ms and queue.is_short(now):
+    is_alone = queue.is_alone(request.arrived_ms, now)
+    if found.first_token_ms > limit_ms and queue.is_short(now) and not is_alone:
         return None
     if found.first_token_ms > limit_ms * SHORTAGE_RATIO:
-        queue.note_shortage(now, request.rank)
+        queue.note_shortage(now, request.rank, request.arrived_ms)
     return to_assignment(gateway, found, job, costs)
 
 
--- a/siskinspoke/gateway/waiting.py
+++ b/siskinspoke/gateway/waiting.py
@@ -51,8 +51,9 @@
     ``find`` returns a place and takes it, or None.  ``release`` gives back a place whose request
     has gone.  ``room_in_ms`` forecasts room, after the requests that are ahead.  ``refused_now``
     returns why the VM takes no more requests, "" if it does.  ``wait_targets`` is the longest wait
-    in units of the target.  ``size`` compares requests of one service: where there is no room for
-    one, the larger ones are not tried.
+    in units of the target, and ``wait_targets_alone`` that of a request which is the only one that
+    lacks room: nobody else loses what it takes.  ``size`` compares requests of one service: where
+    there is no room for one, the larger ones are not tried.
     """
 
     find: Callable[[], Any]
@@ -61,6 +62,7 @@
     refused_now: Callable[[], str] = lambda: ""
     wait_targets: float = MAX_WAIT_TARGETS
     size: float = 0.0
+    wait_targets_alone: float | None = None
 
 
 @dataclass
@@ -136,7 +138,7 @@
             )
             queue = self.queue(item.service)
             queue.add(waiter)
-            queue.note_shortage(now, item.rank)
+            queue.note_shortage(now, item.rank, waiter.arrived_at)
 
     def remove_remote(self, prefix: str, numbers: Sequence[int]) -> None:
         """Remove requests of another VM that no longer wait."""
@@ -227,6 +229,9 @@
             room_in = item.search.room_in_ms(queue.ahead(item.waiter, now))
             item.expected_ms = item.expected_ms or room_in
         has_place, wait_targets = item.place is not None, item.search.wait_targets
+        alone_targets = item.search.wait_targets_alone
+        if alone_targets is not None and queue.is_alone(item.waiter.arrived_at, now):
+            wait_targets = alone_targets
         decision = queue.decide(item.waiter, has_place, room_in, now, self._rng, wait_targets)
         is_full = len(self._own) >= self._capacity and item.waiter.name not in self._own
         if isinstance(decision, Wait) and is_full:
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -155,6 +155,34 @@
         assert found == [False, False, True]
         assert not queue.is_short_for_more_urgent(2, 6_000.0)
 
+    def test_overload_is_a_shortage_without_a_break(self):
+        """A short peak was taken for an overload, and the largest prompts delayed the others."""
+        queue = AdmissionQueue()
+        for step in range(7):
+            queue.note_shortage(step * 500.0)
+        assert queue.is_overloaded(3_100.0) and not queue.is_overloaded(2_900.0)
+        queue.note_shortage(4_500.0)
+        assert not queue.is_overloaded(4_600.0)
+
+    def test_own_shortage_does_not_count_for_a_request_that_is_alone(self):
+        """A request that nobody competes with was refused since it would be late."""
+        queue = AdmissionQueue()
+        queue.add(waiter("a", arrived_at=5_000.0))
+        queue.note_shortage(5_000.0, 0, 5_000.0)
+        assert queue.is_alone(5_000.0, 5_100.0)
+        assert not queue.is_alone(5_100.0, 5_100.0)
+
+    def test_request_is_not_alone_while_another_waits_or_has_just_been_refused(self):
+        """Under overload there are moments in which nobody waits; room is still short then."""
+        queue = AdmissionQueue()
+        queue.note_shortage(5_000.0, 0, 4_900.0)
+        queue.note_shortage(5_010.0, 0, 5_010.0)
+        queue.note_shortage(5_020.0, 0, 5_010.0)
+        assert not queue.is_alone(5_010.0, 5_900.0)
+        assert queue.is_alone(5_010.0, 6_000.0)
+        queue.add(waiter("b", arrived_at=5_950.0))
+        assert not queue.is_alone(5_010.0, 6_000.0)
+
 
 class TestRemoval:
     """Requests of a VM that has died must not stand in the way of others."""
