Split the service of plain calls: attempts and refusals have modules of their own

Change: plain_attempts.py has one attempt at a server, refusals.py the failures that callers get, plain.py the call with its attempts and its wait. No logic changes.

Result: tests of plain calls, streams, evacuations, admission and documents pass.

--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -9,7 +9,7 @@
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.client_buffers import BufferedClient
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.plain import WholeAnswer
+from siskinspoke.gateway.plain_attempts import WholeAnswer
 from siskinspoke.gateway.upstream import (
     AnswerStarted,
     AttemptAbandonedError,
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -23,7 +23,8 @@
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
 from siskinspoke.gateway.failover import Failover, PlannedAttempt, RetryObstacle, RetryState
 from siskinspoke.gateway.holds import EVACUATED, Hold, all_evacuated, check_hold
-from siskinspoke.gateway.plain import MAX_IDLE_MS, WholeAnswer, no_server_failure, run_end
+from siskinspoke.gateway.plain_attempts import MAX_IDLE_MS, WholeAnswer, run_end
+from siskinspoke.gateway.refusals import no_server_failure
 from siskinspoke.gateway.relaying import (
     Relay,
     StreamAttempt,
