Let callers ask again after a second while no room is forecast

Cause: where the forecast finds no room at all, refusals named 0.2 to 0.3 s, which nothing supports.

Result: tests of admission and waiting pass, one is new.

--- a/siskinspoke/coordination/admission.py
+++ b/siskinspoke/coordination/admission.py
@@ -69,6 +69,8 @@
 OVERLOAD_MS = 3_000.0
 # Least Retry-After, and the share of the forecast that is added to it at random.
 MIN_RETRY_AFTER_MS = 200.0
+# Interval at which callers ask again while no room is forecast at all.
+UNKNOWN_ROOM_MS = 1_000.0
 RETRY_AFTER_JITTER = 0.5
 
 
@@ -233,6 +235,6 @@
 
 
 def retry_after_ms(room_in_ms: float, rng: random.Random) -> float:
-    """Return a Retry-After for room that is forecast, with jitter."""
-    known = room_in_ms if math.isfinite(room_in_ms) else MIN_RETRY_AFTER_MS
+    """Return a Retry-After for room that is forecast, or to ask again if none is, with jitter."""
+    known = room_in_ms if math.isfinite(room_in_ms) else UNKNOWN_ROOM_MS
     return max(MIN_RETRY_AFTER_MS, known) * (1 + RETRY_AFTER_JITTER * rng.random())
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -13,6 +13,7 @@
     Refuse,
     Wait,
     Waiter,
+    retry_after_ms,
     useful_time_ms,
 )
 
@@ -197,3 +198,13 @@
 
     def test_removal_of_an_unknown_request_is_ignored(self):
         assert AdmissionQueue().remove("gone") is None
+
+
+class TestRetryAfter:
+    """The time that a refusal names."""
+
+    def test_forecast_and_none(self):
+        """Guards against callers that return every 0.2 s while no room is forecast at all."""
+        rng = random.Random(1)
+        assert 500 <= retry_after_ms(500.0, rng) <= 750
+        assert 1_000 <= retry_after_ms(math.inf, rng) <= 1_500
