Give tests of reports between VMs networks of their own

Cause: two workers, or two suites, that ran these tests at the same time listened on 127.0.0.1 and .2 with the same port; two tests failed with 'address already in use' beside another suite.

Change: the addresses come from the worker's networks.

--- a/tests/gateway/test_plain_admission.py
+++ b/tests/gateway/test_plain_admission.py
@@ -18,11 +18,13 @@
 from siskinspoke.gateway.queries import Queries
 from siskinspoke.protocol.codec import encode_message
 from siskinspoke.protocol.peers import OpenCalls, WorkNews
+from siskinspoke.testing.networks import group_nets, net_cycle, networks
 from siskinspoke.transport.datagrams import open_datagram_port
 from tests.feeds.test_follower import NullDecisionLog
 from tests.gateway.test_peers import PORT, cell_view
 from tests.platform.site import until
 
+_next_net = net_cycle(group_nets)
 START = ("s1", 1)
 
 
@@ -146,14 +148,15 @@
 @asynccontextmanager
 async def two_vms(first: PlainAdmission | None, second: PlainAdmission | None):
     """Run the exchange between two VMs; yield the Peers of the first."""
-    hosts = {"127.0.0.1": first, "127.0.0.2": second}
+    net = f"127.{networks().groups[0]}.{_next_net()}"
+    hosts = {f"{net}.1": first, f"{net}.2": second}
     async with trio.open_nursery() as nursery:
         running = {}
         for host, found in hosts.items():
             port = await open_datagram_port(host, PORT, b"k", Counters())
             running[host] = build_peers(host, [other for other in hosts if other != host], found)
             nursery.start_soon(running[host].run, port)
-        yield running["127.0.0.1"]
+        yield running[f"{net}.1"]
         nursery.cancel_scope.cancel()
 
 
