--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -278,6 +278,16 @@
     def _readiness_pages(self) -> Pages:
         return {"/readyz": lambda: Page(200 if self._ready else 503)}
 
+    def server_tasks(self) -> list[tuple]:
+        """Return the background tasks that observe backend servers, with their arguments."""
+        gateway = self.gateway
+        return [
+            (poll_forever, gateway, lambda: self._feeds.connected_count > 0),
+            (probe_unreachable_domains_forever, gateway),
+            (probe_overdue_forever, gateway),
+            (probe_unreachable_forever, gateway),
+        ]
+
     async def run(self, metrics_port: int) -> None:
         """Serve until SIGTERM or SIGINT, then let open requests finish."""
         gateway, settings = self.gateway, self._settings_watch.settings
@@ -294,10 +304,7 @@
                 (self._feeds.run,),
                 (self._run_cold_permits,),
                 (self._maintain_forever,),
-                (poll_forever, gateway, lambda: self._feeds.connected_count > 0),
-                (probe_unreachable_domains_forever, gateway),
-                (probe_overdue_forever, gateway),
-                (probe_unreachable_forever, gateway),
+                *self.server_tasks(),
                 (self._reload_forever,),
             ):
                 nursery.start_soon(keep_running, self._log, gateway.counters, task, *args)
--- /dev/null
+++ b/tests/platform/cell_site.py
@@ -0,0 +1,109 @@
+"""Several entry VMs in one process with all their background tasks, and steady traffic to them."""
+
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+
+from siskinspoke.testing.server_links import ServerLinks
+from tests.platform.fleet import Fleet, fleet
+from tests.platform.site import Site
+from tests.platform.standin_server import StandinServer
+
+DOMAINS = ("a", "b", "c")
+PROMPT = {"Token_Counts": "3000,200"}
+
+
+@dataclass
+class Result:
+    """The first attempt of a request: its VM, when it was sent, and its outcome."""
+
+    vm: str
+    request_id: str
+    sent_at: float
+    status: int
+    whole: bool
+    took: float
+    raw: bytes = b""
+
+    @property
+    def served(self) -> bool:
+        """Return whether the client got a complete answer."""
+        return self.status == 200 and self.whole
+
+
+@dataclass
+class Cell:
+    """A fleet whose servers are spread over three failure domains."""
+
+    fleet: Fleet
+    links: ServerLinks
+    results: list[Result] = field(default_factory=list)
+
+    @property
+    def sites(self) -> list[Site]:
+        """Return the entry VMs."""
+        return self.fleet.sites
+
+    @property
+    def servers(self) -> list[StandinServer]:
+        """Return the servers."""
+        return self.fleet.servers
+
+    async def start_servers(self, scripts: list) -> None:
+        """Start a server for each script, in the failure domains in turn."""
+        for number, script in enumerate(scripts):
+            server = StandinServer(f"i-{number}")
+            server.script.append(script)
+            await self.fleet._nursery.start(server.serve)
+            self.fleet.servers.append(server)
+            for site in self.sites:
+                site.announce(server, self.fleet.service, domain=DOMAINS[number % len(DOMAINS)])
+
+    async def send(self, site: Site, path: str, request_id: str, **headers) -> Result:
+        """Send one request and record its result."""
+        began = trio.current_time()
+        try:
+            answer = await site.ask(path, request_id, **headers)
+            status, whole, raw = answer.status, answer.whole, answer.raw
+        except (OSError, trio.BrokenResourceError):
+            status, whole, raw = 0, False, b""
+        took = trio.current_time() - began
+        result = Result(site.host, request_id, began, status, whole, took, raw)
+        self.results.append(result)
+        return result
+
+    async def send_steadily(self, path: str, per_second: float, seconds: float, **headers) -> None:
+        """Send requests to all VMs at a rate for each."""
+        rng = random.Random(1)
+        async with trio.open_nursery() as nursery:
+            for number in range(round(per_second * seconds)):
+                for index, site in enumerate(self.sites):
+                    request_id = f"{path.strip('/x')}-{index}-{number}-{len(self.results)}"
+                    nursery.start_soon(
+                        lambda *args: self.send(*args, **headers), site, path, request_id
+                    )
+                await trio.sleep(rng.uniform(0.8, 1.2) / per_second)
+
+    def runs_of(self, request_id: str) -> int:
+        """Return how many times servers have run a request."""
+        return sum(
+            seen.ran and seen.headers.get("Request-Id") == request_id
+            for server in self.servers
+            for seen in server.seen
+        )
+
+
+@asynccontextmanager
+async def cell_site(tmp_path, vms: int, service: str, **changes):
+    """Run ``vms`` entry VMs that serve ``service``, with links to servers that can be cut."""
+    links = ServerLinks()
+    with links.installed():
+        async with fleet(tmp_path, vms, **changes) as running, trio.open_nursery() as nursery:
+            running.service = service
+            for site in running.sites:
+                for task, *args in site.daemon.server_tasks():
+                    nursery.start_soon(task, *args)
+            yield Cell(running, links)
+            nursery.cancel_scope.cancel()
