Forward requests to a peer if a VM reaches none of their servers

What callers saw: VMs that were partitioned from all backend servers refused their callers: 1 of 45 first tries served, 91 of 94 at the other VMs.

Cause: a VM had no way to a server but its own. Class: a single path between a caller and a service, though the VMs reach each other. Ruled out: that the VMs did not know (26 of 26 servers in their logs after 0.4 s), and that they misled the others (93 of 96 served there).

Change: a request whose servers are all out of reach goes to a peer over HTTP/1.1, on a port of its own, sealed with the internal key. The peer serves it as its own, with the attempts already used, and never forwards it again. A VM tells its cell which failure domains it cannot reach, so that no request goes to a peer behind the same partition. After two servers fail, and none is reached, all failure domains are probed at once. A report of another VM that a domain is unreachable is checked by own connections, since the reporting VM may be the one that is partitioned; its test is replaced by one that demands the check. If no peer reaches the servers either, callers hear so after two attempts instead of 24.

--- a/siskinspoke/conf/vm.py
+++ b/siskinspoke/conf/vm.py
@@ -112,6 +112,11 @@
         """Return the port for messages between entry VMs."""
         return self.internal_ports[0] + 2
 
+    @property
+    def forward_port(self) -> int:
+        """Return the port on which an entry VM receives requests that its peers forward."""
+        return self.internal_ports[0] + 3
+
     @property
     def seed_hosts(self) -> tuple[str, ...]:
         """Return the distinct hosts of the seeds, sorted."""
--- a/siskinspoke/coordination/domains.py
+++ b/siskinspoke/coordination/domains.py
@@ -24,8 +24,8 @@
 class DomainMonitor:
     """Tracks unreachable servers by failure domain; times are in milliseconds.
 
-    VMs of the same domain share what they find. Otherwise, with 23 VMs that have a second between
-    two requests each, every VM needs two requests of its own to detect it, each 0.2 s late.
+    Only this VM's own connections count: another VM that reports a partition may itself be the one
+    that is partitioned.
     """
 
     def __init__(self) -> None:
@@ -48,13 +48,6 @@
         record.partitioned_since = now
         return True
 
-    def record_report(self, domain: str, vm: str, now: float) -> bool:
-        """Record that another VM of this domain reports a partition; return whether it is new.
-
-        The report of one VM counts as one unreachable server, since only that VM may be cut off.
-        """
-        return self.record_failure(domain, f"told by {vm}", now)
-
     def record_refusals(self, domain: str, now: float) -> bool:
         """Record that several servers of a domain refuse at once; return whether that is new."""
         record = self._domains.setdefault(domain, _Domain())
--- a/siskinspoke/coordination/server_health.py
+++ b/siskinspoke/coordination/server_health.py
@@ -135,6 +135,11 @@
         """Return the servers to which the last connection failed."""
         return [name for name, record in self._records.items() if record.unreachable]
 
+    @property
+    def has_unreachable(self) -> bool:
+        """Return whether there is a server to which the last connection failed."""
+        return any(record.unreachable for record in self._records.values())
+
     def is_ejected(self, server: str, now: float) -> bool:
         """Return whether a server is ejected; an unreachable one is until it can be reached."""
         record = self._records.get(server)
--- a/siskinspoke/core/codes.py
+++ b/siskinspoke/core/codes.py
@@ -44,6 +44,7 @@
     QUARANTINED = 2008
     EVACUATED = 2009
     REGION = 2010
+    OLDER_CONFIGURATION = 2011
     DEADLINE_PASSED = 3001
     FATE_UNKNOWN = 3002
     IN_PROGRESS = 3003
@@ -134,6 +135,9 @@
         503, RunStatus.NOT_RUN, 20, "All servers of the service are in evacuated failure domains."
     ),
     ResultCode.REGION: CodeInfo(503, RunStatus.NOT_RUN, 20, "No server is in an allowed region."),
+    ResultCode.OLDER_CONFIGURATION: CodeInfo(
+        503, RunStatus.NOT_RUN, 20, "This VM has an older configuration than the one that asks."
+    ),
     ResultCode.DEADLINE_PASSED: CodeInfo(504, RunStatus.UNKNOWN, 30, "The deadline passed."),
     ResultCode.FATE_UNKNOWN: CodeInfo(502, RunStatus.UNKNOWN, 30, "It may have run."),
     ResultCode.IN_PROGRESS: CodeInfo(409, RunStatus.RAN, 30, "The first attempt still runs."),
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -1,6 +1,10 @@
 """Client connections: read requests, resolve their routes and send one answer to each."""
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 import trio
+from expression import Result
 
 from siskinspoke.coordination.byte_budget import HeldBytes
 from siskinspoke.coordination.routes import CallKind
@@ -11,8 +15,10 @@
 from siskinspoke.gateway.plain_attempts import WholeAnswer
 from siskinspoke.gateway.refusals import retry_after
 from siskinspoke.gateway.regions import domains_of, find_region_refusal
+from siskinspoke.gateway.results import mark_result
 from siskinspoke.gateway.streams import StreamCutError, serve_stream
 from siskinspoke.gateway.wire import Call
+from siskinspoke.protocol.forwarding import RESULT_HEADER, ForwardedCall
 from siskinspoke.transport.early import BACKLOG, take_early_listener
 from siskinspoke.transport.http1 import (
     BadRequestError,
@@ -45,11 +51,37 @@
 CONFIGURATION_WAIT_SECONDS = 0.8
 
 
+class Arrival(NamedTuple):
+    """A request as it arrived, and what a peer told of it if one has forwarded it."""
+
+    call: Call
+    arrived_ms: float
+    origin: ForwardedCall | None = None
+
+
+Decode = Callable[[Gateway, RequestHead, bytes], Result[Arrival, Failure]]
+
+
+def decode_client_call(
+    gateway: Gateway, head: RequestHead, body: bytes
+) -> Result[Arrival, Failure]:
+    """Return a client's request."""
+    arrived_ms = now_ms()
+    return gateway.wire.decode_call(head, body).map(lambda call: Arrival(call, arrived_ms))
+
+
 class ClientServer:
-    """Listens on the public address and serves the connections to it."""
+    """Serves connections of clients, or of peers, whose requests ``decode`` reads.
+
+    ``extra_header_bytes`` is the size of headers beyond the limit for clients.
+    """
 
-    def __init__(self, gateway: Gateway):
+    def __init__(
+        self, gateway: Gateway, decode: Decode = decode_client_call, extra_header_bytes: int = 0
+    ):
         self._gateway = gateway
+        self._decode = decode
+        self._extra_header_bytes = extra_header_bytes
 
     async def serve(self, host: str, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve clients forever, beginning with connections accepted while the program loaded."""
@@ -58,9 +90,10 @@
             listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
         else:
             listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(early))]
-        await trio.serve_listeners(self._serve_one, listeners, task_status=task_status)
+        await trio.serve_listeners(self.serve_one, listeners, task_status=task_status)
 
-    async def _serve_one(self, stream: trio.SocketStream) -> None:
+    async def serve_one(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it is closed."""
         gateway = self._gateway
         gateway.counters.count("client.connections")
         try:
@@ -71,7 +104,8 @@
             # The client disconnected before its first request was read.
             await trio.aclose_forcefully(stream)
             return
-        connection = ClientConnection(stream, gateway.limits.header_bytes)
+        max_header_bytes = gateway.limits.header_bytes + self._extra_header_bytes
+        connection = ClientConnection(stream, max_header_bytes)
         try:
             while await self._serve_request(connection):
                 pass
@@ -125,15 +159,14 @@
 
     async def _answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> bool:
         gateway = self._gateway
-        arrived_ms = now_ms()
-        decoded = gateway.wire.decode_call(head, body)
+        decoded = self._decode(gateway, head, body)
         if decoded.is_error():
             await self._send_failure(connection, "", decoded.error)
             return connection.next_cycle()
-        call = decoded.ok
+        call = decoded.ok.call
         if gateway.table is None and not await self._wait_for_configuration(connection):
             return False
-        found = self._resolve(call, arrived_ms)
+        found = self._resolve(decoded.ok)
         if isinstance(found, Failure):
             gateway.counters.count(f"refused.{found.code.name.lower()}")
             gateway.log.note(
@@ -172,10 +205,14 @@
                 nursery.cancel_scope.cancel()
         return not gone.cancelled_caught
 
-    def _resolve(self, call: Call, arrived_ms: float) -> Request | Failure:
+    def _resolve(self, arrival: Arrival) -> Request | Failure:
         """Return the request with its route and customer, or the failure that refuses the call."""
         gateway = self._gateway
+        call, arrived_ms, origin = arrival
         table = gateway.table
+        if origin is not None and table is not None and table.version < origin.version:
+            message = f"this VM has configuration {table.version}, the peer {origin.version}"
+            return Failure(ResultCode.OLDER_CONFIGURATION, message, DRAINING_RETRY_AFTER_MS)
         if table is None:
             message = "this VM has no configuration yet"
             return Failure(
@@ -192,7 +229,9 @@
         if not gateway.buffers.accepts(len(call.body)):
             return self._buffers_full(call)
         domains = domains_of(gateway, route, customer)
-        return Request(call, route, customer, arrived_ms, table.version, domains=domains)
+        return Request(
+            call, route, customer, arrived_ms, table.version, domains=domains, origin=origin
+        )
 
     def _buffers_full(self, call: Call) -> Failure:
         """Return the refusal of a request while this VM holds too much for slow clients."""
@@ -270,6 +309,7 @@
                 headers = [*answer.headers, (b"Content-Length", b"%d" % len(body))]
                 if self._gateway.draining:
                     headers.append((b"Connection", b"close"))
+                headers = mark_result(request, headers)
                 await connection.send_response(answer.status, headers, body)
         return connection.next_cycle()
 
@@ -278,10 +318,16 @@
     ) -> None:
         status, headers, body = self._gateway.wire.encode_failure(call_id, failure)
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        if self._serves_peers:
+            headers.append((RESULT_HEADER, b"%d" % failure.code))
         if self._gateway.draining:
             headers.append((b"Connection", b"close"))
         await connection.send_response(status, headers, body)
 
+    @property
+    def _serves_peers(self) -> bool:
+        return self._decode is not decode_client_call
+
     def _log_request(self, request: Request, result: WholeAnswer | Failure | None) -> None:
         """Log the outcome of a request and the values that decided it."""
         gateway = self._gateway
@@ -323,6 +369,7 @@
             longest_pause=round(request.longest_pause_ms),
             tried=[list(item) for item in request.attempts],
             held=request.held,
+            forwarded_by=None if request.origin is None else request.origin.sender,
             reason=result.message if isinstance(result, Failure) else None,
             fingerprint=request.subject.fingerprint if suspect else None,
             works=gateway.work_table.work_count,
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import NamedTuple
@@ -18,6 +19,8 @@
 from siskinspoke.coordination.evacuations import ObeyedEvacuations
 from siskinspoke.coordination.fingerprints import RequestIdentity
 from siskinspoke.coordination.first_token_margin import FirstTokenMargin
+from siskinspoke.coordination.forwarding.connection_failures import ConnectionFailures
+from siskinspoke.coordination.forwarding.peer_choice import ForwardingRecord
 from siskinspoke.coordination.liveness import ConnectTimeout, ProbeTracker
 from siskinspoke.coordination.no_room_cache import NoRoomCache
 from siskinspoke.coordination.placement import Placement
@@ -38,8 +41,11 @@
 from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import Queries
+from siskinspoke.gateway.survey_requests import SurveyRequests
 from siskinspoke.gateway.waiting import WaitingRequests
 from siskinspoke.gateway.wire import Call, Wire
+from siskinspoke.protocol.feed import EntryPeer
+from siskinspoke.protocol.forwarding import ForwardedCall
 
 # How long after the stop signal a VM still accepts requests. The load balancer stops sending new
 # ones after 3 s, and requests that arrived by then may be cut off. Plain requests finish within
@@ -99,6 +105,12 @@
     configured: trio.Event = field(default_factory=trio.Event)
     started_at: float = -math.inf
     buffers: ByteBudget = field(default_factory=lambda: ByteBudget(0))
+    known_peers: Callable[[], list[EntryPeer]] = list
+    forwarding: ForwardingRecord = field(default_factory=ForwardingRecord)
+    connection_failures: ConnectionFailures = field(default_factory=ConnectionFailures)
+    surveys: SurveyRequests = field(default_factory=SurveyRequests)
+    # Whether no server could be reached when that was last logged.
+    partitioned: bool = False
 
     @property
     def draining(self) -> bool:
@@ -178,6 +190,10 @@
     domains: frozenset[str] | None = None
     # Bytes of this request that count towards this VM's bound.
     held_bytes: HeldBytes | None = None
+    # Set if a peer has forwarded the request; it is not forwarded again.
+    origin: ForwardedCall | None = None
+    # How many times this VM has forwarded the request.
+    forwards: int = 0
 
     @property
     def deadline_ms(self) -> float:
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -15,7 +15,7 @@
     witnesses_of,
 )
 from siskinspoke.gateway.context import Gateway, Request, now_ms
-from siskinspoke.gateway.reachability import NoConnection, probe_now
+from siskinspoke.gateway.reachability import NoConnection, probe_now, record_refusing_domain
 from siskinspoke.gateway.upstream import OutcomeUnknown
 
 # A server may still crash from an attempt that was moved away from it, so it is probed after this
@@ -134,7 +134,8 @@
             case NoConnection.SILENT:
                 return gateway.domains.is_cut_off(announcement.failure_domain, now_ms())
         if await _domain_refuses(gateway, server):
-            _record_refusing_domain(gateway, server)
+            gateway.counters.count("crash.doubted")
+            record_refusing_domain(gateway, server)
             return False
     now = now_ms()
     servers = len(gateway.directory.routable(announcement.service, now))
@@ -158,19 +159,3 @@
         for record in witnesses:
             nursery.start_soon(probe, record)
     return indicates_partition(reached)
-
-
-def _record_refusing_domain(gateway: Gateway, server: ServerRecord) -> None:
-    """Stop sending requests to a domain that refuses as a whole, until it is reachable again."""
-    announcement, now = server.announcement, now_ms()
-    gateway.counters.count("crash.doubted")
-    gateway.log.note(
-        "domain.refuses",
-        domain=announcement.failure_domain,
-        server=announcement.server,
-        start=announcement.incarnation,
-    )
-    if gateway.domains.record_refusals(announcement.failure_domain, now):
-        gateway.log.note(
-            "domain.cut", domain=announcement.failure_domain, server=announcement.server
-        )
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -39,6 +39,8 @@
 from siskinspoke.gateway.cold_permits import ColdPermits
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.evacuations import apply_evacuations, report_evacuations
+from siskinspoke.gateway.forwarding.receiving import ForwardServer
+from siskinspoke.gateway.forwarding.survey import log_partition, survey_forever
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.plain_admission import PlainAdmission
@@ -48,6 +50,7 @@
     handle_loss_report,
     probe_overdue_forever,
     probe_unreachable_forever,
+    unreachable_domains,
 )
 from siskinspoke.gateway.reports import poll_forever, probe_unreachable_domains_forever
 from siskinspoke.gateway.restrictions import apply_peer_rate_limit
@@ -178,6 +181,8 @@
                 lambda news: apply_peer_rate_limit(self.gateway, news),
                 open_calls=plain_admission,
                 waiting=waiting if waiting.enabled else None,
+                on_unreachable_domain=lambda domain: self.gateway.surveys.request(domain),
+                unreachable_now=lambda: unreachable_domains(self.gateway),
             ),
             crashes=CrashWatch(self._send_crashes, counters, log),
             counters=counters,
@@ -195,6 +200,7 @@
             ),
             plain_admission=plain_admission,
             waiting=waiting,
+            known_peers=lambda: self._feeds.peers,
         )
 
     def _answer_permit_question(self, question: PermitQuestion) -> PermitReply | LeaseReply:
@@ -286,6 +292,7 @@
             (probe_unreachable_domains_forever, gateway),
             (probe_overdue_forever, gateway),
             (probe_unreachable_forever, gateway),
+            (survey_forever, gateway),
         ]
 
     async def run(self, metrics_port: int) -> None:
@@ -299,6 +306,7 @@
                 settings.host, settings.peer_port, settings.internal_key, gateway.counters
             )
             gateway.nursery = nursery
+            await nursery.start(ForwardServer(gateway).serve, settings.host, settings.forward_port)
             for task, *args in (
                 (gateway.peers.run, port),
                 (self._feeds.run,),
@@ -361,6 +369,8 @@
                 waiting = gateway.waiting.own_count + gateway.plain_admission.waiting_count
                 gateway.counters.gauge("admission.waiting", waiting)
             gateway.pool.prune(now)
+            gateway.forwarding.prune(now)
+            log_partition(gateway)
             report_evacuations(gateway)
             gateway.counters.gauge("requests.open", gateway.open_requests)
             gateway.counters.gauge("controls.heard", self._feeds.connected_count)
--- a/siskinspoke/gateway/failover.py
+++ b/siskinspoke/gateway/failover.py
@@ -103,6 +103,15 @@
                 self.delivered += 1
                 self.runs += 1
 
+    def count_forward(self, outcome: object) -> None:
+        """Count the outcome of a forward: a peer that broke off may have had the request run."""
+        match outcome:
+            case OutcomeUnknown():
+                self.delivered += 1
+                self.runs += 1
+            case _:
+                self.undelivered += 1
+
     def reserve_retry(self, gateway: Gateway, request: Request) -> bool:
         """Take a retry from the budget, unless the attempt is the first or has one reserved."""
         self.retry_spent = self.retry_reserved
@@ -143,6 +152,14 @@
         self.retry_reserved = False
 
 
+def retry_state_of(request: Request, open_attempts: int = 1) -> RetryState:
+    """Return the state of a request's attempts, with those of the VM that has forwarded it."""
+    if request.origin is None:
+        return RetryState(open_attempts=open_attempts)
+    origin = request.origin
+    return RetryState(runs=origin.runs, delivered=origin.delivered, open_attempts=open_attempts)
+
+
 class Failover:
     """Plan the next attempt of a request; log each reason why there is none, once.
 
--- /dev/null
+++ b/siskinspoke/gateway/forwarding/receiving.py
@@ -0,0 +1,63 @@
+"""Accept requests that peers forward, on a port of their own."""
+
+import trio
+from expression import Error, Ok, Result
+
+from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.gateway.clients import Arrival, ClientServer
+from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.wire import Call, Prompt
+from siskinspoke.protocol.forwarding import (
+    FORWARD_HEADER,
+    INTERNAL_HEADERS,
+    ForwardedCall,
+    decode_forwarded,
+    digest_of,
+)
+from siskinspoke.transport.early import BACKLOG
+from siskinspoke.transport.http1 import RequestHead
+
+# The internal header is sent in addition to those of the client's request.
+FORWARD_HEADER_BYTES = 32_768
+
+
+def decode_forwarded_call(
+    gateway: Gateway, head: RequestHead, body: bytes
+) -> Result[Arrival, Failure]:
+    """Return the request that a peer has forwarded, if it holds the internal key."""
+    values = [value for name, value in head.headers if name.lower() == FORWARD_HEADER.lower()]
+    origin = decode_forwarded(gateway.settings.internal_key, values[0]) if values else None
+    if origin is None or origin.digest != digest_of(head.method, head.target, body):
+        gateway.counters.count("forward.rejected")
+        return Error(Failure(ResultCode.UNAUTHENTICATED, "the request is not from an entry VM"))
+    gateway.counters.count("forward.received")
+    return Ok(Arrival(_call(head, body, origin), now_ms() - origin.elapsed_ms, origin))
+
+
+def _call(head: RequestHead, body: bytes, origin: ForwardedCall) -> Call:
+    dropped = INTERNAL_HEADERS | {b"content-length"}
+    return Call(
+        id=origin.id,
+        method=head.method,
+        target=head.target,
+        host=origin.host,
+        headers=[item for item in head.headers if item[0].lower() not in dropped],
+        body=body,
+        deadline_ms=origin.deadline_ms,
+        key=origin.key,
+        prompt=None if origin.prompt is None else Prompt(*origin.prompt),
+        resume_after=origin.resume_after,
+    )
+
+
+class ForwardServer:
+    """Listens on the forward port; peers' requests are served as those of clients."""
+
+    def __init__(self, gateway: Gateway):
+        self._gateway = gateway
+
+    async def serve(self, host: str, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve peers forever."""
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        server = ClientServer(self._gateway, decode_forwarded_call, FORWARD_HEADER_BYTES)
+        await trio.serve_listeners(server.serve_one, listeners, task_status=task_status)
--- a/siskinspoke/gateway/peers.py
+++ b/siskinspoke/gateway/peers.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, Protocol
 
 import trio
@@ -101,6 +101,8 @@
         on_rate_limit: Callable[[RateLimitNews], None] = lambda news: None,
         open_calls: PlainAdmission | None = None,
         waiting: WaitingView | None = None,
+        on_unreachable_domain: Callable[[str], None] = lambda domain: None,
+        unreachable_now: Callable[[], Iterable[str]] = tuple,
     ):
         self._host = host
         self._domain = domain
@@ -120,6 +122,12 @@
         self._open_calls_sent_ms = -math.inf
         self._waiting = waiting
         self._open_waits: set[int] = set()
+        self._on_unreachable_domain = on_unreachable_domain
+        self._unreachable_now = unreachable_now
+        # The failure domains that this VM, by its last message, and the others cannot reach.
+        self._sent_unreachable: list[str] = []
+        self._unreachable: dict[str, frozenset[str]] = {}
+        self._open_work: dict[str, int] = {}
         self._pending_crashes: list[CrashNews] = []
         self._pending_rate_limits: dict[tuple[str, int], tuple[float | None, float]] = {}
         self._last_number = 0
@@ -191,11 +199,19 @@
         self._open_waits.discard(number)
         self._enqueue(self._own_cell_update().left, number)
 
-    def send_unreachable_domain(self, domain: str) -> None:
-        """Tell the other VMs that a failure domain has become unreachable."""
-        self._enqueue(self._own_cell_update().cuts, domain)
+    def reachability_changed(self) -> None:
+        """Tell the other VMs now which failure domains cannot be reached from this VM."""
+        self._has_updates.set()
         self._send_now.set()
 
+    def unreachable_domains(self, host: str) -> frozenset[str]:
+        """Return the failure domains that another VM cannot reach, as far as it was heard."""
+        return self._unreachable.get(host, frozenset())
+
+    def open_work(self, host: str) -> int:
+        """Return how much work at engines another VM has open, as far as it was heard."""
+        return self._open_work.get(host, 0)
+
     def send_unreachable_server(self, server: str) -> None:
         """Tell the other VMs that a server is unreachable from this VM."""
         self._enqueue(self._own_cell_update().lost, server)
@@ -298,6 +314,7 @@
             )
         for cell in self._cells_due(now):
             updates.setdefault(cell, self._empty_update())
+        self._add_unreachable_domains(updates, now)
         if own_cell in updates and self._open_calls is not None:
             changed = self._open_calls.places.take_unsent()
             open_calls = [OpenCalls(*item) for item in changed]
@@ -307,6 +324,19 @@
             self._last_sent_ms[cell] = now
             await port.send_to_all(item, self._cells.addresses(cell))
 
+    def _add_unreachable_domains(self, updates: dict[Cell, WorkNews], now: float) -> None:
+        """Add the domains that cannot be reached; they are repeated while there are any."""
+        own_cell, unreachable = self._cells.own_cell, sorted(self._unreachable_now())
+        is_due = now - self._last_sent_ms.get(own_cell, 0.0) > KEEPALIVE_INTERVAL_MS
+        if unreachable != self._sent_unreachable or (unreachable and is_due):
+            updates.setdefault(own_cell, self._empty_update())
+        if own_cell not in updates:
+            return
+        new = [domain for domain in unreachable if domain not in self._sent_unreachable]
+        item = updates[own_cell]
+        updates[own_cell] = item._replace(cuts=new, unreachable=unreachable)
+        self._sent_unreachable = unreachable
+
     def _cells_due(self, now: float) -> set[Cell]:
         """Return the cells that track open work of this VM and are due for a keep-alive."""
         open_at = {cell for cells in self._tracking_cells.values() for cell in cells}
@@ -341,6 +371,8 @@
                     self._counters.count("peers.silent")
             if now - at > BUDGET_TIMEOUT_MS:
                 del self._last_heard[host]
+                self._unreachable.pop(host, None)
+                self._open_work.pop(host, None)
                 self._drop_open_calls(host)
 
     def _record_sender(self, host: str, start: str, domain: str) -> None:
@@ -350,6 +382,7 @@
             self._work_table.remove_with_prefix(_work_key(host, known[0], ""))
             self._drop_open_calls(host)
             self._drop_waiting(_work_key(host, known[0], ""))
+            self._open_work.pop(host, None)
         self._last_heard[host] = (start, trio.current_time() * 1000)
         self._on_peer(host, domain)
 
@@ -399,10 +432,7 @@
             self._work_table.remove(_work_key(host, start, number))
         for calls in item.calls:
             self._budget.add_remote(calls, now)
-        if item.domain == self._domain:
-            for domain in item.cuts:
-                if self._domains.record_report(domain, host, now):
-                    self._counters.count("domain.cut_told")
+        self._handle_reachability(item)
         for server in item.lost:
             self._on_unreachable_server(server)
         for pace in item.paces:
@@ -412,6 +442,16 @@
         if self._waiting is not None:
             self._handle_waiting(self._waiting, item)
 
+    def _handle_reachability(self, item: WorkNews) -> None:
+        """Record what another VM reaches; this VM looks for itself before it believes a cut."""
+        self._unreachable[item.host] = frozenset(item.unreachable)
+        changed = len(item.began) - len(item.ended)
+        self._open_work[item.host] = max(0, self.open_work(item.host) + changed)
+        if item.domain == self._domain:
+            for domain in item.cuts:
+                self._counters.count("domain.cut_told")
+                self._on_unreachable_domain(domain)
+
     def _handle_waiting(self, waiting: WaitingView, item: WorkNews) -> None:
         prefix = _work_key(item.host, item.start, "")
         if item.waiting:
--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -18,7 +18,15 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine
-from siskinspoke.gateway.failover import RetryState
+from siskinspoke.gateway.failover import retry_state_of
+from siskinspoke.gateway.forwarding.calls import CallOutcome, forward_call
+from siskinspoke.gateway.forwarding.peers import (
+    MAX_ATTEMPTS_OUT_OF_REACH,
+    is_out_of_reach,
+    may_overflow,
+    wants_forward,
+)
+from siskinspoke.gateway.forwarding.sending import Progress, Refused
 from siskinspoke.gateway.plain_admission import PlaceSearch, PlainAdmission
 from siskinspoke.gateway.plain_attempts import (
     TIMED_OUT,
@@ -27,7 +35,11 @@
     remaining_servers,
     run_attempt,
 )
-from siskinspoke.gateway.refusals import no_server_failure
+from siskinspoke.gateway.refusals import (
+    is_short_of_room,
+    no_server_failure,
+    out_of_reach_failure,
+)
 from siskinspoke.gateway.servers import (
     choose_service,
     least_loaded,
@@ -58,7 +70,8 @@
     quarantine = await check_quarantine(gateway, request)
     if quarantine is not None:
         return quarantine.refusal
-    gateway.budget.first_attempt(request.service, now_ms())
+    if request.origin is None:
+        gateway.budget.first_attempt(request.service, now_ms())
     async with trio.open_nursery() as nursery:
         call = _PlainCall(gateway, request, nursery)
         try:
@@ -82,6 +95,13 @@
     outcome: WholeAnswer | NotRun | OutcomeUnknown
 
 
+@dataclass(frozen=True)
+class _ForwardEnded:
+    """The outcome of a forward to a peer."""
+
+    outcome: CallOutcome
+
+
 class _PlainCall:
     """The attempts of one call; a late attempt stays open while the next one runs.
 
@@ -93,16 +113,16 @@
         self._gateway = gateway
         self._request = request
         self._nursery = nursery
-        self._retry_state = RetryState(open_attempts=0)
+        self._retry_state = retry_state_of(request, open_attempts=0)
         self._last_result: WholeAnswer | Failure | None = None
         self._refusal: Failure | None = None
         self._admission = gateway.plain_admission
         # Whether the last attempt was refused for lack of a place.
         self._was_refused = False
         self._name = self._admission.next_name() if self._admission is not None else ""
-        self._send_event, self._events = trio.open_memory_channel[_AttemptLate | _AttemptEnded](
-            math.inf
-        )
+        self._send_event, self._events = trio.open_memory_channel[
+            _AttemptLate | _AttemptEnded | _ForwardEnded
+        ](math.inf)
 
     async def run(self) -> WholeAnswer | Failure:
         """Run attempts until one has an answer, or none is open and none may be started."""
@@ -118,11 +138,32 @@
                         return result
                     if await self._may_retry():
                         await self._start_attempt_in_turn()
-        result = self._last_result or self._refusal
-        if result is not None:
-            return result
+                case _ForwardEnded(outcome=outcome):
+                    self._retry_state.open_attempts -= 1
+                    result = self._handle_forward(outcome)
+                    if result is not None:
+                        return result
+                    if await self._may_retry():
+                        await self._start_attempt_in_turn()
         message = "no backend server can take the request now"
-        return no_server_failure(self._gateway, self._request, message)
+        result = self._last_result or self._refusal
+        result = result or no_server_failure(self._gateway, self._request, message)
+        if is_short_of_room(result) and may_overflow(self._gateway, self._request):
+            return await self._overflow(result)
+        return result
+
+    async def _overflow(self, refusal: Failure) -> WholeAnswer | Failure:
+        """Forward a call that found no room."""
+        progress = Progress(
+            self._retry_state.runs, self._retry_state.delivered, self._request.call.resume_after
+        )
+        match await forward_call(self._gateway, self._request, progress):
+            case Refused():
+                return refusal
+            case OutcomeUnknown(reason=reason):
+                return Failure(ResultCode.FATE_UNKNOWN, reason)
+            case outcome:
+                return outcome
 
     def release_retry(self) -> None:
         """Return a retry to the budget that was reserved for an attempt which never started."""
@@ -147,6 +188,8 @@
     def _start_attempt(self) -> None:
         """Start an attempt at another server, if there is one and the retry budget allows it."""
         gateway, request, retry_state = self._gateway, self._request, self._retry_state
+        if self._start_forward():
+            return
         if self._admission is not None:
             taken = self._admission.take(self._search(self._admission.places))
             if taken is not None:
@@ -161,6 +204,48 @@
         server = least_loaded(gateway, reachable(gateway, records) or records)
         self._begin_attempt(self._attempt, server)
 
+    def _start_forward(self) -> bool:
+        """Forward the call if this VM reaches none of its servers; return whether it does.
+
+        Refuses the call if no peer reaches one either, after a few attempts of its own.
+        """
+        gateway, request, retry_state = self._gateway, self._request, self._retry_state
+        if not is_out_of_reach(gateway, request):
+            return False
+        if wants_forward(gateway, request):
+            self.release_retry()
+            progress = Progress(
+                retry_state.runs + retry_state.open_attempts,
+                retry_state.delivered + retry_state.open_attempts,
+                request.call.resume_after,
+            )
+            retry_state.open_attempts += 1
+            self._nursery.start_soon(self._forward, progress)
+            return True
+        tries = len(request.attempts)
+        if request.origin is None and tries < MAX_ATTEMPTS_OUT_OF_REACH:
+            return False
+        self._refusal = self._refusal or out_of_reach_failure(gateway)
+        return True
+
+    async def _forward(self, progress: Progress) -> None:
+        outcome = await forward_call(self._gateway, self._request, progress)
+        self._send_event.send_nowait(_ForwardEnded(outcome))
+
+    def _handle_forward(self, outcome: CallOutcome) -> WholeAnswer | Failure | None:
+        """Record how a forward ended; return the caller's result, or None if it is still open."""
+        repeatable = self._request.route.repeatable
+        self._retry_state.count_forward(outcome)
+        match outcome:
+            case Refused(failure=failure):
+                self._refusal = failure or self._refusal
+            case OutcomeUnknown(reason=reason):
+                self._last_result = self._last_result or Failure(ResultCode.FATE_UNKNOWN, reason)
+                return None if repeatable else self._last_result
+            case _:
+                return outcome
+        return None
+
     def _begin_attempt(self, attempt: Callable[..., Awaitable[None]], server, *args) -> None:
         self._retry_state.excluded.exclude_until_restart(server.start)
         self._retry_state.open_attempts += 1
@@ -174,6 +259,8 @@
         if self._admission is None or self._retry_state.open_attempts:
             self._start_attempt()
             return
+        if self._start_forward():
+            return
         if self._was_refused:
             self._was_refused = False
             await trio.sleep(REFUSED_PAUSE_MS / 1000)
--- a/siskinspoke/gateway/plain_attempts.py
+++ b/siskinspoke/gateway/plain_attempts.py
@@ -11,6 +11,7 @@
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import track_attempt
 from siskinspoke.gateway.failover import Failover, RetryState
+from siskinspoke.gateway.forwarding.peers import wants_forward
 from siskinspoke.gateway.servers import (
     candidates,
     permit_patience_ms,
@@ -106,6 +107,8 @@
     left = request.remaining_ms(began_at)
 
     def has_other() -> bool:
+        if wants_forward(gateway, request):
+            return True
         remaining = remaining_servers(gateway, request, retry_state)
         return has_place(gateway, reachable_unlimited(gateway, remaining))
 
--- a/siskinspoke/gateway/reachability.py
+++ b/siskinspoke/gateway/reachability.py
@@ -110,6 +110,7 @@
             # forever, and the server would never be used again.
             gateway.probes.cancel(server.start)
     gateway.probes.finish(server.start, found is not NoConnection.SILENT, now_ms())
+    _count_connection(gateway, server, found)
     match found:
         case NoConnection.SILENT:
             mark_unreachable(gateway, server, reported_by_peer)
@@ -125,6 +126,17 @@
     return found
 
 
+def _count_connection(
+    gateway: Gateway, server: ServerRecord, found: ServerConnection | NoConnection
+) -> None:
+    """Have all failure domains surveyed if servers fail and none could be reached since."""
+    failures = gateway.connection_failures
+    if isinstance(found, ServerConnection):
+        failures.record_success()
+    elif failures.record_failure(server.announcement.server, now_ms()):
+        gateway.surveys.request_all()
+
+
 def _presume_cold(gateway: Gateway, server: ServerRecord) -> None:
     """Presume a server cold that could not be reached: it may be restarting."""
     now = now_ms()
@@ -158,6 +170,7 @@
     announcement = server.announcement
     cut_since = gateway.domains.record_success(announcement.failure_domain)
     if cut_since is not None:
+        gateway.peers.reachability_changed()
         # The cut may have been told by another VM, so that none of them was probed here.
         _presume_returned_domain_cold(gateway, announcement.failure_domain, cut_since)
         gateway.log.note(
@@ -191,7 +204,7 @@
         gateway.log.note(
             "domain.cut", domain=announcement.failure_domain, server=announcement.server
         )
-        gateway.peers.send_unreachable_domain(announcement.failure_domain)
+        gateway.peers.reachability_changed()
         _presume_domain_cold(gateway, announcement.failure_domain)
     if not is_news:
         return
@@ -236,6 +249,35 @@
         gateway.nursery.start_soon(probe, gateway, server, reported_by_peer)
 
 
+def unreachable_domains(gateway: Gateway) -> frozenset[str]:
+    """Return the failure domains of which this VM can reach no server."""
+    now = now_ms()
+    cut = frozenset(gateway.domains.cut_off(now))
+    if not gateway.server_health.has_unreachable:
+        return cut
+    lost, reached = set(), set()
+    for server in gateway.directory.live(now):
+        is_lost = gateway.server_health.is_unreachable(server.announcement.server)
+        (lost if is_lost else reached).add(server.announcement.failure_domain)
+    return cut | (lost - reached)
+
+
+def record_refusing_domain(gateway: Gateway, server: ServerRecord) -> None:
+    """Stop sending requests to a domain that refuses as a whole, until it is reachable again."""
+    announcement, now = server.announcement, now_ms()
+    gateway.log.note(
+        "domain.refuses",
+        domain=announcement.failure_domain,
+        server=announcement.server,
+        start=announcement.incarnation,
+    )
+    if gateway.domains.record_refusals(announcement.failure_domain, now):
+        gateway.log.note(
+            "domain.cut", domain=announcement.failure_domain, server=announcement.server
+        )
+        gateway.peers.reachability_changed()
+
+
 def handle_loss_report(gateway: Gateway, name: str) -> None:
     """Handle the report of another VM that a server is unreachable."""
     gateway.probes.record_loss(now_ms())
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -10,6 +10,7 @@
 from siskinspoke.gateway.client_buffers import BufferedClient
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.plain_attempts import WholeAnswer
+from siskinspoke.gateway.results import mark_result
 from siskinspoke.gateway.upstream import (
     AnswerStarted,
     AttemptAbandonedError,
@@ -18,6 +19,7 @@
     read_body_part,
     release_connection,
 )
+from siskinspoke.gateway.wire import Answer
 from siskinspoke.protocol.events import EventSplitter, parse_event_id
 from siskinspoke.transport.http1 import ClientConnection, PeerError
 
@@ -29,6 +31,7 @@
 MIN_SILENCE_MS = 1_400.0
 # Least timeout of the first event, which follows an answer's head.  Milliseconds.
 MIN_READ_TIMEOUT_MS = 50.0
+TORN_EVENT = "the stream ended in the middle of an event"
 # Framing of the body that is sent to the client.
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -106,13 +109,7 @@
                 parts.append(data)
             complete = True
             return WholeAnswer(started.answer, b"".join(parts))
-        if not relay.head_sent:
-            relay.head_sent = True
-            request.status = started.answer.status
-            headers = [*started.answer.headers, CHUNKED]
-            if relay.close_connection:
-                headers.append((b"Connection", b"close"))
-            await relay.client.send_response_head(started.answer.status, headers)
+        await begin_relay(request, relay, started.answer)
         outcome = await _relay_events(gateway, request, relay, stream)
         complete = isinstance(outcome, StreamCompleted)
         return outcome
@@ -127,6 +124,18 @@
             started.connection.reset()
 
 
+async def begin_relay(request: Request, relay: Relay, answer: Answer) -> None:
+    """Send the head of a stream to the client, unless it has one already."""
+    if relay.head_sent:
+        return
+    relay.head_sent = True
+    request.status = answer.status
+    headers = [*answer.headers, CHUNKED]
+    if relay.close_connection:
+        headers.append((b"Connection", b"close"))
+    await relay.client.send_response_head(answer.status, mark_result(request, headers))
+
+
 async def _relay_events(
     gateway: Gateway, request: Request, relay: Relay, stream: StreamAttempt
 ) -> StreamCompleted | OutcomeUnknown:
@@ -142,18 +151,12 @@
         )
         if data is None:
             if splitter.incomplete:
-                return OutcomeUnknown(
-                    FailureKind.BROKEN, "the stream ended in the middle of an event"
-                )
+                return OutcomeUnknown(FailureKind.BROKEN, TORN_EVENT)
             return StreamCompleted()
         events = splitter.feed(data)
         if not events:
             continue
         now = now_ms()
-        if relay.last_event_at is not None:
-            pause = now - relay.last_event_at
-            request.longest_pause_ms = max(request.longest_pause_ms, pause)
-        relay.last_event_at = now
         stream.attempt.recheck_at = math.inf
         stream.attempt.expect_answer_within(stream.event_due_ms, now)
         if first:
@@ -164,12 +167,24 @@
             if stream.work is not None:
                 gateway.peers.mark_first_token(stream.work)
             _record_first_event(gateway, request, stream, now)
-        fresh = [event for event in events if _is_new(relay, event)]
-        if fresh:
-            relay.events += len(fresh)
-            relay.last_id = splitter.last_id or relay.last_id
-            await relay.client.send_data(b"".join(fresh))
-            request.events = relay.events
+        await relay_events(request, relay, splitter, events)
+
+
+async def relay_events(
+    request: Request, relay: Relay, splitter: EventSplitter, events: list[bytes]
+) -> None:
+    """Send the events to the client that it lacks."""
+    now = now_ms()
+    if relay.last_event_at is not None:
+        pause = now - relay.last_event_at
+        request.longest_pause_ms = max(request.longest_pause_ms, pause)
+    relay.last_event_at = now
+    fresh = [event for event in events if _is_new(relay, event)]
+    if fresh:
+        relay.events += len(fresh)
+        relay.last_id = splitter.last_id or relay.last_id
+        await relay.client.send_data(b"".join(fresh))
+        request.events = relay.events
 
 
 def _is_new(relay: Relay, event: bytes) -> bool:
--- a/siskinspoke/gateway/reports.py
+++ b/siskinspoke/gateway/reports.py
@@ -19,7 +19,7 @@
 from siskinspoke.gateway.announcements import handle_announcement
 from siskinspoke.gateway.context import Gateway, now_ms
 from siskinspoke.gateway.exchange import ask
-from siskinspoke.gateway.reachability import probe, start_probe
+from siskinspoke.gateway.reachability import NoConnection, probe_now, start_probe
 
 POLL_INTERVAL_SECONDS = 1.0
 REPORT_TIMEOUT_SECONDS = 0.4
@@ -128,5 +128,7 @@
                 for record in gateway.directory.live(now_ms())
                 if record.announcement.failure_domain == domain
             ]
-            if servers:
-                await probe(gateway, gateway.rng.choice(servers))
+            if servers and await probe_now(gateway, gateway.rng.choice(servers)) is (
+                NoConnection.REFUSED
+            ):
+                gateway.domains.record_refusals(domain, now_ms())
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -2,6 +2,7 @@
 
 import math
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 
 import trio
 
@@ -21,10 +22,28 @@
 from siskinspoke.gateway.client_buffers import buffered
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.crashes import check_for_crash, check_quarantine, track_attempt
-from siskinspoke.gateway.failover import Failover, PlannedAttempt, RetryObstacle, RetryState
+from siskinspoke.gateway.failover import (
+    Failover,
+    PlannedAttempt,
+    RetryObstacle,
+    RetryState,
+    retry_state_of,
+)
+from siskinspoke.gateway.forwarding.peers import (
+    MAX_ATTEMPTS_OUT_OF_REACH,
+    is_out_of_reach,
+    may_overflow,
+    wants_forward,
+)
+from siskinspoke.gateway.forwarding.sending import Progress, Refused
+from siskinspoke.gateway.forwarding.streams import StreamOutcome, forward_stream
 from siskinspoke.gateway.holds import EVACUATED, Hold, all_evacuated, check_hold
 from siskinspoke.gateway.plain_attempts import MAX_IDLE_MS, WholeAnswer, run_end
-from siskinspoke.gateway.refusals import no_server_failure
+from siskinspoke.gateway.refusals import (
+    is_short_of_room,
+    no_server_failure,
+    out_of_reach_failure,
+)
 from siskinspoke.gateway.relaying import (
     Relay,
     StreamAttempt,
@@ -74,12 +93,16 @@
     quarantine = await check_quarantine(gateway, request)
     if quarantine is not None:
         return quarantine.refusal
-    gateway.budget.first_attempt(request.service, now_ms())
-    retry_state = RetryState()
+    if request.origin is None:
+        gateway.budget.first_attempt(request.service, now_ms())
+    retry_state = retry_state_of(request)
     async with buffered(gateway, request.call.id, client) as output:
         relay = Relay(output, close_connection, last_id=request.call.resume_after)
         try:
-            return await _try_engines(gateway, request, relay, retry_state)
+            result = await _try_engines(gateway, request, relay, retry_state)
+            if is_short_of_room(result) and may_overflow(gateway, request):
+                return await _overflow(gateway, request, relay, retry_state, result)
+            return result
         finally:
             retry_state.release(gateway, request)
 
@@ -89,6 +112,7 @@
 ) -> WholeAnswer | Failure | None:
     """Try one assignment after another until the stream is complete or no retry is allowed."""
     last: WholeAnswer | Failure | None = None
+    refusal: Failure | None = None
     obstacle = RetryObstacle.TRIES
     while retry_state.has_attempts_left(len(request.attempts)):
         if last is not None and await check_quarantine(gateway, request) is not None:
@@ -100,6 +124,27 @@
         if isinstance(planned, RetryObstacle):
             obstacle = planned
             break
+        if isinstance(planned, ForwardNext):
+            outcome = await _forward(gateway, request, relay, retry_state)
+            match outcome:
+                case StreamCompleted():
+                    await relay.client.finish_response()
+                    return None
+                case Refused(failure=failure):
+                    refusal = failure or refusal
+                case OutcomeUnknown(reason=reason):
+                    last = last or Failure(ResultCode.FATE_UNKNOWN, reason)
+                    if not request.route.repeatable:
+                        obstacle = RetryObstacle.NOT_RETRYABLE
+                        break
+                case _ if relay.head_sent:
+                    break
+                case _:
+                    return outcome
+            if retry_state.runs >= request.route.max_attempts:
+                obstacle = RetryObstacle.ATTEMPTS
+                break
+            continue
         assignment = planned.assignment
         outcome = await _attempt(gateway, request, planned, relay, retry_state)
         match outcome:
@@ -124,9 +169,50 @@
         _log_cut(gateway, request, relay, obstacle)
         await relay.flush()
         raise StreamCutError(TRUNCATED_MESSAGE)
+    if last is None and refusal is not None:
+        return refusal
     return last or no_server_failure(gateway, request, "no engine can take the prompt now")
 
 
+async def _overflow(
+    gateway: Gateway,
+    request: Request,
+    relay: Relay,
+    retry_state: RetryState,
+    refusal: Failure,
+) -> WholeAnswer | Failure | None:
+    """Forward a stream that found no room; return what is still to be sent, if anything."""
+    match await _forward(gateway, request, relay, retry_state):
+        case StreamCompleted():
+            await relay.client.finish_response()
+            return None
+        case Refused():
+            return refusal
+        case _ if relay.head_sent:
+            await relay.flush()
+            raise StreamCutError(TRUNCATED_MESSAGE)
+        case OutcomeUnknown(reason=reason):
+            return Failure(ResultCode.FATE_UNKNOWN, reason)
+        case outcome:
+            return outcome
+
+
+@dataclass(frozen=True)
+class ForwardNext:
+    """The next attempt is left to a peer, since this VM reaches no engine."""
+
+
+async def _forward(
+    gateway: Gateway, request: Request, relay: Relay, retry_state: RetryState
+) -> StreamOutcome:
+    """Forward a stream, and count what that used up."""
+    retry_state.release(gateway, request)
+    progress = Progress(retry_state.runs, retry_state.delivered, relay.last_id)
+    outcome = await forward_stream(gateway, request, relay, progress)
+    retry_state.count_forward(outcome)
+    return outcome
+
+
 def _is_final(request: Request, relay: Relay, whole: WholeAnswer) -> bool:
     """Tell whether an answer that is not a stream goes to the client instead of being retried."""
     is_failure = whole.answer.status >= 500 and request.route.repeatable
@@ -163,7 +249,7 @@
 
 async def _plan_attempt(
     gateway: Gateway, request: Request, relay: Relay, retry_state: RetryState
-) -> PlannedAttempt | RetryObstacle | Failure:
+) -> PlannedAttempt | ForwardNext | RetryObstacle | Failure:
     """Return the next attempt, or the reason why there is none.
 
     A stream that has not been sent anywhere enters admission, where that is on.  A stream that has
@@ -172,6 +258,11 @@
     crashed waits for an idle engine, for ISOLATION_WAIT_SHARE of its remaining time.  Anything else
     is refused at once.
     """
+    if wants_forward(gateway, request):
+        return ForwardNext()
+    may_try = request.origin is None and retry_state.undelivered < MAX_ATTEMPTS_OUT_OF_REACH
+    if not may_try and not relay.head_sent and is_out_of_reach(gateway, request):
+        return out_of_reach_failure(gateway)
     if not request.attempts and not request.crashes and not relay.head_sent:
         excluded = retry_state.excluded.current(gateway.directory, now_ms())
         admitted = await admit_stream(gateway, request, excluded)
@@ -198,6 +289,8 @@
             gateway.log.note("place.wanting", request=request.call.id, why=obstacle.value)
         logged = obstacle
         await trio.sleep(RECHECK_SECONDS * gateway.rng.uniform(0.5, 1.5))
+        if wants_forward(gateway, request):
+            return ForwardNext()
     return planned
 
 
@@ -320,7 +413,7 @@
         )
         if found is not None:
             retry_state.planned = book(gateway, found)
-        return found is not None
+        return found is not None or wants_forward(gateway, request)
 
     return Failover(gateway, request, assignment.name, retry_state, plan_next)
 
--- a/siskinspoke/protocol/peers.py
+++ b/siskinspoke/protocol/peers.py
@@ -94,7 +94,8 @@
     counts requests and retries since the last message. ``cuts`` are the failure domains that a VM
     in ``domain`` now considers unreachable, ``lost`` the servers that it could not reach.
     ``waiting`` are requests that began to wait for room, ``left`` the numbers of those that no
-    longer do, and ``open_calls`` the changed numbers of open plain calls.
+    longer do, and ``open_calls`` the changed numbers of open plain calls. ``unreachable`` are all
+    failure domains whose servers the sender cannot reach at present.
     """
 
     host: str
@@ -110,6 +111,7 @@
     waiting: Sequence[WaitBegan] = ()
     left: Sequence[int] = ()
     open_calls: Sequence[OpenCalls] = ()
+    unreachable: Sequence[str] = ()
 
 
 @message
