--- a/tests/platform/cell_site.py
+++ b/tests/platform/cell_site.py
@@ -3,6 +3,7 @@
 import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 import trio.testing
@@ -65,15 +66,31 @@
         """Return the servers."""
         return self.fleet.servers
 
-    async def start_servers(self, scripts: list) -> None:
-        """Start a server for each script, in the failure domains in turn."""
+    async def start_servers(self, scripts: list, **traits) -> None:
+        """Start a server for each script, in the failure domains in turn.
+
+        A server that crashes starts again under another name.
+        """
         for number, script in enumerate(scripts):
-            server = StandinServer(f"i-{number}")
+            server = StandinServer(f"i-{number}", **traits)
             server.script.append(script)
+            server.on_restart = partial(self._rename_and_announce, number)
             await self.fleet._nursery.start(server.serve)
             self.fleet.servers.append(server)
-            for site in self.sites:
-                site.announce(server, self.fleet.service, domain=DOMAINS[number % len(DOMAINS)])
+            self._announce(server, number)
+
+    def _rename_and_announce(self, number: int, server: StandinServer) -> None:
+        server.name = f"i-{number}-{server.starts}"
+        self._announce(server, number)
+
+    def _announce(self, server: StandinServer, number: int) -> None:
+        for site in self.sites:
+            site.announce(server, self.fleet.service, domain=DOMAINS[number % len(DOMAINS)])
+
+    @property
+    def crash_count(self) -> int:
+        """Return how many times servers have crashed."""
+        return sum(server.crash_count for server in self.servers)
 
     async def send(self, site: Site, path: str, request_id: str, **headers) -> Result:
         """Send one request and record its result."""
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -101,9 +101,9 @@
     the server is ``leaving``. ``account`` records whether VMs comply; at its end, every test checks
     the accounts of all its servers.
 
-    A request whose body is in ``crashing_bodies`` crashes the process ``crash_after`` seconds
-    later, with everything open there. It restarts ``restart_after`` seconds after that and calls
-    ``on_restart``.
+    A request whose body is in ``crashing_bodies``, or with a part of its prompt but the last in
+    ``crashing_parts``, crashes the process ``crash_after`` seconds later, with everything open
+    there. It restarts ``restart_after`` seconds after that and calls ``on_restart``.
     """
 
     name: str
@@ -114,6 +114,7 @@
     host: str = "127.0.0.1"
     port: int = 0
     crashing_bodies: frozenset[bytes] = frozenset()
+    crashing_parts: frozenset[str] = frozenset()
     crash_after: float = 0.05
     restart_after: float = 0.4
     starts: int = 1
@@ -151,6 +152,12 @@
         """Return how many times the process has crashed."""
         return self.starts - 1 + self.process.cancel_called
 
+    def _crashes(self, body: bytes, headers: dict[str, str]) -> bool:
+        """Return whether a request crashes the process."""
+        prefix = headers.get("Prompt-Prefix", "").split(",")[:-1]
+        parts = {item.partition(":")[0] for item in prefix}
+        return body in self.crashing_bodies or not parts.isdisjoint(self.crashing_parts)
+
     async def _crash_soon(self) -> None:
         process = self.process
         await trio.sleep(self.crash_after)
@@ -180,7 +187,7 @@
                 self.seen.append(ReceivedRequest(lines[0], body, headers, number, ran))
                 if "Request-Id" in headers:
                     self.account.record_request(vm, trio.current_time())
-                if body in self.crashing_bodies:
+                if self._crashes(body, headers):
                     self._nursery.start_soon(self._crash_soon)
                 if not await self._answer(stream, vm, headers, behaviour):
                     return
