Quarantine parts of prompts that crash servers

Cause: evidence about crashes was kept for whole requests. Class: a unit of blame that is smaller than what causes the fault. Ruled out: crashes that are found too late (each alert has its server.crashed before it).

Change: runs carry the parts of their prompts but the last, and so do reports of crashes. A part is blamed if several requests with it ended servers one after the other, no single request was at all of these crashes, no request with the part was answered since, and no other part explains more of them; parts that always came together are blamed together. A request with parts is not tried again after two crashes if it was alone at the last one: further attempts of the same body tell no more. Nothing is computed while no crash is known but one entry for each answered part.

--- /dev/null
+++ b/siskinspoke/coordination/crash_evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence from crashes of servers about what their requests have in common."""
--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
+from siskinspoke.coordination.crash_evidence.parts import Blame, PartLedger, Parts, usable_parts
 from siskinspoke.coordination.crashes import (
     Clear,
     Crash,
@@ -45,6 +46,9 @@
 # A message with this many crashes fits into a datagram even if each has the maximum number of
 # suspects.
 CRASHES_PER_MESSAGE = 16
+# A request whose prompt has parts is not tried again after this many crashes, if it was alone at
+# the last one.
+MAX_CRASHES_WITH_PARTS = 2
 
 
 class Log(Protocol):
@@ -78,6 +82,7 @@
     starts: frozenset[Start]
     began_at: float
     ended_at: float
+    parts: tuple[str, ...] = ()
 
 
 class CrashWatch:
@@ -88,6 +93,8 @@
         self._counters = counters
         self._log = log
         self._ledger = CrashLedger()
+        self._parts = PartLedger(self._ledger)
+        self._blamed_parts: set[Parts] = set()
         self._open_runs: set[OpenRun] = set()
         self._abandoned: deque[AbandonedRun] = deque(maxlen=MAX_ABANDONED_RUNS)
         self._local_suspects: dict[Start, set[str]] = {}
@@ -111,9 +118,12 @@
         match end:
             case RunEnd.WHOLE:
                 self._clear(run.subject, now)
+                self._clear_parts(run.subject, now)
             case RunEnd.BROKE:
-                fingerprint = run.subject.fingerprint
-                self._abandoned.append(AbandonedRun(fingerprint, run.starts, run.began_at, now))
+                subject = run.subject
+                self._abandoned.append(
+                    AbandonedRun(subject.fingerprint, run.starts, run.began_at, now, subject.parts)
+                )
 
     def _clear(self, subject: RequestIdentity, now: float) -> None:
         if not self.is_suspect(subject):
@@ -128,6 +138,27 @@
         self._log.note("request.cleared", fingerprint=fingerprint, lifted=lifted)
         self._publish(make_crash_news(served=[SuspectEvent(fingerprint, 0)]))
 
+    def _clear_parts(self, subject: RequestIdentity, now: float) -> None:
+        """Record that a request was answered, which clears the parts of its prompt."""
+        cleared = [part for part in subject.parts if self._parts.record_answer(part, now)]
+        if cleared:
+            self._counters.count("crash.parts_cleared", len(cleared))
+            self._publish(make_crash_news(served=[SuspectEvent("", 0, tuple(cleared))]))
+
+    def blames_parts(self, subject: RequestIdentity, now: float) -> bool:
+        """Return whether a request must not be sent because of parts that crash servers."""
+        return isinstance(self._parts.judge(subject.parts, now), Quarantined)
+
+    def stops_after_crash(self, subject: RequestIdentity, crashes: int) -> bool:
+        """Return whether a request is not tried again that was alone when a server crashed.
+
+        What crashes servers may be a part of its prompt; it is found by comparing requests, and
+        further attempts of the same one would end servers without telling more.
+        """
+        if not subject.parts or crashes < MAX_CRASHES_WITH_PARTS:
+            return False
+        return self._ledger.was_alone(subject.fingerprint)
+
     def is_suspect(self, subject: RequestIdentity) -> bool:
         """Return whether a server crashed with this request open; hash the body only if needed."""
         if self._ledger.is_empty or not self._ledger.has_shape(subject.shape):
@@ -135,7 +166,11 @@
         return self._ledger.has_suspect(subject.fingerprint)
 
     def judge(self, subject: RequestIdentity, now: float) -> Verdict:
-        """Return the verdict on a request."""
+        """Return the verdict on a request, and on the parts of its prompt."""
+        verdict = self._parts.judge(subject.parts, now)
+        if not isinstance(verdict, Clear):
+            self._log_blame(self._parts.find(subject.parts))
+            return verdict
         if not self.is_suspect(subject):
             return Clear()
         verdict = self._ledger.judge(subject.fingerprint, now)
@@ -164,8 +199,29 @@
                 self._counters.count("quarantine.lifted")
                 self._log.note("request.released", fingerprint=fingerprint)
 
+    def _log_blame(self, blame: Blame) -> None:
+        if blame.parts in self._blamed_parts:
+            return
+        self._blamed_parts.add(blame.parts)
+        self._counters.count("quarantine.parts")
+        self._log.note(
+            "parts.quarantined",
+            parts=sorted(blame.parts),
+            crashes=blame.crashes,
+            servers=list(blame.servers),
+        )
+
     def record_probe(self, subject: RequestIdentity, now: float) -> None:
         """Record that one attempt of a request is let through after its quarantine."""
+        blame = self._parts.find(subject.parts)
+        if blame is not None:
+            if self._parts.record_trial(blame.parts, now):
+                self._counters.count("quarantine.probed")
+                self._log.note("parts.probed", parts=sorted(blame.parts))
+                self._publish(
+                    make_crash_news(probed=[SuspectEvent("", 0, tuple(sorted(blame.parts)))])
+                )
+            return
         fingerprint = subject.fingerprint
         if self._ledger.record_probe(fingerprint, now):
             self._counters.count("quarantine.probed")
@@ -201,12 +257,12 @@
     def _suspects_at(self, start: Start, at: float) -> list[Suspect]:
         """Return this VM's runs that were open, or just abandoned, when a server crashed."""
         suspects = [
-            Suspect(run.subject.fingerprint, run.began_at)
+            Suspect(run.subject.fingerprint, run.began_at, run.subject.parts)
             for run in self._open_runs
             if start in run.starts and run.began_at <= at
         ]
         suspects += [
-            Suspect(run.fingerprint, run.began_at)
+            Suspect(run.fingerprint, run.began_at, run.parts)
             for run in self._abandoned
             if start in run.starts and run.began_at <= at <= run.ended_at + ABANDONED_GRACE_MS
         ]
@@ -257,7 +313,10 @@
     def _handle_crash(self, report: CrashReport, now: float) -> bool:
         at = now - report.age_ms
         start = (report.server, report.incarnation)
-        suspects = [Suspect(item.fingerprint, at - item.ran_ms) for item in report.suspects]
+        suspects = [
+            Suspect(item.fingerprint, at - item.ran_ms, usable_parts(item.parts))
+            for item in report.suspects
+        ]
         is_known = self._ledger.find(start) is not None
         new_suspects = self._ledger.record_crash(
             start, report.service, report.servers, at, suspects
@@ -288,9 +347,15 @@
             self._publish(make_crash_news(served=cleared))
 
     def _handle_served(self, item: SuspectEvent, now: float) -> bool:
+        if item.parts:
+            at = now - item.age_ms
+            cleared = [part for part in item.parts if self._parts.record_answer(part, at)]
+            return bool(cleared)
         return self._ledger.record_answer(item.fingerprint, now - item.age_ms)
 
     def _handle_probed(self, item: SuspectEvent, now: float) -> bool:
+        if item.parts:
+            return self._parts.record_trial(frozenset(item.parts), now - item.age_ms)
         return self._ledger.record_probe(item.fingerprint, now - item.age_ms)
 
     def _handle_refuted(self, item: RefutedCrash, now: float) -> bool:
@@ -324,6 +389,11 @@
             reports = [_crash_report(crash, suspects, now) for crash, suspects in batch]
             fingerprints = {item.fingerprint for report in reports for item in report.suspects}
             served = _suspect_events(self._ledger.answered_at, fingerprints, now)
+            parts = {part for report in reports for item in report.suspects for part in item.parts}
+            served += [
+                SuspectEvent("", round(now - self._parts.answered_at[part]), (part,))
+                for part in sorted(parts & self._parts.answered_at.keys())
+            ]
             probed = _suspect_events(self._ledger.probed_at, fingerprints, now)
             messages.append(make_crash_news(reports, served, probed))
         return messages
@@ -333,6 +403,8 @@
         while self._abandoned and now - self._abandoned[0].ended_at > ABANDONED_RETENTION_MS:
             self._abandoned.popleft()
         self._ledger.prune(now)
+        self._parts.prune()
+        self._log_released_parts()
         for start in [start for start in self._local_suspects if self._ledger.find(start) is None]:
             del self._local_suspects[start]
         for item in [item for item in self._answered_at if not self._ledger.has_suspect(item)]:
@@ -340,6 +412,16 @@
         self._quarantined = {item for item in self._quarantined if self._ledger.has_suspect(item)}
         self._counters.gauge("crash.remembered", len(self._ledger.crashes))
 
+    def _log_released_parts(self) -> None:
+        """Log parts that were answered, or whose crashes have expired."""
+        if not self._blamed_parts:
+            return
+        blamed = {item.parts for item in self._parts.blames()}
+        for parts in self._blamed_parts - blamed:
+            self._counters.count("quarantine.parts_lifted")
+            self._log.note("parts.released", parts=sorted(parts))
+        self._blamed_parts &= blamed
+
 
 def _crash_report(crash: Crash, suspects: Iterable[Suspect], now: float) -> CrashReport:
     server, incarnation = crash.start
@@ -349,7 +431,10 @@
         crash.service,
         crash.servers,
         round(now - crash.at),
-        [SuspectReport(item.fingerprint, round(crash.at - item.began_at)) for item in suspects],
+        [
+            SuspectReport(item.fingerprint, round(crash.at - item.began_at), item.parts)
+            for item in suspects
+        ],
     )
 
 
--- a/siskinspoke/coordination/crashes.py
+++ b/siskinspoke/coordination/crashes.py
@@ -21,16 +21,10 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from siskinspoke.coordination.crash_evidence.accidents import MAX_CRASH_WEIGHT, accident_weight
 from siskinspoke.coordination.fingerprints import shape_of
 from siskinspoke.core.codes import Failure, ResultCode
 
-# A crash that hits a run by chance with probability p has the weight log(K * p ** (K - 1)), a
-# p-to-e calibrator. Under chance alone its exponential has the mean 1, so a request that meets many
-# unrelated crashes gathers no weight: the probability that it ever reaches weight w is at most
-# exp(-w).
-CALIBRATOR_KAPPA = 0.3
-# Maximum weight of one crash, about that of a probability of 1 in 400.
-MAX_CRASH_WEIGHT = 3.0
 # Weight at which a request is quarantined; three crashes without another explanation reach it.
 QUARANTINE_WEIGHT = 8.0
 # Another request that was open at a crash, and not answered since, may be the cause instead; if it
@@ -70,10 +64,14 @@
 
 
 class Suspect(NamedTuple):
-    """A request that was open at a server when it crashed, and when it was sent there."""
+    """A request that was open at a server when it crashed, and when it was sent there.
+
+    ``parts`` are the parts of its prompt before the last one.
+    """
 
     fingerprint: str
     began_at: float
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -163,6 +161,12 @@
         self._refuted_at: dict[Start, float] = {}
         self._by_service: dict[str, list[Crash]] = {}
         self._evidence: dict[str, _Evidence] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Return a number that changes with the crashes and their suspects."""
+        return self._revision
 
     @property
     def is_empty(self) -> bool:
@@ -197,6 +201,11 @@
             if item.at > served_at
         ]
 
+    def was_alone(self, fingerprint: str) -> bool:
+        """Return whether a request was the only one open at the last crash that it met."""
+        crashes = self._by_fingerprint.get(fingerprint)
+        return bool(crashes) and len(crashes[-1].suspects) == 1
+
     def has_shape(self, shape: str) -> bool:
         """Return whether a suspect has this shape; otherwise the body need not be hashed."""
         return shape in self._shape_counts
@@ -221,6 +230,7 @@
             bisect.insort(self._by_service.setdefault(service, []), crash, key=_crash_time)
             self._drop_oldest()
         self._evidence.clear()
+        self._revision += 1
         new_suspects = [item for item in suspects if self._add_suspect(crash, item)]
         return new_suspects if new_suspects or is_news else None
 
@@ -247,6 +257,7 @@
 
     def _drop(self, crash: Crash) -> None:
         self._evidence.clear()
+        self._revision += 1
         del self._crashes[crash.start]
         service_crashes = self._by_service[crash.service]
         service_crashes.remove(crash)
@@ -386,10 +397,8 @@
 
     def _accident_weight(self, crash: Crash, suspect: Suspect) -> float:
         """Return how unlikely it is that the server crashed during the run by chance."""
-        ran_ms = max(1.0, crash.at - suspect.began_at)
-        chance = -math.expm1(-self._background_crash_rate(crash, suspect.fingerprint) * ran_ms)
-        weight = math.log(CALIBRATOR_KAPPA) + (CALIBRATOR_KAPPA - 1) * math.log(chance)
-        return min(MAX_CRASH_WEIGHT, weight)
+        rate = self._background_crash_rate(crash, suspect.fingerprint)
+        return accident_weight(crash.at - suspect.began_at, rate)
 
     def _background_crash_rate(self, crash: Crash, fingerprint: str) -> float:
         """Return the rate of crashes without this request, in crashes per server and millisecond.
--- a/siskinspoke/coordination/fingerprints.py
+++ b/siskinspoke/coordination/fingerprints.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cached_property
 
 import xxhash
@@ -16,11 +16,15 @@
 
 @dataclass(frozen=True)
 class RequestIdentity:
-    """The parts of a request that decide whether it equals another one."""
+    """The properties of a request that decide whether it equals another one.
+
+    ``parts`` name what its prompt shares with those of other requests; they are not compared.
+    """
 
     customer: str
     target: str
     body: bytes | str
+    parts: tuple[str, ...] = field(default=(), compare=False)
 
     @cached_property
     def shape(self) -> str:
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -184,6 +184,8 @@
     longest_pause_ms: float = 0.0
     # Servers that crashed with this request open, as long as it has not been cleared since.
     crashes: int = 0
+    # Whether it is let through to find out whether a quarantine still holds.
+    trial: bool = False
     status: int = 0
     end: str = ""
     # The only failure domains whose servers may serve this request; None allows all.
@@ -217,7 +219,9 @@
     def subject(self) -> RequestIdentity:
         """Return the identity by which repeats of this request are recognized."""
         customer = self.customer.name if self.customer is not None else ""
-        return RequestIdentity(customer, f"{self.call.host}{self.call.target}", self.call.body)
+        target = f"{self.call.host}{self.call.target}"
+        parts = self.call.prompt.parts if self.call.prompt is not None else ()
+        return RequestIdentity(customer, target, self.call.body, parts)
 
     @property
     def rank(self) -> int:
--- a/siskinspoke/gateway/crashes.py
+++ b/siskinspoke/gateway/crashes.py
@@ -64,6 +64,7 @@
             case Probation(crashes=crashes):
                 gateway.crashes.record_probe(request.subject, now)
                 request.crashes = crashes
+                request.trial = True
                 return None
             case Suspected(crashes=crashes):
                 request.crashes = crashes
--- a/siskinspoke/gateway/forwarding/receiving.py
+++ b/siskinspoke/gateway/forwarding/receiving.py
@@ -45,7 +45,7 @@
         body=body,
         deadline_ms=origin.deadline_ms,
         key=origin.key,
-        prompt=None if origin.prompt is None else Prompt(*origin.prompt),
+        prompt=None if origin.prompt is None else Prompt(*origin.prompt, origin.parts),
         resume_after=origin.resume_after,
     )
 
--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -179,11 +179,12 @@
         service=request.service,
         deadline_ms=call.deadline_ms,
         elapsed_ms=now_ms() - request.arrived_ms + HOP_MARGIN_MS,
-        prompt=None if call.prompt is None else tuple(call.prompt),
+        prompt=None if call.prompt is None else (call.prompt.tokens, call.prompt.max_tokens),
         resume_after=progress.resume_after,
         runs=progress.runs,
         delivered=progress.delivered,
         digest=digest_of(call.method, call.target, call.body),
+        parts=() if call.prompt is None else call.prompt.parts,
     )
 
 
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -79,6 +79,7 @@
 # server may be behind the same network partition, where a pooled connection would accept the
 # request and never answer.
 MAX_IDLE_AFTER_LOSS_MS = 0.0
+QUARANTINED = "servers crash under a part of its prompt"
 TRUNCATED_MESSAGE = "the stream broke off"
 # A request during which servers have crashed waits for an idle engine for up to this share of its
 # remaining time.
@@ -115,9 +116,13 @@
     refusal: Failure | None = None
     obstacle = RetryObstacle.TRIES
     while retry_state.has_attempts_left(len(request.attempts)):
-        if last is not None and await check_quarantine(gateway, request) is not None:
-            obstacle = RetryObstacle.QUARANTINE
-            break
+        if last is not None or request.held:
+            quarantine = await check_quarantine(gateway, request)
+            if quarantine is not None:
+                refusal = quarantine.refusal
+            if quarantine is not None or _stops_after_crash(gateway, request, last):
+                obstacle = RetryObstacle.QUARANTINE
+                break
         planned = await _plan_attempt(gateway, request, relay, retry_state)
         if isinstance(planned, Failure):
             return planned
@@ -213,6 +218,11 @@
     return outcome
 
 
+def _stops_after_crash(gateway: Gateway, request: Request, last: object) -> bool:
+    """Tell whether a request has crashed servers and is not tried on another one."""
+    return last is not None and gateway.crashes.stops_after_crash(request.subject, request.crashes)
+
+
 def _is_final(request: Request, relay: Relay, whole: WholeAnswer) -> bool:
     """Tell whether an answer that is not a stream goes to the client instead of being retried."""
     is_failure = whole.answer.status >= 500 and request.route.repeatable
@@ -361,6 +371,11 @@
                 outcome = NotRun(failure_kind, reason, arrived=False, member=reservation.server)
                 run.end = RunEnd.NOT_RUN
                 return outcome
+            if gateway.crashes.blames_parts(request.subject, now_ms()) and not request.trial:
+                # The verdict may have come while the request waited for room.
+                outcome = NotRun(FailureKind.HELD, QUARANTINED, arrived=False)
+                run.end = RunEnd.NOT_RUN
+                return outcome
             dispatch = _dispatch(request, assignment, relay, reservation)
             seconds = _first_token_timeout(request, assignment, began_at)
             sent = None
--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -11,10 +11,14 @@
 
 
 class Prompt(NamedTuple):
-    """The size of a prompt and its longest output, in tokens."""
+    """The size of a prompt and its longest output, in tokens.
+
+    ``parts`` name what the prompt may share with others, in order; its last part is its own.
+    """
 
     tokens: int
     max_tokens: int
+    parts: tuple[str, ...] = ()
 
 
 class Call(NamedTuple):
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -3,6 +3,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from siskinspoke.coordination.crash_evidence.parts import usable_parts
 from siskinspoke.coordination.routes import RouteTable
 from siskinspoke.coordination.server_places import ServerLoad
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
@@ -49,11 +50,18 @@
         return None
     try:
         tokens, max_tokens = text.split(",")
-        return Prompt(int(tokens), int(max_tokens))
+        return Prompt(int(tokens), int(max_tokens), _parse_parts(headers))
     except ValueError:
         return None
 
 
+def _parse_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the names of the parts of a prompt but the last, as far as they can be read."""
+    shared = (_first_header(headers, names.PROMPT_PARTS) or "").split(",")[:-1]
+    parts = [entry.partition(":")[0].strip().lower() for entry in shared]
+    return usable_parts(part for part in parts if part.isascii() and part.isalnum())
+
+
 def _format_helper(helper: Helper) -> str:
     address = f"{helper.host}:{helper.port}"
     return f"{address}/{helper.reservation}" if helper.reservation else address
--- a/siskinspoke/platform/names.py
+++ b/siskinspoke/platform/names.py
@@ -11,6 +11,8 @@
 LAST_EVENT = b"Last-Event-Id"
 # Number of prompt tokens and maximum number of output tokens, separated by a comma.
 TOKEN_COUNTS = b"Token-Counts"
+# The parts of the prompt as ID:TOKENS, separated by commas; the last belongs to the request alone.
+PROMPT_PARTS = b"Prompt-Prefix"
 # From 0, the highest priority, to 9, the lowest.
 PRIORITY = b"Request-Priority"
 # Other servers that prefill parts of the prompt, as HOST:PORT or HOST:PORT/RESERVATION.
--- a/siskinspoke/protocol/crashes.py
+++ b/siskinspoke/protocol/crashes.py
@@ -10,10 +10,14 @@
 
 
 class SuspectReport(NamedTuple):
-    """A request that was open at a server when it crashed, and how long it had been running."""
+    """A request that was open at a server when it crashed, and how long it had been running.
+
+    ``parts`` are the parts of its prompt before the last one.
+    """
 
     fingerprint: str
     ran_ms: int
+    parts: tuple[str, ...] = ()
 
 
 class CrashReport(NamedTuple):
@@ -28,10 +32,11 @@
 
 
 class SuspectEvent(NamedTuple):
-    """An event that concerns a suspect request."""
+    """An event that concerns a suspect request, or the parts of prompts that ``parts`` names."""
 
     fingerprint: str
     age_ms: int
+    parts: tuple[str, ...] = ()
 
 
 class RefutedCrash(NamedTuple):
--- a/siskinspoke/protocol/forwarding.py
+++ b/siskinspoke/protocol/forwarding.py
@@ -42,6 +42,7 @@
     runs: int
     delivered: int
     digest: str
+    parts: tuple[str, ...] = ()
 
 
 def digest_of(method: str, target: str, body: bytes) -> str:
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -1,9 +1,10 @@
 """Requests with one part of their prompts in common, which crashes servers; no two are alike."""
 
+import pytest
 import trio
 
 from tests.platform.cell_site import PROMPT, Cell, cell_site
-from tests.platform.site import KEY
+from tests.platform.site import KEY, gateway_site, servers
 from tests.platform.standin_server import Events
 
 VMS, SERVERS = 4, 12
@@ -103,3 +104,32 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(run)
+
+
+class TestOddParts:
+    """Guards against lists of parts that end a connection, or are changed on their way."""
+
+    @pytest.mark.parametrize(
+        "value",
+        ["", ",", ":", "a", "a:", "a:x,b", "\xe9:1,b:2", "a:1,a:1,a:1", "x" * 500 + ":1,b:1"],
+    )
+    def test_request_is_passed_on_unchanged(self, value, tmp_path):
+        async def run():
+            async with gateway_site(tmp_path) as site, servers(site, "engines", [SOUND]) as (one,):
+                answer = await site.ask("/stream/x", Prompt_Prefix=value, **PROMPT)
+                assert answer.whole
+                assert one.seen[0].headers["Prompt-Prefix"] == value
+
+        trio.run(run)
+
+    def test_ten_thousand_parts_are_refused_or_passed_on(self, tmp_path):
+        async def run():
+            async with gateway_site(tmp_path) as site, servers(site, "engines", [SOUND]) as (one,):
+                many = ",".join(f"{number:x}:1" for number in range(10_000))
+                answer = await site.ask("/stream/x", Prompt_Prefix=many, **PROMPT)
+                assert answer.status == 431
+                some = ",".join(f"{number:x}:1" for number in range(1_000))
+                assert (await site.ask("/stream/x", Prompt_Prefix=some, **PROMPT)).whole
+                assert len(one.seen) == 1
+
+        trio.run(run)
