Compare the beginnings of prompts at the product's own interface after crashes

The prefix blocks of a prompt, hashed for routing anyway, are its parts, and a request that was alone at two crashes is not tried again.

The bound of six does not hold: behind the test's proxy a dead engine accepts connections, its crash is found only when it has started again, and each request is tried at four engines until then.

--- a/siskinspoke/entry/completion_attempts.py
+++ b/siskinspoke/entry/completion_attempts.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from siskinspoke.coordination.crash_evidence.parts import MAX_PARTS, usable_parts
 from siskinspoke.coordination.crash_watch import OpenRun, RunEnd
 from siskinspoke.coordination.deadlines import margin_seconds
 from siskinspoke.coordination.excluded_servers import ExcludedServers
@@ -103,7 +104,8 @@
     def _identity(self) -> RequestIdentity:
         """Return the identity by which repeats of the request are recognized."""
         target = f"{self.completion.service}/{self.completion.max_tokens}"
-        return RequestIdentity(self.caller.customer, target, self.completion.prompt)
+        parts = usable_parts(f"{block:x}" for block in self._prefix_blocks[:MAX_PARTS])
+        return RequestIdentity(self.caller.customer, target, self.completion.prompt, parts)
 
     def _routing_request(self) -> RoutingRequest:
         limits = self._limits
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from siskinspoke.coordination import fairness
-from siskinspoke.coordination.crashes import Probation, Quarantined
+from siskinspoke.coordination.crashes import Probation, Quarantined, Suspected
 from siskinspoke.coordination.routing import Choice
 from siskinspoke.core.codes import Failure, ResultCode, RunStatus
 from siskinspoke.entry import groups
@@ -191,7 +191,7 @@
             progress.excluded.exclude_temporarily(target.server, now_ms())
             if progress.attempt == MAX_ATTEMPTS:
                 break
-            if isinstance(await wait_for_verdict(context, self._identity), Quarantined):
+            if await self._may_crash_servers():
                 return self._dispatch_failure("this request may be crashing servers")
             chosen = await self._next_choice(reason)
             if isinstance(chosen, Failure):
@@ -202,6 +202,15 @@
                 return await self._serve_by_group()
         return self._dispatch_failure("all attempts failed")
 
+    async def _may_crash_servers(self) -> bool:
+        """Return whether the request is not tried again after what is known of crashes."""
+        match await wait_for_verdict(self._context, self._identity):
+            case Quarantined():
+                return True
+            case Suspected(crashes=crashes):
+                return self._context.crashes.stops_after_crash(self._identity, crashes)
+        return False
+
     async def _next_choice(self, reason: str) -> Choice | Failure:
         """Return the next routing choice, or the failure with which the request ends.
 
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -13,6 +13,7 @@
 HARMLESS_BODY = {"model": "redactor", "prompt": "what any engine answers " * 50, "max_tokens": 40}
 CRASHES_TO_QUARANTINE = 3
 SETTLE_SECONDS = 3.0
+MAX_CRASHES_OF_A_PART = 6
 
 
 class RestartingSite:
@@ -78,3 +79,16 @@
         assert site.crash_count - crashes_before <= 3
         assert codes[-2:] == [ResultCode.QUARANTINED] * 2
         assert site.send(restarted, HARMLESS_BODY) == {}
+
+    def test_prompts_with_a_fatal_beginning(self, make_site):
+        """Guards against prompts that share a beginning, and crash engines one after the other."""
+        running = make_site(engines_per_domain=2, engine_flags=(f"--deadly_text={FATAL_TEXT}",))
+        site = RestartingSite(running)
+        entries = [entry.name for entry in running.fleet.settings.entries]
+        codes = []
+        for number in range(9):
+            body = FATAL_BODY | {"prompt": f"{FATAL_BODY['prompt']} question {number}"}
+            codes.append(site.send(entries[number % len(entries)], body).get("code", 0))
+            assert site.send(entries[number % len(entries)], HARMLESS_BODY) == {}
+        assert site.crash_count <= MAX_CRASHES_OF_A_PART
+        assert codes[-3:] == [ResultCode.QUARANTINED] * 3
