Do not take an answered request for the explanation of crashes under a part

A part that crashes servers was not blamed while a frequent request, of one body and answered all the time, was open at each of the crashes: the rule that one request at all crashes explains them did not ask whether it had been answered.

--- a/siskinspoke/coordination/crash_evidence/parts.py
+++ b/siskinspoke/coordination/crash_evidence/parts.py
@@ -6,8 +6,8 @@
 
 Evidence is taken from the crashes of a ``CrashLedger``. A part is blamed only if
 
-* runs of several requests with it ended in crashes, one after the other, and no single request was
-  open at all of them;
+* runs of several requests with it ended in crashes, one after the other, and no single request that
+  was never answered was open at all of them;
 * no request with it has been answered since; a part that had been answered before needs more;
 * no other part was open at more of the crashes. Parts that were open at the same crashes are blamed
   together: only requests with all of them are refused.
@@ -190,7 +190,7 @@
         if len(requests) < MIN_REQUESTS:
             return False
         always_open = set.intersection(*(set(crash.suspects) for crash in crashes))
-        if always_open:
+        if always_open - self._ledger.answered_at.keys():
             return False
         answered_before = all(item in self._answered_at for item in parts)
         needed = ANSWERED_BEFORE_WEIGHT if answered_before else QUARANTINE_WEIGHT
--- a/tests/coordination/crash_evidence/test_parts.py
+++ b/tests/coordination/crash_evidence/test_parts.py
@@ -77,6 +77,15 @@
         assert isinstance(world.judge(SHARED, BAD), Quarantined)
         assert isinstance(world.judge(SHARED, OTHER), Clear)
 
+    def test_request_that_is_answered_elsewhere_is_no_other_explanation(self):
+        """Guards against a part that goes unnoticed beside a frequent request."""
+        world = World()
+        for number in range(4):
+            world.crash((f"r{number}", (SHARED, BAD)), ("frequent", (SHARED,)))
+            world.ledger.record_answer("frequent" * 10, world.now)
+            world.answer(SHARED)
+        assert isinstance(world.judge(SHARED, BAD), Quarantined)
+
     def test_parts_that_always_came_together_are_blamed_together(self):
         world = World()
         for number in range(3):
