Cut gateways off from servers in the soak, and send requests that crash engines

The links of each gateway hang, are reset or refuse new connections in turn, by a file that the process follows; prompts share parts, and one part crashes the engine that begins to answer, whose address then refuses connections.

--- a/siskinspoke/testing/group_site.py
+++ b/siskinspoke/testing/group_site.py
@@ -74,7 +74,8 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+                env=os.environ
+                | {"PYTHONUNBUFFERED": "1", "SISKINSPOKE_LINKS_FOLDER": str(self.folder)},
             )
 
     def survives_signal(self, name: str, number: int) -> bool:
--- a/siskinspoke/testing/server_links.py
+++ b/siskinspoke/testing/server_links.py
@@ -76,18 +76,20 @@
         connection._stream = LinkedStream(connection._stream, self, vm, port)
         return connection
 
+    def install(self) -> None:
+        """Replace the gateways' connect function."""
+        for module in (reachability, exchange):
+            module.connect = self.connect
+
     @contextmanager
     def installed(self):
         """Replace the gateways' connect function while the context is open."""
-        modules = (reachability, exchange)
-        original = self._connect
-        for module in modules:
-            module.connect = self.connect
+        self.install()
         try:
             yield self
         finally:
-            for module in modules:
-                module.connect = original
+            for module in (reachability, exchange):
+                module.connect = self._connect
 
 
 class LinkedStream:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -44,6 +44,24 @@
         assert sum(soak.status_counts.values()) > 20
 
 
+class TestLinksAndPartsSoak:
+    """Gateways are cut off from all servers, and a part of prompts crashes engines.
+
+    Guards against calls that run twice or are called not run after a forward broke off, streams
+    that are joined wrongly, and a part that crashes more than six servers.
+    """
+
+    RUN_SECONDS = 10.0
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_invariants_hold(self, seed, tmp_path):
+        soak = run_soak(
+            seed, tmp_path / "site", _next_net(), self.RUN_SECONDS, 3, links_and_parts=True
+        )
+        assert not soak.violations, soak.violations
+        assert sum(soak.status_counts.values()) > 20
+
+
 class TestStopTimeout:
     """The time limit of the soak for a process to stop."""
 
