--- a/siskinspoke/coordination/crash_evidence/parts.py
+++ b/siskinspoke/coordination/crash_evidence/parts.py
@@ -212,14 +212,17 @@
         return total
 
     def _other_crash_rate(self, part: str, crash: Crash) -> float:
-        """Return the rate of crashes without the part, in crashes per server and millisecond."""
-        others = [
-            item.at
+        """Return the rate of earlier crashes without the part, per server and millisecond.
+
+        Later ones do not count: a verdict would end with the next unrelated crashes.
+        """
+        ages = [
+            crash.at - item.at
             for item in self._ledger.crashes
             if item.service == crash.service
             and not any(part in run.parts for run in item.suspects.values())
         ]
-        usual = 1 + sum(0 <= crash.at - at < CRASH_RATE_WINDOW_MS for at in others)
-        burst = sum(abs(crash.at - at) <= CRASH_BURST_WINDOW_MS for at in others)
-        rate = max(usual / CRASH_RATE_WINDOW_MS, burst / (2 * CRASH_BURST_WINDOW_MS))
+        usual = 1 + sum(0 <= age < CRASH_RATE_WINDOW_MS for age in ages)
+        burst = sum(0 <= age < CRASH_BURST_WINDOW_MS for age in ages)
+        rate = max(usual / CRASH_RATE_WINDOW_MS, burst / CRASH_BURST_WINDOW_MS)
         return rate / max(1, crash.servers)
--- a/tests/coordination/crash_evidence/test_parts.py
+++ b/tests/coordination/crash_evidence/test_parts.py
@@ -133,6 +133,15 @@
         world.ledger.refute(starts[0], world.now)
         assert isinstance(world.judge(BAD), Clear)
 
+    def test_verdict_stands_when_servers_crash_for_other_reasons(self):
+        """Guards against a part that is let through again as soon as servers are restarted."""
+        world = World()
+        for number in range(3):
+            world.crash((f"r{number}", (BAD,)))
+        for other in range(6):
+            world.crash((f"x{other}", (f"own{other}",)), pause_ms=60.0)
+        assert isinstance(world.judge(BAD), Quarantined)
+
     def test_crashes_without_the_part_weaken_the_evidence(self):
         world = World()
         for number in range(3):
