Ask servers of other domains whether a server alone in its domain has crashed

A VM whose links were reset took each server that is alone in its failure domain for crashed: nobody could witness. Now servers of other domains are asked; a VM that reaches none of them is partitioned.

--- a/siskinspoke/coordination/witnesses.py
+++ b/siskinspoke/coordination/witnesses.py
@@ -34,20 +34,23 @@
     has_crashed: Callable[[Start], bool],
     rng: random.Random,
 ) -> list[ServerRecord]:
-    """Return the witnesses for a server: some live ones of its domain not known to have crashed."""
+    """Return the witnesses for a server: some live ones of its domain not known to have crashed.
+
+    A server that is alone in its domain has witnesses in others: if those cannot be reached either,
+    this VM may be partitioned from all servers.
+    """
     others = {
         record.announcement.server: record
         for record in live
-        if record.announcement.failure_domain == domain
-        and record.announcement.server != server
-        and not has_crashed(record.start)
+        if record.announcement.server != server and not has_crashed(record.start)
     }
-    return [others[name] for name in choose_witnesses(sorted(others), rng)]
+    near = [name for name in others if others[name].announcement.failure_domain == domain]
+    return [others[name] for name in choose_witnesses(sorted(near or others), rng)]
 
 
 def indicates_partition(reached: Sequence[bool]) -> bool:
     """Return whether the domain, rather than the server, is unreachable, given the probe results.
 
-    A server that is alone in its domain has no witness, so it counts as crashed.
+    Without any other server there is no witness, so the server counts as crashed.
     """
     return bool(reached) and not any(reached)
