Go on with a call until it is forwarded when its servers refuse connections

The first call after a cut that refuses connections ended with NO_SERVER: after four attempts the service counted as full, though no server had been reached and a peer could serve the call. Attempts without a connection no longer count as refusals. test_call_right_after_the_cut_is_served fails without the change.

--- a/siskinspoke/gateway/plain.py
+++ b/siskinspoke/gateway/plain.py
@@ -372,6 +372,8 @@
                 if answer.status < 500 or not repeatable:
                     return outcome
                 self._last_result = outcome
+            case NotRun(failure_kind=FailureKind.UNREACHABLE, arrived=False):
+                self._retry_state.undelivered += 1
             case NotRun(failure_kind=failure_kind):
                 self._retry_state.refusals += failure_kind is not FailureKind.HELD
             case OutcomeUnknown(reason=reason):
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -123,9 +123,11 @@
                     item
                     for item in cell.servers
                     for seen in item.seen
-                    if seen.headers["Request-Id"] == "r1"
+                    if seen.headers.get("Request-Id") == "r1"
+                )
+                number = next(
+                    s.connection for s in server.seen if s.headers.get("Request-Id") == "r1"
                 )
-                number = next(s.connection for s in server.seen if s.headers["Request-Id"] == "r1")
                 await trio.aclose_forcefully(stream)
                 await until(lambda: number in server.closed, 0.5)
 
@@ -236,6 +238,22 @@
         trio.run(run)
 
 
+class TestFirstRequest:
+    """Guards against calls that are refused while their VM still finds out that it is cut off."""
+
+    @pytest.mark.parametrize("mode", list(LinkMode)[1:])
+    def test_call_right_after_the_cut_is_served(self, mode, tmp_path):
+        async def run():
+            async with cell_site(tmp_path, 2, "plain") as cell:
+                await cell.start_servers([PLAIN] * 9)
+                cut(cell, 0, mode=mode)
+                result = await cell.send(cell.sites[0], "/once/x", "r1")
+                assert result.served
+                assert result.took < SOON_SECONDS
+
+        trio.run(run)
+
+
 class TestPartOfTheServers:
     """Guards against a forward that depends on the loss of all servers."""
 
