--- a/tests/platform/test_partitioned_vms.py
+++ b/tests/platform/test_partitioned_vms.py
@@ -15,6 +15,8 @@
 # Share of the other VMs' served requests that the partitioned VMs have to reach.
 SERVED_SHARE = 0.95
 STREAM, PLAIN = Events(last=3, pause=0.02), Whole(None, begin_after=0.03)
+# A peer gets at most this many times the mean of the forwarded requests.
+MAX_PEER_SHARE = 3.0
 CUTS = (LinkMode.HANG, LinkMode.RESET, LinkMode.KEPT)
 
 
@@ -71,3 +73,28 @@
                     assert max(cell.runs_of(item.request_id) for item in cell.results) == 1
 
         trio.run(run)
+
+
+class TestCells:
+    """Guards against a forward that holds at five VMs only, or floods the peers of a cell."""
+
+    @pytest.mark.parametrize(("vms", "cut"), [(7, 4), (24, 12)])
+    def test_streams_are_served(self, vms, cut, tmp_path):
+        async def run():
+            async with cell_site(tmp_path, vms, "engines") as cell:
+                await cell.start_servers([STREAM] * 12)
+                cut_vms = [site.host for site in cell.sites[:cut]]
+                for vm in cut_vms:
+                    cell.links.set_mode(vm, LinkMode.HANG)
+                began = trio.current_time()
+                await cell.send_steadily("/stream/x", 24 / vms, CUT_SECONDS, **PROMPT)
+                at_cut = served_share(cell, set(cut_vms), began + SETTLE_SECONDS)
+                assert at_cut >= SERVED_SHARE
+                received = [
+                    site.gateway.counters.totals.get("forward.received", 0)
+                    for site in cell.sites[cut:]
+                ]
+                assert min(received) > 0
+                assert max(received) <= MAX_PEER_SHARE * sum(received) / len(received)
+
+        trio.run(run)
