--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -39,6 +39,8 @@
     event ``silent_after`` there is a pause of ``silent_for`` seconds, as with an engine that
     prefills a long prompt while it decodes the stream. Each event has ``padding`` more bytes. If
     the VM reads nothing for ``unread_timeout`` seconds, the server closes the connection.
+
+    A stream that is not ``framed`` has neither a length nor chunks and ends with its connection.
     """
 
     first: int = 1
@@ -51,6 +53,7 @@
     silent_for: float = 0.0
     padding: int = 0
     unread_timeout: float = math.inf
+    framed: bool = True
 
 
 @dataclass(frozen=True)
@@ -292,9 +295,10 @@
         b"Request-Id: " + request_id,
         b"Server-Stamp: " + STAMP,
         b"Content-Type: text/event-stream",
-        b"Transfer-Encoding: chunked",
+        b"Transfer-Encoding: chunked" if events.framed else b"Connection: close",
         *asks,
     ]
+    frame = _chunk if events.framed else bytes
     if events.padding:
         # The kernel must not take what the VM leaves unread.
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LARGE_EVENTS_SEND_BUFFER)
@@ -302,14 +306,14 @@
     first = int(headers.get("Last-Event-Id", events.first - 1)) + 1
     for number in range(first, events.last + 1):
         with trio.move_on_after(events.unread_timeout) as unread:
-            await stream.send_all(_chunk(event(number, events.padding)))
+            await stream.send_all(frame(event(number, events.padding)))
         if unread.cancelled_caught:
             return False
         await trio.sleep(events.silent_for if number == events.silent_after else events.pause)
     if events.torn:
-        await stream.send_all(_chunk(events.torn))
+        await stream.send_all(frame(events.torn))
     match events.then:
-        case "end":
+        case "end" if events.framed:
             await stream.send_all(b"0\r\n\r\n")
             return True
         case "silent":
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -259,3 +259,48 @@
                 return any("/stream/" in seen.head for one in six for seen in one.seen)
 
         assert [seed for seed in range(4) if not trio.run(run, seed)] == []
+
+
+class TestUnframedStreams:
+    """Guards against streams without length or chunks that are cut off or joined wrongly."""
+
+    def test_end_of_the_connection_ends_the_stream(self, tmp_path):
+        async def run():
+            script = [Events(last=4, framed=False)]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", script) as (one,):
+                for number in range(2):
+                    answer = await site.ask("/stream/x", f"r{number}", **PROMPT)
+                    assert answer.whole
+                    assert data_of(answer.body) == b"".join(event(n) for n in (1, 2, 3, 4))
+                assert one.seen[0].connection != one.seen[1].connection
+
+        trio.run(run)
+
+    def test_stream_that_ends_inside_an_event_is_resumed(self, tmp_path):
+        async def run():
+            torn = [Events(last=2, then="cut", torn=b"id: 3\nda", framed=False)]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", torn, [Events(last=4, framed=False)]) as (one, two),
+            ):
+                site.gateway.directory.mark_leaving(
+                    *site.gateway.directory.latest(two.name).start
+                )
+                async with site.request_in_background("/stream/x", **PROMPT) as answers:
+                    await until(lambda: one.seen)
+                    site.announce(two, "engines", started=5)
+                    await until(lambda: answers)
+                assert data_of(answers[0].body) == b"".join(event(n) for n in (1, 2, 3, 4))
+                assert len(two.seen) == 1
+
+        trio.run(run)
+
+    def test_stream_that_may_run_once_looks_cut(self, tmp_path):
+        async def run():
+            torn = [Events(last=2, then="cut", torn=b"id: 3\nda", framed=False)]
+            async with gateway_site(tmp_path) as site, servers(site, "engines", torn):
+                answer = await site.ask("/solo/x", **PROMPT)
+                assert not answer.whole
+                assert answer.ended
+
+        trio.run(run)
