Try the verdict on a request again after 30 seconds, then less and less often

One attempt is let through after 30 s now, and four times as long after each crash under such an attempt: a real query of death ends two more servers in ten minutes, within three after the settling.

--- a/siskinspoke/coordination/crash_evidence/parts.py
+++ b/siskinspoke/coordination/crash_evidence/parts.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from siskinspoke.coordination.crash_evidence.accidents import crash_chance
+from siskinspoke.coordination.crash_evidence.trials import trial_delay_ms
 from siskinspoke.coordination.crashes import (
     CRASH_BURST_WINDOW_MS,
     CRASH_RATE_WINDOW_MS,
@@ -46,11 +47,6 @@
 BLAME_WEIGHT = 10.0
 # Weight at which a part is blamed that had been answered before; five crashes reach it.
 ANSWERED_BEFORE_WEIGHT = 18.0
-# How long a part is quarantined after its last crash; one request with it is let through then. The
-# time grows with each such trial, since each may crash a server.
-FIRST_TRIAL_MS = 30_000.0
-TRIAL_FACTOR = 4.0
-MAX_TRIAL_MS = 600_000.0
 # Parts that were answered most recently are remembered.
 MAX_ANSWERED_PARTS = 4_096
 # Only this many parts of a prompt are considered, and no longer names.
@@ -156,11 +152,10 @@
 
     def _blocked_until(self, blame: Blame) -> float:
         trials = self._trials.get(blame.parts, _Trials(0, -math.inf))
-        delay = min(MAX_TRIAL_MS, FIRST_TRIAL_MS * TRIAL_FACTOR**trials.count)
         if blame.last_crash_at < trials.last_at:
             # The trial is still running, or its end is not known here yet.
-            return trials.last_at + max(PROBE_TIMEOUT_MS, delay / TRIAL_FACTOR)
-        return blame.last_crash_at + delay
+            return trials.last_at + max(PROBE_TIMEOUT_MS, trial_delay_ms(trials.count - 1))
+        return blame.last_crash_at + trial_delay_ms(trials.count)
 
     def record_trial(self, parts: Parts, at: float) -> bool:
         """Record that a request with blamed parts is let through; return whether that is new."""
--- a/siskinspoke/coordination/crashes.py
+++ b/siskinspoke/coordination/crashes.py
@@ -22,6 +22,7 @@
 from typing import NamedTuple
 
 from siskinspoke.coordination.crash_evidence.accidents import MAX_CRASH_WEIGHT, accident_weight
+from siskinspoke.coordination.crash_evidence.trials import trial_delay_ms
 from siskinspoke.coordination.fingerprints import shape_of
 from siskinspoke.core.codes import Failure, ResultCode
 
@@ -36,10 +37,7 @@
 SETTLE_MS = 500.0
 # Prevents a busy loop when the remaining wait rounds to zero.
 MIN_WAIT_MS = 1.0
-# After this time one attempt per PROBE_TIMEOUT_MS is let through, in case the server has been
-# fixed.
-QUARANTINE_MS = 600_000.0
-# Time such an attempt has to be answered before the next one is let through.
+# Time that an attempt after a quarantine has to be answered before the next one is let through.
 PROBE_TIMEOUT_MS = 20_000.0
 # The crashes in this window before a crash give the usual crash rate of a service. A shorter window
 # on both sides detects a burst of crashes.
@@ -140,12 +138,13 @@
 
 
 class _Evidence(NamedTuple):
-    """The evidence against one request, when it became sufficient, and its last crash."""
+    """The evidence against one request, when it became sufficient, and the crashes since."""
 
     weight: float = 0.0
     crashes: int = 0
     decided_at: float = math.inf
     last_crash_at: float = -math.inf
+    crashes_after: int = 0
 
 
 class CrashLedger:
@@ -334,7 +333,7 @@
         settled_at = evidence.decided_at + SETTLE_MS
         if now < settled_at:
             return Undecided(settled_at - now)
-        until = evidence.last_crash_at + QUARANTINE_MS
+        until = evidence.last_crash_at + trial_delay_ms(evidence.crashes_after)
         if now < until:
             return Quarantined(until - now, evidence.crashes)
         probed_until = self._probed_at.get(fingerprint, -math.inf) + PROBE_TIMEOUT_MS
@@ -366,7 +365,8 @@
             total = evidence.weight + added_weight
             decided = evidence.decided_at == math.inf and total >= QUARANTINE_WEIGHT
             decided_at = crash.at if decided else evidence.decided_at
-            evidence = _Evidence(total, evidence.crashes + 1, decided_at, crash.at)
+            after = evidence.crashes_after + (evidence.decided_at < crash.at)
+            evidence = _Evidence(total, evidence.crashes + 1, decided_at, crash.at, after)
         return evidence
 
     def _crash_weight(self, crash: Crash, suspect: Suspect, crash_counts: Counter[str]) -> float:
