--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -59,9 +59,14 @@
 
 
 class RunEnd(Enum):
-    """How an attempt ended: with a complete answer, refused before it was read, or unknown."""
+    """How an attempt ended.
+
+    ``WHOLE`` is a complete answer, ``REST`` the rest of a stream that other attempts had begun,
+    ``NOT_RUN`` a refusal of a request that was not read, and ``BROKE`` any other end.
+    """
 
     WHOLE = "whole"
+    REST = "rest"
     NOT_RUN = "not_run"
     BROKE = "broke"
 
@@ -119,6 +124,10 @@
             case RunEnd.WHOLE:
                 self._clear(run.subject, now)
                 self._clear_parts(run.subject, now)
+            case RunEnd.REST:
+                # Too short to show that the parts are harmless: an event of each server that
+                # crashed may have completed the stream.
+                self._clear(run.subject, now)
             case RunEnd.BROKE:
                 subject = run.subject
                 self._abandoned.append(
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -399,7 +399,9 @@
                     assignment, outcome, attempt, work, began_at, give_up_at, due, reconsider
                 )
                 outcome = await relay_stream(gateway, request, relay, stream)
-            run.end = RunEnd.WHOLE if isinstance(outcome, StreamCompleted) else run_end(outcome)
+            run.end = run_end(outcome)
+            if isinstance(outcome, StreamCompleted):
+                run.end = RunEnd.WHOLE if dispatch.resume_after is None else RunEnd.REST
             return outcome
     finally:
         gateway.server_health.request_ended(assignment.name)
--- a/tests/coordination/test_crash_watch.py
+++ b/tests/coordination/test_crash_watch.py
@@ -235,3 +235,25 @@
         one.end_run(run, RunEnd.BROKE, 100.0)
         one.end_run(one.start_run(HARMLESS, [("s1", 1)], 110.0), RunEnd.WHOLE, 200.0)
         assert one.all_reports(300.0) == []
+
+
+class TestParts:
+    """Guards against parts of prompts that are cleared by streams which crashed servers."""
+
+    def crashed(self, end: RunEnd) -> CrashWatch:
+        """Return a watch after three crashes under a part, and the end of another such run."""
+        watch, now = make_watch([]), 10_000.0
+        for number in range(3):
+            subject = RequestIdentity("acme", "shop.example/stream/x", b"%d" % number, ("dead",))
+            run = watch.start_run(subject, [(f"s{number}", 1)], now)
+            watch.end_run(run, RunEnd.BROKE, now + RAN_MS)
+            watch.record_crash((f"s{number}", 1), "m", 20, now + RAN_MS, now + RAN_MS)
+            now += 1_000.0
+        run = watch.start_run(subject, [("s9", 1)], now)
+        watch.end_run(run, end, now + RAN_MS)
+        return watch
+
+    def test_rest_of_a_stream_clears_no_part(self):
+        other = RequestIdentity("acme", "shop.example/stream/x", b"other", ("dead",))
+        assert self.crashed(RunEnd.REST).blames_parts(other, 14_000.0)
+        assert not self.crashed(RunEnd.WHOLE).blames_parts(other, 14_000.0)
