Serve a forwarded request by the service that was chosen first

A peer drew a service of the route anew, so that the rest of a resumed stream could come from another one. The new test fails without the change. The modules that belong to forwarding alone stand in its package; servers of a test that are started in two steps have different names.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -11,11 +11,11 @@
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
 from siskinspoke.core.supervise import log_fault
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.forwarding.results import mark_result
 from siskinspoke.gateway.plain import serve_plain
 from siskinspoke.gateway.plain_attempts import WholeAnswer
 from siskinspoke.gateway.refusals import retry_after
 from siskinspoke.gateway.regions import domains_of, find_region_refusal
-from siskinspoke.gateway.results import mark_result
 from siskinspoke.gateway.streams import StreamCutError, serve_stream
 from siskinspoke.gateway.wire import Call
 from siskinspoke.protocol.forwarding import RESULT_HEADER, ForwardedCall
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -36,12 +36,12 @@
 from siskinspoke.gateway.attempts import OpenAttempts
 from siskinspoke.gateway.cells import CellView
 from siskinspoke.gateway.cold_permits import ColdPermits
+from siskinspoke.gateway.forwarding.survey_requests import SurveyRequests
 from siskinspoke.gateway.peers import Peers
 from siskinspoke.gateway.permits import Permits
 from siskinspoke.gateway.plain_admission import PlainAdmission
 from siskinspoke.gateway.pool import Pool
 from siskinspoke.gateway.queries import Queries
-from siskinspoke.gateway.survey_requests import SurveyRequests
 from siskinspoke.gateway.waiting import WaitingRequests
 from siskinspoke.gateway.wire import Call, Wire
 from siskinspoke.protocol.feed import EntryPeer
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -9,8 +9,8 @@
 from siskinspoke.gateway.attempts import Attempt
 from siskinspoke.gateway.client_buffers import BufferedClient
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.forwarding.results import mark_result
 from siskinspoke.gateway.plain_attempts import WholeAnswer
-from siskinspoke.gateway.results import mark_result
 from siskinspoke.gateway.upstream import (
     AnswerStarted,
     AttemptAbandonedError,
--- a/siskinspoke/gateway/servers.py
+++ b/siskinspoke/gateway/servers.py
@@ -21,9 +21,14 @@
 
 
 def choose_service(gateway: Gateway, request: Request) -> str:
-    """Return a service of the route, chosen at random by weight among those that have servers."""
+    """Return a service of the route, chosen at random by weight among those that have servers.
+
+    A forwarded request keeps the service that was chosen first: its stream may have begun there.
+    """
     now = now_ms()
     shares = [share for share in request.route.shares if share.weight > 0]
+    if request.origin is not None and request.origin.service in {item.service for item in shares}:
+        return request.origin.service
     served = [share for share in shares if has_server(gateway, share.service, request.domains, now)]
     if len(served) > 1:
         open_now = [
--- a/tests/platform/cell_site.py
+++ b/tests/platform/cell_site.py
@@ -71,7 +71,7 @@
 
         A server that crashes starts again under another name.
         """
-        for number, script in enumerate(scripts):
+        for number, script in enumerate(scripts, len(self.servers)):
             server = StandinServer(f"i-{number}", **traits)
             server.script.append(script)
             server.on_restart = partial(self._rename_and_announce, number)
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -1,5 +1,7 @@
 """Requests that an entry VM forwards to a peer: what may fail on the way."""
 
+import json
+
 import pytest
 import trio
 
@@ -285,3 +287,39 @@
                     assert result.took < SOON_SECONDS
 
         trio.run(run)
+
+
+class TestServices:
+    """Guards against a stream whose rest is read from another service of its route."""
+
+    def test_forwarded_request_keeps_its_service(self, tmp_path):
+        split = [{"service": "plain", "weight": 50}, {"service": "other", "weight": 50}]
+        changes = document()
+        route = {**changes["routes"][1], "traffic_split": split}
+        route.pop("service")
+        services = [*changes["services"], {"name": "other", "health_path": "/healthz"}]
+
+        async def run():
+            async with cell_site(tmp_path, 2, "plain", routes=[route], services=services) as cell:
+                await cell.start_servers([PLAIN] * 4)
+                cut(cell, 0)
+                for number in range(6):
+                    assert (await cell.send(cell.sites[0], "/again/x", f"r{number}")).served
+                cell.fleet.service = "other"
+                await cell.start_servers([PLAIN] * 4)
+                for number in range(10, 22):
+                    assert (await cell.send(cell.sites[0], "/again/x", f"r{number}")).served
+                logs = [
+                    json.loads(line)
+                    for name in ("log-1", "log-2")
+                    for line in (tmp_path / name).read_text().splitlines()
+                ]
+                chosen: dict[str, set[str]] = {}
+                for line in logs:
+                    if line["event"] == "request":
+                        chosen.setdefault(line["request"], set()).add(line["service"])
+                assert {"plain"} in chosen.values()
+                assert {"other"} in chosen.values()
+                assert all(len(names) == 1 for names in chosen.values())
+
+        trio.run(run)
