Announce the servers of a cell's tests again before their leases run out

The servers were announced once, and their leases of 4.8 s ran out before the traffic ended where the start took longer.

--- a/tests/platform/cell_site.py
+++ b/tests/platform/cell_site.py
@@ -15,6 +15,7 @@
 from tests.platform.standin_server import StandinServer
 
 DOMAINS = ("a", "b", "c")
+ANNOUNCE_SECONDS = 1.2
 PROMPT = {"Token_Counts": "3000,200"}
 
 
@@ -44,6 +45,8 @@
     links: ServerLinks
     results: list[Result] = field(default_factory=list)
     receivers: dict[str, trio.CancelScope] = field(default_factory=dict)
+    services: dict[int, str] = field(default_factory=dict)
+    announcements: int = 0
 
     async def serve_peers(self, site: Site, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve the requests that peers forward to a VM."""
@@ -84,8 +87,19 @@
         self._announce(server, number)
 
     def _announce(self, server: StandinServer, number: int) -> None:
+        service = self.services.setdefault(number, self.fleet.service)
+        self.announcements += 1
         for site in self.sites:
-            site.announce(server, self.fleet.service, domain=DOMAINS[number % len(DOMAINS)])
+            site.announce(
+                server, service, seq=self.announcements, domain=DOMAINS[number % len(DOMAINS)]
+            )
+
+    async def announce_forever(self) -> None:
+        """Announce all servers again, since announcements are leases of a few seconds."""
+        while True:
+            await trio.sleep(ANNOUNCE_SECONDS)
+            for number, server in enumerate(self.servers):
+                self._announce(server, number)
 
     @property
     def crash_count(self) -> int:
@@ -140,6 +154,7 @@
                 feeds = site.daemon._feeds
                 await until(lambda feeds=feeds: len(feeds.peers) == vms - 1, 8.0)
             cell = Cell(running, links)
+            nursery.start_soon(cell.announce_forever)
             for site in running.sites:
                 await nursery.start(cell.serve_peers, site)
             yield cell
