Do not drop the check of a stream when an event arrives before it

Callers saw a pause of 1.4 s in a stream whose engine had begun to prefill a long prompt of another VM, although an idle engine could have gone on at once.

Cause: the news of the prefill sets the time of a check, and each event that arrived cleared that time, which was meant for the check of a late first event only. An event between the news and the check dropped the check. Ruled out: load alone; the new test brings the order about without any and failed with stream.moved missing before the change.

--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -157,10 +157,11 @@
         if not events:
             continue
         now = now_ms()
-        stream.attempt.recheck_at = math.inf
         stream.attempt.expect_answer_within(stream.event_due_ms, now)
         if first:
             first = False
+            # Later checks are requested by news of other work, which an event must not drop.
+            stream.attempt.recheck_at = math.inf
             stream.attempt.depend_on(assignment.memory_holders)
             stream.attempt.is_streaming = True
             stream.attempt.reconsider = stream.reconsider
--- a/tests/platform/test_moving.py
+++ b/tests/platform/test_moving.py
@@ -53,6 +53,36 @@
 
         trio.run(run)
 
+    def test_event_does_not_drop_the_news(self, tmp_path):
+        """An event arrives between the news of the prefill and the check of the stream."""
+
+        async def run():
+            reads = Events(last=4, pause=0.1, silent_after=2, silent_for=2.0)
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Events()], [Events()]) as both,
+                trio.open_nursery() as nursery,
+            ):
+                script = deque([reads, Events(first=3, last=4)])
+                for server in both:
+                    server.script = script
+                async with site.request_in_background("/stream/x", **PROMPT) as answers:
+                    await until(
+                        lambda: any(item.is_streaming for item in site.gateway.attempts._attempts)
+                    )
+                    first = next(server for server in both if server.seen)
+                    site.gateway.peers._handle_work(long_prompt_at(first.name))
+                    (attempt,) = site.gateway.attempts._attempts
+                    first_event_at = attempt._waiting_since
+                    await until(lambda: attempt._waiting_since > first_event_at)
+                    nursery.start_soon(reachability.probe_overdue_forever, site.gateway)
+                    await until(lambda: answers)
+                assert data_of(answers[0].body) == whole_stream(4)
+                assert site.gateway.counters.totals.get("stream.moved") == 1
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
     def test_stays_without_another_engine(self, tmp_path):
         async def run():
             async with (
