Give a request up after crashes only if they are unlikely to be accidents

Callers of streams whose prompts have parts got a truncated answer after the second restart of an engine in a row, though other engines were sound.

Cause: since a request that was alone at the second crash was not tried again, however likely the crashes were accidents. Now the ledger's weight decides, which discounts a run by the rate of other crashes: two crashes of a fleet without others reach the bound, restarts in series do not. The product's own interface takes the same decision.

--- a/siskinspoke/coordination/crash_watch.py
+++ b/siskinspoke/coordination/crash_watch.py
@@ -22,6 +22,7 @@
     Quarantined,
     Start,
     Suspect,
+    Suspected,
     Verdict,
 )
 from siskinspoke.coordination.fingerprints import RequestIdentity
@@ -46,9 +47,10 @@
 # A message with this many crashes fits into a datagram even if each has the maximum number of
 # suspects.
 CRASHES_PER_MESSAGE = 16
-# A request whose prompt has parts is not tried again after this many crashes, if it was alone at
-# the last one.
-MAX_CRASHES_WITH_PARTS = 2
+# Weight of the crashes after which a request whose prompt has parts is not tried again, if it was
+# alone at the last one. It takes two crashes that are unlikely to be accidents; restarts in series
+# do not reach it.
+STOP_WEIGHT = 4.0
 
 
 class Log(Protocol):
@@ -158,15 +160,18 @@
         """Return whether a request must not be sent because of parts that crash servers."""
         return isinstance(self._parts.judge(subject.parts, now), Quarantined)
 
-    def stops_after_crash(self, subject: RequestIdentity, crashes: int) -> bool:
+    def stops_after_crash(self, subject: RequestIdentity, now: float) -> bool:
         """Return whether a request is not tried again that was alone when a server crashed.
 
         What crashes servers may be a part of its prompt; it is found by comparing requests, and
         further attempts of the same one would end servers without telling more.
         """
-        if not subject.parts or crashes < MAX_CRASHES_WITH_PARTS:
+        if not subject.parts or not self.is_suspect(subject):
             return False
-        return self._ledger.was_alone(subject.fingerprint)
+        match self._ledger.judge(subject.fingerprint, now):
+            case Suspected(weight=weight):
+                return weight >= STOP_WEIGHT and self._ledger.was_alone(subject.fingerprint)
+        return False
 
     def is_suspect(self, subject: RequestIdentity) -> bool:
         """Return whether a server crashed with this request open; hash the body only if needed."""
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from siskinspoke.coordination import fairness
-from siskinspoke.coordination.crashes import Probation, Quarantined, Suspected
+from siskinspoke.coordination.crashes import Probation, Quarantined
 from siskinspoke.coordination.routing import Choice
 from siskinspoke.core.codes import Failure, ResultCode, RunStatus
 from siskinspoke.entry import groups
@@ -204,12 +204,9 @@
 
     async def _may_crash_servers(self) -> bool:
         """Return whether the request is not tried again after what is known of crashes."""
-        match await wait_for_verdict(self._context, self._identity):
-            case Quarantined():
-                return True
-            case Suspected(crashes=crashes):
-                return self._context.crashes.stops_after_crash(self._identity, crashes)
-        return False
+        if isinstance(await wait_for_verdict(self._context, self._identity), Quarantined):
+            return True
+        return self._context.crashes.stops_after_crash(self._identity, now_ms())
 
     async def _next_choice(self, reason: str) -> Choice | Failure:
         """Return the next routing choice, or the failure with which the request ends.
--- a/siskinspoke/gateway/streams.py
+++ b/siskinspoke/gateway/streams.py
@@ -220,7 +220,7 @@
 
 def _stops_after_crash(gateway: Gateway, request: Request, last: object) -> bool:
     """Tell whether a request has crashed servers and is not tried on another one."""
-    return last is not None and gateway.crashes.stops_after_crash(request.subject, request.crashes)
+    return last is not None and gateway.crashes.stops_after_crash(request.subject, now_ms())
 
 
 def _is_final(request: Request, relay: Relay, whole: WholeAnswer) -> bool:
--- a/tests/coordination/test_crash_watch.py
+++ b/tests/coordination/test_crash_watch.py
@@ -257,3 +257,25 @@
         other = RequestIdentity("acme", "shop.example/stream/x", b"other", ("dead",))
         assert self.crashed(RunEnd.REST).blames_parts(other, 14_000.0)
         assert not self.crashed(RunEnd.WHOLE).blames_parts(other, 14_000.0)
+
+
+class TestStopsAfterCrash:
+    """Guards against requests that end more servers, and against sound ones that are given up."""
+
+    WITH_PARTS = RequestIdentity("acme", "shop.example/stream/x", b"the prompt", ("aa",))
+
+    def test_two_unlikely_crashes(self):
+        vms = Vms(1)
+        vms.crash(0, "s0", self.WITH_PARTS)
+        assert not vms.watches[0].stops_after_crash(self.WITH_PARTS, vms.now)
+        vms.crash(0, "s1", self.WITH_PARTS)
+        assert vms.watches[0].stops_after_crash(self.WITH_PARTS, vms.now)
+
+    def test_restarts_in_series(self):
+        vms = Vms(1)
+        for number in range(20):
+            vms.watches[0].record_restart((f"other{number}", 1), "m", 20, vms.now)
+            vms.now += RAN_MS / 4
+        vms.crash(0, "s0", self.WITH_PARTS)
+        vms.crash(0, "s1", self.WITH_PARTS)
+        assert not vms.watches[0].stops_after_crash(self.WITH_PARTS, vms.now)
