Keep a peer's rejection of an unsealed forward from the client

A client of a partitioned VM got 401, as if its key were wrong, when the peer that its request was forwarded to had another internal_key, as while the key is replaced. The peer logged nothing.

Cause: the peer rejected the forward with the result code of an unknown client key, and refusals of peers are passed on. The rejection has a code of its own now (1014); the sender leaves that peer out for a second, tries another one, and refuses with its own 503 if there is none. The peer logs forward.rejected.

--- a/siskinspoke/core/codes.py
+++ b/siskinspoke/core/codes.py
@@ -34,6 +34,7 @@
     PROMPT_TOO_LONG = 1011
     UNKNOWN_STREAM = 1012
     UNKNOWN_PATH = 1013
+    UNKNOWN_PEER = 1014
     OVERLOADED = 2001
     CUSTOMER_LIMIT = 2002
     NO_SERVER = 2003
@@ -113,6 +114,9 @@
         404, RunStatus.UNKNOWN, 10, "No such stream of this customer."
     ),
     ResultCode.UNKNOWN_PATH: CodeInfo(404, RunStatus.NOT_RUN, 10, "No such path or method."),
+    ResultCode.UNKNOWN_PEER: CodeInfo(
+        401, RunStatus.NOT_RUN, 10, "A forwarded request is not sealed with the VMs' key."
+    ),
     ResultCode.OVERLOADED: CodeInfo(503, RunStatus.NOT_RUN, 20, "The deadline cannot be met now."),
     ResultCode.CUSTOMER_LIMIT: CodeInfo(
         429, RunStatus.NOT_RUN, 20, "Over the customer's fair share."
--- a/siskinspoke/gateway/forwarding/receiving.py
+++ b/siskinspoke/gateway/forwarding/receiving.py
@@ -28,8 +28,10 @@
     values = [value for name, value in head.headers if name.lower() == FORWARD_HEADER.lower()]
     origin = decode_forwarded(gateway.settings.internal_key, values[0]) if values else None
     if origin is None or origin.digest != digest_of(head.method, head.target, body):
+        reason = "no internal header" if not values else "not sealed with the key of this VM"
         gateway.counters.count("forward.rejected")
-        return Error(Failure(ResultCode.UNAUTHENTICATED, "the request is not from an entry VM"))
+        gateway.log.note("forward.rejected", target=head.target, reason=reason)
+        return Error(Failure(ResultCode.UNKNOWN_PEER, "the request is not from an entry VM"))
     gateway.counters.count("forward.received")
     return Ok(Arrival(_call(head, body, origin), now_ms() - origin.elapsed_ms, origin))
 
--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -46,6 +46,7 @@
         ResultCode.NOT_REACHABLE_NOW,
         ResultCode.OLDER_CONFIGURATION,
         ResultCode.TOO_MANY_STREAMS,
+        ResultCode.UNKNOWN_PEER,
     )
 )
 UNSERVED_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.NOT_REACHABLE_NOW))
@@ -119,7 +120,7 @@
         else:
             outcome = await _exchange(gateway, request, progress, connection)
         _record(gateway, request, peer, outcome, began)
-        yield outcome
+        yield _for_client(outcome)
     finally:
         gateway.forwarding.end(peer.host)
         if connection is not None:
@@ -127,6 +128,14 @@
             connection.reset()
 
 
+def _for_client(outcome: ForwardOutcome) -> ForwardOutcome:
+    """Return an outcome without a refusal that concerns the peers alone."""
+    match outcome:
+        case Refused(failure=Failure(code=ResultCode.UNKNOWN_PEER)):
+            return Refused(None)
+    return outcome
+
+
 async def _connect(gateway: Gateway, peer: PeerState) -> ServerConnection | None:
     settings = gateway.settings
     with trio.move_on_after(CONNECT_TIMEOUT_SECONDS):
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -219,6 +219,24 @@
 
         trio.run(run)
 
+    def test_peer_with_another_key_does_not_answer_the_client(self, tmp_path):
+        async def run():
+            async with cell_site(tmp_path, 3, "plain") as cell:
+                await cell.start_servers([PLAIN] * 3)
+                cut(cell, 0)
+                await find_out(cell)
+                settings = [site.gateway.settings for site in cell.sites]
+                for site in cell.sites[1:]:
+                    site.gateway.settings = settings[1]._replace(internal_key=b"other")
+                result = await cell.send(cell.sites[0], "/once/x", "r1")
+                assert result.status == 503
+                cell.sites[1].gateway.settings = settings[1]
+                await trio.sleep(1.1)
+                for number in range(6):
+                    assert (await cell.send(cell.sites[0], "/once/x", f"s{number}")).served
+
+        trio.run(run)
+
 
 class TestOtherVms:
     """Guards against partitioned VMs whose reports take servers from the other VMs."""
