Forward requests at the product's own interface, too

Cause: as in the gateway, a caller depended on the links of its own VM. Ruled out as the only cause: suspensions of servers, which end after a lease each and make every later request find the cut again.

Streams that were open when the cut began do not move.

--- a/siskinspoke/coordination/directory.py
+++ b/siskinspoke/coordination/directory.py
@@ -189,6 +189,13 @@
         if record is not None and record.announcement.incarnation == incarnation:
             record.suspended_until = now + self._lease_ms
 
+    def end_suspensions(self, servers: Iterable[str]) -> None:
+        """Send new work to servers again that can be connected to."""
+        for server in servers:
+            record = self._records.get(server)
+            if record is not None:
+                record.suspended_until = 0.0
+
     def _is_live(self, record: ServerRecord, now: float) -> bool:
         last_seen_at = max(record.heard_at, record.answered_at)
         return now - last_seen_at < self._lease_ms and self._may_serve(record.announcement)
--- a/siskinspoke/entry/answers.py
+++ b/siskinspoke/entry/answers.py
@@ -5,11 +5,12 @@
 import msgspec
 from quart import Response
 
+from siskinspoke.core.codes import Failure
 from siskinspoke.entry.completions import CompletionJob
 from siskinspoke.entry.resuming import ResumeJob
 from siskinspoke.entry.stream_tokens import issue_token
 from siskinspoke.protocol.assembly import Piece
-from siskinspoke.transport.http import failure_response, json_response
+from siskinspoke.transport.http import json_response
 
 EVENT_STREAM = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -17,11 +18,11 @@
 Job = CompletionJob | ResumeJob
 
 
-async def answer_job(job: Job, stream: bool, key: bytes) -> Response:
+async def answer_job(job: Job, stream: bool, key: bytes) -> Response | Failure:
     """Return a complete answer, or a stream once its first piece is available.
 
-    A failure before the first piece is reported by the HTTP status.  ``key`` seals the token with
-    which the caller can resume the stream at another VM.
+    A failure before the first piece is returned.  ``key`` seals the token with which the caller can
+    resume the stream at another VM.
     """
     if not stream:
         return await _complete_answer(job)
@@ -31,13 +32,13 @@
         job.caller_disconnected()
         raise
     if first is None and job.failure is not None:
-        return failure_response(job.failure)
+        return job.failure
     headers = {"Cache-Control": "no-store", "X-Request-Id": job.request_id}
     events = _events(job, first, issue_token(job.token, key))
     return Response(events, 200, headers, content_type=EVENT_STREAM)
 
 
-async def _complete_answer(job: Job) -> Response:
+async def _complete_answer(job: Job) -> Response | Failure:
     texts: list[str] = []
     try:
         async for pieces in job.outbox:
@@ -46,7 +47,7 @@
         job.caller_disconnected()
         raise
     if job.failure is not None:
-        return failure_response(job.failure)
+        return job.failure
     return json_response(
         {
             "id": job.request_id,
--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -288,6 +288,16 @@
                 self._counters.count("backend.exchange_failed")
         return False
 
+    async def answers(self, target: Target, seconds: float) -> bool:
+        """Return whether a server answers anything on a new connection within a time."""
+        with trio.move_on_after(seconds):
+            try:
+                await self._single_use.get(f"http://{target.host}:{target.port}/")
+                return True
+            except httpx.HTTPError:
+                self._counters.count("backend.probe_failed")
+        return False
+
     async def cache_events(self, target: Target, after: int) -> CacheEvents | None:
         """Fetch the cache events of a server after a sequence number."""
         url = f"http://{target.host}:{target.port}/v1/cache-events?after={after}"
--- a/siskinspoke/entry/calls.py
+++ b/siskinspoke/entry/calls.py
@@ -121,6 +121,7 @@
         try:
             self._dispatched = True
             response = await self._context.backend.call(target, body)
+            self._context.reach.record_answer(now_ms())
             end = RunEnd.WHOLE
         except httpx.HTTPError as error:
             if connection_failed(error):
@@ -172,12 +173,13 @@
 
     async def _check_for_crash(self, target: Target) -> None:
         """Check whether a server has crashed after a call to it broke off."""
+        self._context.reach.record_failure(now_ms())
         if await self._context.backend.refuses_connections(target):
             await handle_connection_refused(self._context, target)
 
     def _exclude_unreachable(self, target: Target) -> None:
         self._excluded.add(target.server)
-        self._context.directory.suspend(target.server, target.incarnation, now_ms())
+        self._context.suspend(target)
 
     async def _run_claimed(self) -> dict | Failure:
         """Call a service at most once for this key, also when the request is resent."""
--- a/siskinspoke/entry/completion_attempts.py
+++ b/siskinspoke/entry/completion_attempts.py
@@ -202,6 +202,8 @@
 
     async def _check_for_crash(self, target: Target, end: AttemptEnd) -> None:
         """Record a crash if the server refuses the connection or does not know the attempt."""
+        if not isinstance(end, Completed):
+            self._context.reach.record_failure(now_ms())
         match end:
             case NotBegun(reason=reason) if reason == CONNECTION_REFUSED:
                 await handle_connection_refused(self._context, target)
@@ -252,6 +254,7 @@
         during the send; counting them earlier would make the next attempt skip them.
         """
         progress = self._progress
+        self._context.reach.record_answer(now_ms())
         if progress.first_token_at is None:
             progress.first_token_at = trio.current_time()
             if ticket is not None:
--- a/siskinspoke/entry/completions.py
+++ b/siskinspoke/entry/completions.py
@@ -178,11 +178,11 @@
                     return None
                 case NotBegun(reason=reason, reached=reached):
                     if not reached:
-                        context.directory.suspend(target.server, target.incarnation, now_ms())
+                        context.suspend(target)
                 case Lost(reason=reason):
                     # Resuming failed as well.  A dead server behind a middlebox that still
                     # accepts connections fails every request this way until its lease expires.
-                    context.directory.suspend(target.server, target.incarnation, now_ms())
+                    context.suspend(target)
                     self._clean_up()
                 case Unknown():
                     reason = "the server does not know the attempt"
@@ -346,7 +346,7 @@
             await settle_ran(context, name, progress.attempt, 200, "")
             return RequestEnded(None)
         if isinstance(end, NotBegun) and not end.reached:
-            context.directory.suspend(target.server, target.incarnation, now_ms())
+            context.suspend(target)
             progress.excluded.exclude_temporarily(target.server, now_ms())
         never_began = isinstance(end, NotBegun) or await confirm_never_began(
             context, target, self.request_id, progress.attempt
--- a/siskinspoke/entry/context.py
+++ b/siskinspoke/entry/context.py
@@ -13,6 +13,7 @@
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory, ServerRecord
 from siskinspoke.coordination.fairness import FairShares
+from siskinspoke.coordination.forwarding.reach import Reach
 from siskinspoke.coordination.retries import RetryBudget
 from siskinspoke.coordination.routing import Router
 from siskinspoke.core.codes import Failure
@@ -53,6 +54,7 @@
     stall_detector: StallDetector
     open_requests: int = 0
     draining: bool = False
+    reach: Reach = field(default_factory=Reach)
     drain_begun: trio.Event = field(default_factory=trio.Event)
     drained: trio.Event = field(default_factory=trio.Event)
     limit_listeners: list[Callable[[Limits], None]] = field(default_factory=list)
@@ -85,6 +87,12 @@
             return True
         return now_ms() - record.heard_at < self.settings.announcement_lease_ms
 
+    def suspend(self, target: Target) -> None:
+        """Stop sending new work to a server that could not be connected to."""
+        now = now_ms()
+        self.directory.suspend(target.server, target.incarnation, now)
+        self.reach.record_failure(now)
+
     def record_crash(self, target: Target) -> None:
         """Record that a server has crashed."""
         record = self.directory.latest(target.server)
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -30,6 +30,9 @@
     ConfigurationFollower,
     prune_forever,
 )
+from siskinspoke.entry.forwarding.deciding import ForwardDecision
+from siskinspoke.entry.forwarding.probing import ServerProber
+from siskinspoke.entry.forwarding.sending import Forwarder
 from siskinspoke.entry.internal_app import internal_app
 from siskinspoke.entry.janitor import Janitor
 from siskinspoke.entry.public_app import public_app
@@ -99,6 +102,7 @@
         control = await stack.enter_async_context(
             ControlClient(settings.controls, settings.internal_key, name, counters, vm.host)
         )
+        forwarder = await stack.enter_async_context(Forwarder(vm.host))
         nursery = await stack.enter_async_context(trio.open_nursery())
         context = make_context(settings, name, backend, control, counters, nursery)
         datagram_port = await open_datagram_port(
@@ -109,12 +113,15 @@
         limits = context.holder.current.configuration.limits
         drain_seconds = limits.drain_ms / 1000
         crash_reporter = CrashReporter(context, datagram_port)
+        prober = ServerProber(context)
+        forwarding = ForwardDecision(context, prober, forwarder)
         tasks = [
             AnnouncementFollower(context, datagram_port, crash_reporter).run,
             crash_reporter.run,
             configuration_follower.run,
             context.janitor.run,
             backend.watch_forever,
+            prober.run,
             partial(tick_forever, context.stall_detector),
         ]
         if len(settings.entries) <= SMALL_SITE_ENTRY_VMS:
@@ -127,7 +134,7 @@
         async with trio.open_nursery() as servers:
             for app, listen_port in (
                 (internal_app(context), vm.internal_port),
-                (public_app(context), vm.port),
+                (public_app(context, forwarding), vm.port),
             ):
                 if listen_port == vm.port:
                     await _wait_for_announcements(settings)
--- a/siskinspoke/entry/public_app.py
+++ b/siskinspoke/entry/public_app.py
@@ -6,12 +6,16 @@
 from quart import Response, request
 
 from siskinspoke.conf.settings import Limits
+from siskinspoke.coordination.deadlines import margin_seconds
 from siskinspoke.core.codes import Failure, ResultCode, RunStatus
 from siskinspoke.entry.answers import answer_job
 from siskinspoke.entry.calls import CallJob
 from siskinspoke.entry.claiming import claim_name, verify_not_run
 from siskinspoke.entry.completions import CompletionJob
 from siskinspoke.entry.context import EntryContext
+from siskinspoke.entry.forwarding.deciding import Arrival, ForwardDecision
+from siskinspoke.entry.forwarding.receiving import read_origin
+from siskinspoke.entry.forwarding.sending import CallerRequest
 from siskinspoke.entry.requests import (
     Call,
     Caller,
@@ -23,10 +27,13 @@
 from siskinspoke.entry.requests import read_completion as read_completion_body
 from siskinspoke.entry.resuming import ResumeJob
 from siskinspoke.entry.stream_tokens import read_token
+from siskinspoke.protocol.forwarding import FORWARD_HEADER, RESULT_HEADER
 from siskinspoke.transport.http import failure_response, json_response, make_app
 
 DRAIN_RETRY_MS = 500
 TOO_MANY_STREAMS_RETRY_MS = 1_000
+# Headers of a caller's request that are passed on when it is forwarded.
+CALLER_HEADERS = ("Authorization", "Idempotency-Key", "Content-Type")
 
 
 def _keyed_request_id(name: str) -> str:
@@ -34,8 +41,8 @@
     return "k" + hashlib.blake2b(name.encode(), digest_size=12).hexdigest()
 
 
-def public_app(context: EntryContext):
-    """Return the application for callers."""
+def public_app(context: EntryContext, forwarding: ForwardDecision):
+    """Return the application for callers, and for peers that forward their requests."""
     limits = context.holder.current.configuration.limits
     app = make_app("entry", limits.max_body_bytes, limits.body_timeout_ms / 1000)
 
@@ -76,6 +83,31 @@
         )
         return found.ok if found.is_ok() else found.error
 
+    def read_arrival(
+        body: bytes, service: str, timeout_ms: float, arrived_at: float
+    ) -> Arrival | Failure:
+        """Return a valid request with its arrival and deadline at the VM that forwarded it."""
+        origin = read_origin(
+            context.settings, context.counters, request.headers, request.path, body
+        )
+        if isinstance(origin, Failure):
+            return origin
+        if origin is not None:
+            arrived_at -= origin.elapsed_ms / 1000
+        timeout_seconds = timeout_ms / 1000
+        margin = margin_seconds(timeout_seconds, context.stall_detector.timer_lateness)
+        deadline = arrived_at + timeout_seconds - margin
+        headers = {name: value for name in CALLER_HEADERS if (value := request.headers.get(name))}
+        call = CallerRequest(request.path, body, headers, service, arrived_at, deadline)
+        return Arrival(call, origin)
+
+    @app.after_request
+    async def mark_forwarded(response: Response) -> Response:
+        """Mark the answers to peers, which other programs cannot give."""
+        if FORWARD_HEADER.decode() in request.headers:
+            response.headers[RESULT_HEADER.decode()] = "0"
+        return response
+
     @app.after_request
     async def close_when_draining(response: Response) -> Response:
         """Close keep-alive connections while draining.
@@ -92,8 +124,9 @@
         caller = authenticate_caller()
         if isinstance(caller, Failure):
             return refuse(caller)
+        body = await request.get_data()
         read = read_completion_body(
-            await request.get_data(),
+            body,
             request.headers.get("Idempotency-Key"),
             context.holder.current.configuration,
         )
@@ -102,29 +135,42 @@
         failure = unavailable()
         if failure is not None:
             return await refuse_request(failure, caller, read.ok.key)
-        return await answer_completion(caller, read.ok, arrived_at)
+        arrival = read_arrival(body, read.ok.service, read.ok.timeout_ms, arrived_at)
+        if isinstance(arrival, Failure):
+            return refuse(arrival)
+        found = await forwarding.before(arrival)
+        if isinstance(found, Failure):
+            return await refuse_request(found, caller, read.ok.key)
+        return found or await answer_completion(caller, read.ok, arrival)
 
     async def answer_completion(
-        caller: Caller, completion: Completion, arrived_at: float
+        caller: Caller, completion: Completion, arrival: Arrival
     ) -> Response:
         if completion.key is not None:
             request_id = _keyed_request_id(claim_name(caller.customer, completion.key))
         else:
             request_id = context.next_request_id()
-        deadline = arrived_at + completion.timeout_ms / 1000
+        deadline = arrival.request.arrived_at + completion.timeout_ms / 1000
         job = CompletionJob(context, caller, completion, request_id, deadline)
         admitted = job.admit()
         if admitted.is_error():
-            return await refuse_request(admitted.error, caller, completion.key)
+            found = await forwarding.after(arrival, admitted.error)
+            return found or await refuse_request(admitted.error, caller, completion.key)
         context.counters.count("admitted")
         context.nursery.start_soon(job.run, admitted.ok)
-        return await answer_job(job, completion.stream, context.settings.internal_key)
+        answer = await answer_job(job, completion.stream, context.settings.internal_key)
+        if isinstance(answer, Failure):
+            found = await forwarding.after(arrival, answer)
+            return found or failure_response(answer)
+        return answer
 
     @app.post("/v1/streams/resume")
     async def resume() -> Response:
+        arrived_at = context.stall_detector.earliest_arrival(trio.current_time())
         caller = authenticate_caller()
         if isinstance(caller, Failure):
             return refuse(caller)
+        body = await request.get_data()
         document = await request.get_json(force=True, silent=True)
         if not isinstance(document, dict):
             return refuse(Failure(ResultCode.NOT_JSON, "the body must be a JSON object"))
@@ -138,9 +184,21 @@
         failure = unavailable()
         if failure is not None:
             return refuse(failure._replace(run=RunStatus.UNKNOWN))
-        job = ResumeJob(context, token.ok, offset)
+        record = context.directory.latest(token.ok.target.server)
+        service = "" if record is None else record.announcement.service
+        limits = context.holder.current.configuration.limits
+        arrival = read_arrival(body, service, limits.max_timeout_ms, arrived_at)
+        if isinstance(arrival, Failure):
+            return refuse(arrival)
+        found = await forwarding.before(arrival)
+        if isinstance(found, Failure):
+            return refuse(found._replace(run=RunStatus.UNKNOWN))
+        return found or await answer_resumed(ResumeJob(context, token.ok, offset))
+
+    async def answer_resumed(job: ResumeJob) -> Response:
         context.nursery.start_soon(job.run)
-        return await answer_job(job, True, context.settings.internal_key)
+        answer = await answer_job(job, True, context.settings.internal_key)
+        return failure_response(answer) if isinstance(answer, Failure) else answer
 
     @app.post("/v1/services/<service>")
     async def services(service: str) -> Response:
@@ -148,8 +206,9 @@
         caller = authenticate_caller()
         if isinstance(caller, Failure):
             return refuse(caller)
+        body = await request.get_data()
         read = read_call(
-            await request.get_data(),
+            body,
             service,
             request.headers.get("Idempotency-Key"),
             context.holder.current.configuration,
@@ -159,19 +218,31 @@
         failure = unavailable()
         if failure is not None:
             return await refuse_request(failure, caller, read.ok.key)
+        arrival = read_arrival(body, read.ok.service, read.ok.timeout_ms, arrived_at)
+        if isinstance(arrival, Failure):
+            return refuse(arrival)
+        found = await forwarding.before(arrival)
+        if isinstance(found, Failure):
+            return await refuse_request(found, caller, read.ok.key)
+        if found is not None:
+            return found
         context.request_opened()
         try:
-            return await answer_call(caller, read.ok, arrived_at)
+            return await answer_call(caller, read.ok, arrival)
         finally:
             context.request_closed()
 
-    async def answer_call(caller: Caller, call: Call, arrived_at: float) -> Response:
+    async def answer_call(caller: Caller, call: Call, arrival: Arrival) -> Response:
         if call.key is not None:
             request_id = _keyed_request_id(claim_name(caller.customer, call.key))
         else:
             request_id = context.next_request_id()
+        arrived_at = arrival.request.arrived_at
         answer = await CallJob(context, caller, call, request_id, arrived_at).run()
         if isinstance(answer, Failure):
+            found = await forwarding.after(arrival, answer)
+            if found is not None:
+                return found
             not_run = answer.run_status is RunStatus.NOT_RUN
             context.counters.count(
                 f"{'refused' if not_run else 'failed'}.{answer.code.name.lower()}"
--- a/siskinspoke/protocol/forwarding.py
+++ b/siskinspoke/protocol/forwarding.py
@@ -6,7 +6,7 @@
 import base64
 import binascii
 from hashlib import blake2b
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from siskinspoke.protocol.codec import decode_message, encode_message, message
 from siskinspoke.protocol.seal import seal, unseal
@@ -45,6 +45,19 @@
     parts: tuple[str, ...] = ()
 
 
+@message
+class ForwardedRequest(NamedTuple):
+    """What a peer needs to know of a request to the product's own interface, beyond the request.
+
+    The fields are those of ``ForwardedCall``.
+    """
+
+    sender: str
+    version: int
+    elapsed_ms: float
+    digest: str
+
+
 def digest_of(method: str, target: str, body: bytes) -> str:
     """Return the digest of a request's method, target and body."""
     digest = blake2b(digest_size=DIGEST_BYTES)
@@ -53,18 +66,27 @@
     return digest.hexdigest()
 
 
-def encode_forwarded(key: bytes, call: ForwardedCall) -> bytes:
+def encode_forwarded(key: bytes, call: ForwardedCall | ForwardedRequest) -> bytes:
     """Return the value of the header, authenticated with the key shared by the VMs."""
     return base64.b64encode(seal(key, encode_message(call)))
 
 
 def decode_forwarded(key: bytes, value: bytes) -> ForwardedCall | None:
     """Return the call in a header's value, or None if it is not authentic."""
+    decoded = _decode(key, value)
+    return decoded if isinstance(decoded, ForwardedCall) else None
+
+
+def decode_forwarded_request(key: bytes, value: bytes) -> ForwardedRequest | None:
+    """Return the request in a header's value, or None if it is not authentic."""
+    decoded = _decode(key, value)
+    return decoded if isinstance(decoded, ForwardedRequest) else None
+
+
+def _decode(key: bytes, value: bytes) -> Any:
     try:
         body = unseal(key, base64.b64decode(value, validate=True))
     except binascii.Error:
         return None
     decoded = None if body is None else decode_message(body)
-    if decoded is None or decoded.is_error() or not isinstance(decoded.ok, ForwardedCall):
-        return None
-    return decoded.ok
+    return None if decoded is None or decoded.is_error() else decoded.ok
--- a/siskinspoke/testing/proxy.py
+++ b/siskinspoke/testing/proxy.py
@@ -22,10 +22,12 @@
 class Rule(NamedTuple):
     """The faults injected into traffic from one failure domain to another.
 
-    The probabilities and ``jitter_seconds`` apply to datagrams only.
+    ``refuse`` ends TCP connections, open and new ones; ``cut`` lets them hang. The probabilities
+    and ``jitter_seconds`` apply to datagrams only.
     """
 
     cut: bool = False
+    refuse: bool = False
     delay_seconds: float = 0.0
     drop_probability: float = 0.0
     duplicate_probability: float = 0.0
@@ -142,6 +144,8 @@
 
     async def _connect(self, client: trio.SocketStream, source: int, host: str, port: int) -> None:
         target = domain_of(host)
+        if self._rule(source, target, port).refuse:
+            return
         while self._rule(source, target, port).cut or self._rule(target, source, port).cut:
             await self._changed.wait()
         try:
@@ -172,6 +176,8 @@
                 while self._rule(*route).cut:
                     await self._changed.wait()
                 rule = self._rule(*route)
+                if rule.refuse:
+                    nursery.cancel_scope.cancel()
                 if rule.delay_seconds:
                     await trio.sleep(rule.delay_seconds)
                 await destination.send_all(data)
--- a/tests/entry/test_delivery.py
+++ b/tests/entry/test_delivery.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from siskinspoke.coordination.forwarding.reach import Reach
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.stall_detector import StallDetector
 from siskinspoke.entry.backend import Backend, Completed, Lost
@@ -26,6 +27,7 @@
     context = SimpleNamespace(
         holder=SimpleNamespace(current=SimpleNamespace(configuration=configuration)),
         stall_detector=StallDetector(0.0),
+        reach=Reach(),
     )
     completion = Completion(
         "m", "x" * 40, 4, stream=True, timeout_ms=9_000, idempotent=True, key=None
--- a/tests/entry/test_interrupted_answers.py
+++ b/tests/entry/test_interrupted_answers.py
@@ -9,6 +9,7 @@
 from siskinspoke.bench.slopes import announcement
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import ServerRecord
+from siskinspoke.coordination.forwarding.reach import Reach
 from siskinspoke.coordination.retries import RetryBudget
 from siskinspoke.coordination.routing import Choice
 from siskinspoke.core.codes import Failure, ResultCode
@@ -80,7 +81,9 @@
         router=router,
         retries=retries,
         counters=Counters(),
-        directory=SimpleNamespace(suspend=lambda *_: None),
+        directory=SimpleNamespace(),
+        suspend=lambda target: None,
+        reach=Reach(),
         janitor=SimpleNamespace(add=lambda _: None),
         crashes=CrashWatch(lambda news: None, Counters(), NullDecisionLog()),
         is_alive=lambda target: False,
