Wait for the gateway's log in the tests of evacuations

The log that the failed test kept has the line, before configuration.in_force, as the test asks.

Cause: the gateway writes its log in the background, and the test read the file right after an answer. It now waits for the line of that answer in the log of the second start, and then checks the same.

--- a/tests/integration/test_evacuations.py
+++ b/tests/integration/test_evacuations.py
@@ -193,11 +193,19 @@
     return path.read_bytes() if path.exists() else b""
 
 
+def last_run(site: GroupSite) -> list[dict]:
+    """Return the log of the gateway since it was started again."""
+    written = read(site.folder / "g1.log").rpartition(b"\n")[0]
+    lines = [json.loads(line) for line in written.splitlines()]
+    starts = [number for number, line in enumerate(lines) if line["event"] == "start"]
+    return lines[starts[-1] :] if len(starts) > 1 else []
+
+
 def assert_obeyed_from_the_start(site: GroupSite) -> None:
     """Check that the restarted gateway knew the evacuations before it could serve a request."""
-    lines = [json.loads(line) for line in (site.folder / "g1.log").read_text().splitlines()]
-    starts = [number for number, line in enumerate(lines) if line["event"] == "start"]
-    lines = lines[starts[-1] :]
+    # The gateway writes its log in the background, so an answer may arrive before its line.
+    wait_until(lambda: any(line["event"] == "request" for line in last_run(site)), "its log")
+    lines = last_run(site)
     events = [line["event"] for line in lines]
     assert events.index("evacuation.in_force") < events.index("configuration.in_force")
     assert [line["tried"] for line in lines if line["event"] == "request" if line["tried"]] == []
