Ask a peer again soon that had no room for a forwarded request

Cause: 12 VMs forward their first requests at once; some are refused since there is no room at that moment. That refusal left the peer out for a second, and after three of them the whole service, as if no peer reached its servers. Ruled out: the machine's time alone, since one failing run had none but this refusal in its logs (27 no_server, then 12 not_reachable_now without another forward).

A peer without room is left out for 100 ms now, and a service only if the peers say that they do not reach it; at the product's own interface as well. The new test failed before (refused 0.2 s later) and passes.

--- a/siskinspoke/coordination/forwarding/peer_choice.py
+++ b/siskinspoke/coordination/forwarding/peer_choice.py
@@ -9,6 +9,8 @@
 REMOTE_DOMAIN_PENALTY = 2
 # A peer that refused or broke off a forwarded request gets none for this long.
 PEER_BACK_OFF_MS = 1_000.0
+# The same for a peer that has no room now; others of its cell know of the same engines.
+FULL_PEER_BACK_OFF_MS = 100.0
 # While a service's servers are gone for all VMs, each VM asks a peer no more often than this.
 SERVICE_BACK_OFF_MS = 1_000.0
 
@@ -78,12 +80,12 @@
         if not self._open[host]:
             del self._open[host]
 
-    def record_failure(self, host: str, now: float) -> None:
+    def record_failure(self, host: str, now: float, back_off_ms: float = PEER_BACK_OFF_MS) -> None:
         """Record that a peer refused, broke off or could not be connected to."""
-        self._peers_until[host] = now + PEER_BACK_OFF_MS
+        self._peers_until[host] = now + back_off_ms
 
     def record_unserved(self, service: str, now: float) -> None:
-        """Record that a peer has no server of a service either."""
+        """Record that peers do not reach the servers of a service either."""
         self._services_until[service] = now + SERVICE_BACK_OFF_MS
 
     def may_ask(self, host: str, now: float) -> bool:
--- a/siskinspoke/entry/forwarding/sending.py
+++ b/siskinspoke/entry/forwarding/sending.py
@@ -12,6 +12,8 @@
 
 from siskinspoke.conf.settings import EntryVM
 from siskinspoke.coordination.forwarding.peer_choice import (
+    FULL_PEER_BACK_OFF_MS,
+    PEER_BACK_OFF_MS,
     ForwardingRecord,
     PeerState,
     choose_peer,
@@ -38,6 +40,8 @@
 BODY_CHUNKS = 64
 EVENT_STREAM = "text/event-stream"
 PASSED_ON_HEADERS = ("Retry-After", "Cache-Control", "X-Request-Id")
+# Refusals of a peer that reaches servers, but has no room now.
+FULL_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.TOO_MANY_STREAMS))
 # Refusals that hold for one peer only.
 OTHER_PEER_CODES = frozenset(
     (
@@ -171,6 +175,7 @@
         if not self._record.may_forward(request.service, now_ms()):
             return None
         refused_domains: set[str] = set()
+        codes: set[ResultCode | None] = set()
         refusal: Response | None = None
         with trio.move_on_at(request.deadline):
             for _ in range(MAX_FORWARDS):
@@ -181,8 +186,10 @@
                 if isinstance(found, Response):
                     return found
                 refused_domains.add(peer.failure_domain)
+                codes.add(found.code)
                 refusal = found.response or refusal
-            self._record.record_unserved(request.service, now_ms())
+            if codes == {ResultCode.NOT_REACHABLE_NOW}:
+                self._record.record_unserved(request.service, now_ms())
         return refusal
 
     def _choose(self, context: EntryContext, refused_domains: set[str]) -> EntryVM | None:
@@ -223,7 +230,7 @@
         try:
             head = await exchange.head()
             if head is None or RESULT_HEADER.decode() not in head.headers:
-                return self._refused(context, peer, None)
+                return self._refused(context, peer, None, None)
             headers = {
                 name: head.headers[name] for name in PASSED_ON_HEADERS if name in head.headers
             }
@@ -234,12 +241,12 @@
                 return Response(events, head.status, headers, content_type=kind)
             body = b"".join([data async for data in exchange.chunks()])
             if not exchange.is_complete:
-                return self._refused(context, peer, None)
+                return self._refused(context, peer, None, None)
             response = Response(body, head.status, headers, content_type=kind)
             code = _result_code(body) if head.status >= 400 else ResultCode.OK
             if code in OTHER_PEER_CODES:
                 is_for_caller = code is not ResultCode.UNKNOWN_PEER
-                return self._refused(context, peer, response if is_for_caller else None)
+                return self._refused(context, peer, code, response if is_for_caller else None)
             context.counters.count("forward.passed_on")
             return response
         finally:
@@ -247,15 +254,18 @@
                 exchange.cancel()
 
     def _refused(
-        self, context: EntryContext, peer: EntryVM, response: Response | None
+        self,
+        context: EntryContext,
+        peer: EntryVM,
+        code: ResultCode | None,
+        response: Response | None,
     ) -> "Refused":
-        self._record.record_failure(peer.host, now_ms())
-        context.counters.count("forward.refused" if response is not None else "forward.broken")
-        logger.info(
-            "request.not_forwarded {}",
-            {"peer": peer.name, "status": None if response is None else response.status_code},
-        )
-        return Refused(response)
+        back_off_ms = FULL_PEER_BACK_OFF_MS if code in FULL_CODES else PEER_BACK_OFF_MS
+        self._record.record_failure(peer.host, now_ms(), back_off_ms)
+        reason = "broken" if code is None else code.name.lower()
+        context.counters.count(f"forward.{reason}")
+        logger.info("request.not_forwarded {}", {"peer": peer.name, "reason": reason})
+        return Refused(code, response)
 
     def _request(
         self, context: EntryContext, request: CallerRequest, peer: EntryVM
@@ -277,6 +287,7 @@
 class Refused:
     """A peer did not serve the request; ``response`` is its refusal, if it is for the caller."""
 
+    code: ResultCode | None
     response: Response | None
 
 
--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from siskinspoke.coordination.forwarding.peer_choice import PeerState
+from siskinspoke.coordination.forwarding.peer_choice import FULL_PEER_BACK_OFF_MS, PeerState
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.core.codes import Failure, ResultCode, RunStatus
 from siskinspoke.gateway.context import Gateway, Request, now_ms
@@ -49,7 +49,8 @@
         ResultCode.UNKNOWN_PEER,
     )
 )
-UNSERVED_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.NOT_REACHABLE_NOW))
+# Refusals of a peer that reaches servers, but has no room now.
+FULL_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.TOO_MANY_STREAMS))
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 
 
@@ -245,11 +246,14 @@
             gateway.forwarding.record_failure(peer.host, now)
         case Refused(failure=failure) | (Failure() as failure):
             result, reason = failure.code.name.lower(), failure.message
-            if failure.code in OTHER_PEER_CODES:
+            if failure.code in FULL_CODES:
+                gateway.forwarding.record_failure(peer.host, now, FULL_PEER_BACK_OFF_MS)
+            elif failure.code in OTHER_PEER_CODES:
                 gateway.forwarding.record_failure(peer.host, now)
             else:
                 request.forwards = MAX_FORWARDS
-            if failure.code in UNSERVED_CODES and request.forwards >= MAX_FORWARDS:
+            is_unreachable = failure.code is ResultCode.NOT_REACHABLE_NOW
+            if is_unreachable and request.forwards >= MAX_FORWARDS:
                 gateway.forwarding.record_unserved(request.service, now)
         case OutcomeUnknown(reason=reason):
             result = "broken"
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -238,6 +238,27 @@
         trio.run(run)
 
 
+class TestFullPeers:
+    """Guards against refusals for a second after a peer had no room for one request."""
+
+    def test_peer_has_room_again(self, tmp_path):
+        async def run():
+            async with cell_site(tmp_path, 2, "plain") as cell:
+                await cell.start_servers([PLAIN] * 3)
+                cut(cell, 0)
+                await find_out(cell)
+                peer = cell.sites[1]
+                for server in cell.servers:
+                    peer.announce(server, "plain", seq=1_000, leaving=True)
+                assert (await cell.send(cell.sites[0], "/once/x", "r1")).status == 503
+                for server in cell.servers:
+                    peer.announce(server, "plain", started=5)
+                await trio.sleep(0.2)
+                assert (await cell.send(cell.sites[0], "/once/x", "r2")).served
+
+        trio.run(run)
+
+
 class TestOtherVms:
     """Guards against partitioned VMs whose reports take servers from the other VMs."""
 
