Keep connections to servers that are silent for up to a second and a half

A sound server may be silent for a second or so. Connections to servers had a TCP_USER_TIMEOUT of 1 s, by which the kernel also gives up keepalive probes, whatever their count: a silence of 1.0 s that begins right before the first probe ended an idle connection or a waiting stream, and 1.0 s without an acknowledgement a request that was being sent.

No run with a silent network was possible here. Connections to servers have 2.5 s now; clients, feeds and links between VMs keep 1 s, by which a leave must be noticed.

--- a/siskinspoke/testing/server_links.py
+++ b/siskinspoke/testing/server_links.py
@@ -12,7 +12,7 @@
 
 from siskinspoke.gateway import exchange, reachability
 from siskinspoke.transport.http1 import ServerConnection
-from siskinspoke.transport.sockets import USER_TIMEOUT_MS
+from siskinspoke.transport.sockets import SERVER_USER_TIMEOUT_MS
 
 
 class LinkMode(Enum):
@@ -153,7 +153,7 @@
 
     async def _wait_while_hanging(self) -> None:
         since = self._held_since
-        seconds = USER_TIMEOUT_MS / 1000
+        seconds = SERVER_USER_TIMEOUT_MS / 1000
         deadline = float("inf") if since is None else since + seconds
         with trio.move_on_at(deadline):
             await self._links.wait_for_change()
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -13,7 +13,11 @@
 import h11
 import trio
 
-from siskinspoke.transport.sockets import reset_connection, set_socket_options
+from siskinspoke.transport.sockets import (
+    SERVER_USER_TIMEOUT_MS,
+    reset_connection,
+    set_socket_options,
+)
 
 READ_BYTES = 65_536
 # How many bytes of pipelined requests are buffered; further ones stay in the socket's buffer.
@@ -317,7 +321,7 @@
             await sock.bind((local_host, 0))
         await sock.connect((host, port))
         stream = trio.SocketStream(sock)
-        set_socket_options(sock)
+        set_socket_options(sock, SERVER_USER_TIMEOUT_MS)
     except BaseException:
         sock.close()
         raise
--- a/siskinspoke/transport/sockets.py
+++ b/siskinspoke/transport/sockets.py
@@ -7,19 +7,22 @@
 # A connection is closed after this time with unacknowledged data, as when its peer is partitioned.
 # It is half of the shortest time in which a leave must take effect.
 USER_TIMEOUT_MS = 1_000
+# The same for connections to backend servers, which may be silent for over a second and go on. The
+# kernel also gives up its keepalive probes by this time, whatever their number.
+SERVER_USER_TIMEOUT_MS = 2_500
 # Keepalive probes on an idle connection: delay of the first and interval, and their number.
 PROBE_IDLE_SECONDS = 1
 PROBE_COUNT = 2
 
 
-def set_socket_options(sock) -> None:
+def set_socket_options(sock, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
     """Set options that detect an unreachable peer and send small writes without delay."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def set_unread_timeout(sock, timeout_ms: int) -> None:
