Close new connections unread that the processor has no time for

While most new connections of a failure domain went to one VM, none of the requests that it read was served: 0 of 176 calls and 0 of 170 streams from 1.5 s on, with 20 ms of processor each and 120 connections a second (tests/platform/test_connection_flood.py, before the change). Nine of ten clients waited for 2.5 s.

Cause: a VM read all connections, at the rate of its event loop, so that requests waited in the kernel's queue and then shared the processor with all others. Ruled out: the clients, which run in a thread of their own (in the loop of the VM they slowed down with it and hid the fault).

Now a limit follows how late timers fire; what exceeds it is closed unread within 50 ms, and the client retries at another VM. The product's own interface has no such limit.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -10,6 +10,7 @@
 from siskinspoke.coordination.routes import CallKind
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
 from siskinspoke.core.supervise import log_fault
+from siskinspoke.gateway.accepting import Acceptor
 from siskinspoke.gateway.context import Gateway, Request, now_ms
 from siskinspoke.gateway.forwarding.results import mark_result
 from siskinspoke.gateway.plain import serve_plain
@@ -19,7 +20,7 @@
 from siskinspoke.gateway.streams import StreamCutError, serve_stream
 from siskinspoke.gateway.wire import Call
 from siskinspoke.protocol.forwarding import RESULT_HEADER, ForwardedCall
-from siskinspoke.transport.early import BACKLOG, take_early_listener
+from siskinspoke.transport.early import listen, take_early_listener
 from siskinspoke.transport.http1 import (
     BadRequestError,
     ClientConnection,
@@ -85,12 +86,8 @@
 
     async def serve(self, host: str, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve clients forever, beginning with connections accepted while the program loaded."""
-        early = take_early_listener(host, port)
-        if early is None:
-            listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-        else:
-            listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(early))]
-        await trio.serve_listeners(self.serve_one, listeners, task_status=task_status)
+        listener = take_early_listener(host, port) or listen(host, port)
+        await Acceptor(self._gateway, listener, self.serve_one).run(task_status)
 
     async def serve_one(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it is closed."""
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -13,6 +13,7 @@
 from siskinspoke.coordination.back_off import BackOffs
 from siskinspoke.coordination.byte_budget import ByteBudget, HeldBytes
 from siskinspoke.coordination.cold_servers import ColdServers
+from siskinspoke.coordination.connection_limit import ConnectionLimit
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.domains import DomainMonitor
@@ -109,6 +110,7 @@
     forwarding: ForwardingRecord = field(default_factory=ForwardingRecord)
     connection_failures: ConnectionFailures = field(default_factory=ConnectionFailures)
     surveys: SurveyRequests = field(default_factory=SurveyRequests)
+    connection_limit: ConnectionLimit = field(default_factory=ConnectionLimit)
     # Whether no server could be reached when that was last logged.
     partitioned: bool = False
 
--- /dev/null
+++ b/siskinspoke/transport/accepting.py
@@ -0,0 +1,33 @@
+"""Accept several waiting connections of a listening socket at once."""
+
+import errno
+import socket
+
+import trio
+
+# The process or the machine lacks descriptors or memory for another connection.
+EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS))
+
+
+def accept_waiting(listener: socket.socket, count: int) -> tuple[list[socket.socket], bool]:
+    """Accept up to ``count`` connections without waiting.
+
+    Return them, and whether the process or the machine lacks room for more.
+    """
+    accepted: list[socket.socket] = []
+    while len(accepted) < count:
+        try:
+            accepted.append(listener.accept()[0])
+        except BlockingIOError:
+            break
+        except OSError as error:
+            if error.errno in EXHAUSTED:
+                return accepted, True
+            # The client has closed the connection while it waited.
+            continue
+    return accepted, False
+
+
+def stream_of(connection: socket.socket) -> trio.SocketStream:
+    """Return the stream of an accepted connection."""
+    return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
--- a/siskinspoke/transport/early.py
+++ b/siskinspoke/transport/early.py
@@ -6,6 +6,7 @@
 therefore imports only the standard library, and loads within a few milliseconds.
 """
 
+import contextlib
 import json
 import os
 import socket
@@ -30,15 +31,21 @@
     address = _public_address(arguments)
     if address is None:
         return
+    with contextlib.suppress(OSError):
+        _early_listener = listen(*address)
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens on an address."""
     listener = socket.socket()
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
+        listener.bind((host, port))
         listener.listen(BACKLOG)
     except OSError:
         listener.close()
-        return
-    _early_listener = listener
+        raise
+    return listener
 
 
 def take_early_listener(host: str, port: int) -> socket.socket | None:
