Recognize a crash behind a middlebox that accepts connections for the server

Cause: an engine that broke off was looked at only where a new connection to it was refused. A middlebox accepts connections for a dead process and closes them without an answer, so its crash was known only once it had started again, and until then nothing was held against the request. Ruled out: the verdict on parts, which came within a request once the crashes were known (the log of the failed test has parts.quarantined with 12 servers).

--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -277,12 +277,16 @@
         return None
 
     async def refuses_connections(self, target: Target) -> bool:
-        """Return whether connections are refused, as they are when the process is dead."""
+        """Return whether connections are refused, as they are when the process is dead.
+
+        A middlebox may accept them for it, and then closes them without an answer.
+        """
         with trio.move_on_after(EXCHANGE_TIMEOUT_SECONDS):
             try:
-                await self._control.get(f"http://{target.host}:{target.port}/")
+                await self._single_use.get(f"http://{target.host}:{target.port}/")
             except httpx.HTTPError as error:
-                if is_connection_refused(error):
+                is_closed = isinstance(error, httpx.RemoteProtocolError | httpx.ReadError)
+                if is_closed or is_connection_refused(error):
                     return True
                 # Other errors do not prove that the process is dead.
                 self._counters.count("backend.exchange_failed")
--- a/siskinspoke/entry/completion_attempts.py
+++ b/siskinspoke/entry/completion_attempts.py
@@ -201,12 +201,15 @@
         return end
 
     async def _check_for_crash(self, target: Target, end: AttemptEnd) -> None:
-        """Record a crash if the server refuses the connection or does not know the attempt."""
+        """Record a crash if the server refuses connections or does not know the attempt."""
         if not isinstance(end, Completed):
             self._context.reach.record_failure(now_ms())
         match end:
             case NotBegun(reason=reason) if reason == CONNECTION_REFUSED:
                 await handle_connection_refused(self._context, target)
+            case Lost():
+                if await self._context.backend.refuses_connections(target):
+                    await handle_connection_refused(self._context, target)
             case Unknown():
                 self._context.record_crash(target)
 
