--- a/siskinspoke/coordination/forwarding/peer_choice.py
+++ b/siskinspoke/coordination/forwarding/peer_choice.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from siskinspoke.core.codes import ResultCode
+
 # A peer in another failure domain counts as if it had this many more open requests.
 REMOTE_DOMAIN_PENALTY = 2
 # A peer that refused or broke off a forwarded request gets none for this long.
@@ -14,6 +16,20 @@
 # While a service's servers are gone for all VMs, each VM asks a peer no more often than this.
 SERVICE_BACK_OFF_MS = 1_000.0
 
+# Refusals of a peer that reaches servers, but has no room now.
+FULL_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.TOO_MANY_STREAMS))
+# Refusals that hold for one peer only.
+OTHER_PEER_CODES = frozenset(
+    (
+        ResultCode.DRAINING,
+        ResultCode.NO_SERVER,
+        ResultCode.NOT_REACHABLE_NOW,
+        ResultCode.OLDER_CONFIGURATION,
+        ResultCode.TOO_MANY_STREAMS,
+        ResultCode.UNKNOWN_PEER,
+    )
+)
+
 
 class PeerState(NamedTuple):
     """What this VM knows of a peer.
@@ -39,6 +55,11 @@
     return peer_unreachable < own_unreachable
 
 
+def back_off_ms(code: ResultCode | None) -> float:
+    """Return how long a peer is left out after a refusal, or after a broken connection."""
+    return FULL_PEER_BACK_OFF_MS if code in FULL_CODES else PEER_BACK_OFF_MS
+
+
 def choose_peer(
     peers: Iterable[PeerState],
     own_domain: str,
--- a/siskinspoke/entry/forwarding/sending.py
+++ b/siskinspoke/entry/forwarding/sending.py
@@ -12,10 +12,10 @@
 
 from siskinspoke.conf.settings import EntryVM
 from siskinspoke.coordination.forwarding.peer_choice import (
-    FULL_PEER_BACK_OFF_MS,
-    PEER_BACK_OFF_MS,
+    OTHER_PEER_CODES,
     ForwardingRecord,
     PeerState,
+    back_off_ms,
     choose_peer,
 )
 from siskinspoke.core.codes import Failure, ResultCode
@@ -40,19 +40,6 @@
 BODY_CHUNKS = 64
 EVENT_STREAM = "text/event-stream"
 PASSED_ON_HEADERS = ("Retry-After", "Cache-Control", "X-Request-Id")
-# Refusals of a peer that reaches servers, but has no room now.
-FULL_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.TOO_MANY_STREAMS))
-# Refusals that hold for one peer only.
-OTHER_PEER_CODES = frozenset(
-    (
-        ResultCode.DRAINING,
-        ResultCode.NO_SERVER,
-        ResultCode.NOT_REACHABLE_NOW,
-        ResultCode.OLDER_CONFIGURATION,
-        ResultCode.TOO_MANY_STREAMS,
-        ResultCode.UNKNOWN_PEER,
-    )
-)
 
 
 class CallerRequest(NamedTuple):
@@ -260,8 +247,7 @@
         code: ResultCode | None,
         response: Response | None,
     ) -> "Refused":
-        back_off_ms = FULL_PEER_BACK_OFF_MS if code in FULL_CODES else PEER_BACK_OFF_MS
-        self._record.record_failure(peer.host, now_ms(), back_off_ms)
+        self._record.record_failure(peer.host, now_ms(), back_off_ms(code))
         reason = "broken" if code is None else code.name.lower()
         context.counters.count(f"forward.{reason}")
         logger.info("request.not_forwarded {}", {"peer": peer.name, "reason": reason})
--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -7,7 +7,11 @@
 import msgspec
 import trio
 
-from siskinspoke.coordination.forwarding.peer_choice import FULL_PEER_BACK_OFF_MS, PeerState
+from siskinspoke.coordination.forwarding.peer_choice import (
+    OTHER_PEER_CODES,
+    PeerState,
+    back_off_ms,
+)
 from siskinspoke.coordination.server_health import FailureKind
 from siskinspoke.core.codes import Failure, ResultCode, RunStatus
 from siskinspoke.gateway.context import Gateway, Request, now_ms
@@ -38,19 +42,6 @@
 # given up if the request may be repeated.
 PATIENCE_TARGETS = 3.0
 MIN_PATIENCE_MS = 1_500.0
-# Refusals that hold for one peer only.
-OTHER_PEER_CODES = frozenset(
-    (
-        ResultCode.DRAINING,
-        ResultCode.NO_SERVER,
-        ResultCode.NOT_REACHABLE_NOW,
-        ResultCode.OLDER_CONFIGURATION,
-        ResultCode.TOO_MANY_STREAMS,
-        ResultCode.UNKNOWN_PEER,
-    )
-)
-# Refusals of a peer that reaches servers, but has no room now.
-FULL_CODES = frozenset((ResultCode.NO_SERVER, ResultCode.TOO_MANY_STREAMS))
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 
 
@@ -246,10 +237,8 @@
             gateway.forwarding.record_failure(peer.host, now)
         case Refused(failure=failure) | (Failure() as failure):
             result, reason = failure.code.name.lower(), failure.message
-            if failure.code in FULL_CODES:
-                gateway.forwarding.record_failure(peer.host, now, FULL_PEER_BACK_OFF_MS)
-            elif failure.code in OTHER_PEER_CODES:
-                gateway.forwarding.record_failure(peer.host, now)
+            if failure.code in OTHER_PEER_CODES:
+                gateway.forwarding.record_failure(peer.host, now, back_off_ms(failure.code))
             else:
                 request.forwards = MAX_FORWARDS
             is_unreachable = failure.code is ResultCode.NOT_REACHABLE_NOW
