--- a/siskinspoke/entry/public_app.py
+++ b/siskinspoke/entry/public_app.py
@@ -101,9 +101,18 @@
         call = CallerRequest(request.path, body, headers, service, arrived_at, deadline)
         return Arrival(call, origin)
 
+    async def answer_elsewhere(
+        arrival: Arrival, caller: Caller, key: IdempotencyKey | None
+    ) -> Response | None:
+        """Answer a request whose servers are out of reach, or return None to serve it here."""
+        found = await forwarding.before(arrival)
+        if isinstance(found, Failure):
+            return await refuse_request(found, caller, key)
+        return found
+
     @app.after_request
     async def mark_forwarded(response: Response) -> Response:
-        """Mark the answers to peers, which other programs cannot give."""
+        """Mark the answers to peers: another program may have taken over the address."""
         if FORWARD_HEADER.decode() in request.headers:
             response.headers[RESULT_HEADER.decode()] = "0"
         return response
@@ -138,9 +147,7 @@
         arrival = read_arrival(body, read.ok.service, read.ok.timeout_ms, arrived_at)
         if isinstance(arrival, Failure):
             return refuse(arrival)
-        found = await forwarding.before(arrival)
-        if isinstance(found, Failure):
-            return await refuse_request(found, caller, read.ok.key)
+        found = await answer_elsewhere(arrival, caller, read.ok.key)
         return found or await answer_completion(caller, read.ok, arrival)
 
     async def answer_completion(
@@ -221,9 +228,7 @@
         arrival = read_arrival(body, read.ok.service, read.ok.timeout_ms, arrived_at)
         if isinstance(arrival, Failure):
             return refuse(arrival)
-        found = await forwarding.before(arrival)
-        if isinstance(found, Failure):
-            return await refuse_request(found, caller, read.ok.key)
+        found = await answer_elsewhere(arrival, caller, read.ok.key)
         if found is not None:
             return found
         context.request_opened()
