Do not call a request not run that a peer may have run

A caller of a partitioned VM of the product's own interface got a refusal with "run": "not_run" when a peer had read the forwarded request and broke off, or the deadline passed while it was waited for: the refusal was that of a VM that reaches no server. Requests with an idempotency key were safe, since their claims are looked up first.

Only a connection that was never made, or a peer's own refusal, proves that a request was not sent; anything else ends as FATE_UNKNOWN now.

--- a/siskinspoke/entry/forwarding/deciding.py
+++ b/siskinspoke/entry/forwarding/deciding.py
@@ -9,6 +9,7 @@
 from siskinspoke.entry.forwarding.probing import ServerProber, is_out_of_reach
 from siskinspoke.entry.forwarding.sending import CallerRequest, Forwarder
 from siskinspoke.protocol.forwarding import ForwardedRequest
+from siskinspoke.transport.http import failure_response
 
 OUT_OF_REACH_RETRY_MS = 1_000
 # Failures that another VM may not have, because this one reaches no server.  A claimed request may
@@ -63,4 +64,5 @@
         await self._prober.survey()
         if not is_out_of_reach(context, arrival.request.service):
             return None
-        return await self._forwarder.forward(context, arrival.request)
+        found = await self._forwarder.forward(context, arrival.request)
+        return failure_response(found) if isinstance(found, Failure) else found
--- a/siskinspoke/entry/forwarding/sending.py
+++ b/siskinspoke/entry/forwarding/sending.py
@@ -19,6 +19,7 @@
     choose_peer,
 )
 from siskinspoke.core.codes import Failure, ResultCode
+from siskinspoke.entry.backend import connection_failed
 from siskinspoke.entry.context import EntryContext, now_ms
 from siskinspoke.protocol.events import EventSplitter
 from siskinspoke.protocol.forwarding import (
@@ -78,6 +79,7 @@
         on_end: Callable[[], None],
     ):
         self.is_complete = False
+        self.may_have_run = True
         self._client = client
         self._peer = peer
         self._request = request
@@ -96,6 +98,10 @@
                     nursery.cancel_scope.cancel()
         except* Exception as errors:
             # An uncaught exception would cancel all other requests of the VM.
+            self.may_have_run = not all(
+                isinstance(error, httpx.HTTPError) and connection_failed(error)
+                for error in errors.exceptions
+            )
             logger.info("forward.failed {}", {"peer": self._peer.name, "why": repr(errors)})
         finally:
             self._head_sender.close()
@@ -157,14 +163,20 @@
     async def __aexit__(self, *details) -> None:
         await self._client.__aexit__(*details)
 
-    async def forward(self, context: EntryContext, request: CallerRequest) -> Response | None:
-        """Return the answer of a peer, or None if none could serve the request."""
+    async def forward(
+        self, context: EntryContext, request: CallerRequest
+    ) -> Response | Failure | None:
+        """Return the answer of a peer, or None if none has sent the request to a server.
+
+        A failure is returned if a peer broke off that may have done so.
+        """
         if not self._record.may_forward(request.service, now_ms()):
             return None
         refused_domains: set[str] = set()
         codes: set[ResultCode | None] = set()
         refusal: Response | None = None
-        with trio.move_on_at(request.deadline):
+        may_have_run = False
+        with trio.move_on_at(request.deadline) as limit:
             for _ in range(MAX_FORWARDS):
                 peer = self._choose(context, refused_domains)
                 if peer is None:
@@ -175,8 +187,11 @@
                 refused_domains.add(peer.failure_domain)
                 codes.add(found.code)
                 refusal = found.response or refusal
+                may_have_run = may_have_run or found.may_have_run
             if codes == {ResultCode.NOT_REACHABLE_NOW}:
                 self._record.record_unserved(request.service, now_ms())
+        if limit.cancelled_caught or may_have_run:
+            return Failure(ResultCode.FATE_UNKNOWN, "a peer may have run it, and is gone")
         return refusal
 
     def _choose(self, context: EntryContext, refused_domains: set[str]) -> EntryVM | None:
@@ -217,7 +232,7 @@
         try:
             head = await exchange.head()
             if head is None or RESULT_HEADER.decode() not in head.headers:
-                return self._refused(context, peer, None, None)
+                return self._refused(context, peer, None, None, exchange.may_have_run)
             headers = {
                 name: head.headers[name] for name in PASSED_ON_HEADERS if name in head.headers
             }
@@ -228,7 +243,7 @@
                 return Response(events, head.status, headers, content_type=kind)
             body = b"".join([data async for data in exchange.chunks()])
             if not exchange.is_complete:
-                return self._refused(context, peer, None, None)
+                return self._refused(context, peer, None, None, exchange.may_have_run)
             response = Response(body, head.status, headers, content_type=kind)
             code = _result_code(body) if head.status >= 400 else ResultCode.OK
             if code in OTHER_PEER_CODES:
@@ -246,12 +261,13 @@
         peer: EntryVM,
         code: ResultCode | None,
         response: Response | None,
+        may_have_run: bool = False,
     ) -> "Refused":
         self._record.record_failure(peer.host, now_ms(), back_off_ms(code))
         reason = "broken" if code is None else code.name.lower()
         context.counters.count(f"forward.{reason}")
         logger.info("request.not_forwarded {}", {"peer": peer.name, "reason": reason})
-        return Refused(code, response)
+        return Refused(code, response, may_have_run)
 
     def _request(
         self, context: EntryContext, request: CallerRequest, peer: EntryVM
@@ -275,6 +291,7 @@
 
     code: ResultCode | None
     response: Response | None
+    may_have_run: bool
 
 
 async def relay_events(exchange: Exchange) -> AsyncIterator[bytes]:
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -1,17 +1,25 @@
 """Requests that entry VMs of the product's own interface forward to each other."""
 
+import random
 from types import SimpleNamespace
 
 import trio
 
 from siskinspoke.conf.settings import EntryVM
-from siskinspoke.core.codes import ResultCode
+from siskinspoke.core.codes import ResultCode, RunStatus
 from siskinspoke.core.counters import Counters
 from siskinspoke.entry.forwarding.receiving import read_origin
-from siskinspoke.entry.forwarding.sending import HEALTH_CHECK_SECONDS, Exchange, relay_events
+from siskinspoke.entry.forwarding.sending import (
+    HEALTH_CHECK_SECONDS,
+    CallerRequest,
+    Exchange,
+    Forwarder,
+    relay_events,
+)
 from siskinspoke.protocol.forwarding import ForwardedRequest, digest_of, encode_forwarded
 from siskinspoke.transport.http import make_client
 
+HOST = "127.0.0.1"
 KEY = b"k"
 TARGET = "/v1/completions"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -39,9 +47,9 @@
 
 async def ask_peer(answer, seconds: float) -> tuple[bytes | None, float]:
     """Forward a request to a peer that runs ``answer``; return the events and the time it took."""
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
     port = listeners[0].socket.getsockname()[1]
-    peer, began, ended = EntryVM("p", "a", "127.0.0.1", port, 0, ""), trio.current_time(), []
+    peer, began, ended = EntryVM("p", "a", HOST, port, 0, ""), trio.current_time(), []
     async with make_client() as client, trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, answer, listeners)
         request = client.build_request("POST", f"http://127.0.0.1:{port}{TARGET}")
@@ -56,6 +64,48 @@
     return events, trio.current_time() - began
 
 
+async def forward(answer) -> object:
+    """Forward a request of a VM that has one peer, which runs ``answer`` or does not listen."""
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
+    port = listeners[0].socket.getsockname()[1]
+    own, peer = EntryVM("o", "a", HOST, 1, 0, ""), EntryVM("p", "a", HOST, port, 0, "")
+    async with Forwarder(HOST) as forwarder, trio.open_nursery() as nursery:
+        context = SimpleNamespace(
+            vm=own,
+            settings=SimpleNamespace(entries=[own, peer], internal_key=KEY),
+            holder=SimpleNamespace(current=SimpleNamespace(version=1)),
+            counters=Counters(),
+            nursery=nursery,
+            rng=random.Random(1),
+            request_opened=lambda: None,
+            request_closed=lambda: None,
+        )
+        if answer is None:
+            await listeners[0].aclose()
+        else:
+            nursery.start_soon(trio.serve_listeners, answer, listeners)
+        now = trio.current_time()
+        request = CallerRequest(TARGET, b"{}", {}, "m", now, now + 5)
+        found = await forwarder.forward(context, request)
+        nursery.cancel_scope.cancel()
+    return found
+
+
+class TestNotRun:
+    """Guards against a refusal "not run" of a request that a peer may have sent to a server."""
+
+    def test_peer_breaks_off(self):
+        async def reads_and_closes(stream):
+            await stream.receive_some()
+            await stream.aclose()
+
+        found = trio.run(forward, reads_and_closes)
+        assert found.run_status is RunStatus.UNKNOWN
+
+    def test_peer_does_not_listen(self):
+        assert trio.run(forward, None) is None
+
+
 class TestBrokenPeer:
     """Guards against callers that wait for a peer that is gone, or take a part for the whole."""
 
