--- a/siskinspoke/testing/chaos.py
+++ b/siskinspoke/testing/chaos.py
@@ -10,8 +10,9 @@
 
 from siskinspoke.core.codes import ResultCode
 from siskinspoke.loadgen.client import ApiClient, Outcome, idempotency_key, prompt_text
+from siskinspoke.testing.proxy import Rule
 from siskinspoke.testing.running_site import RunningSite
-from siskinspoke.testing.site import customer_key
+from siskinspoke.testing.site import SERVER_PORT, customer_key
 
 CUSTOMER = "municipio-1"
 TIMEOUT_MS = 8_000
@@ -96,6 +97,7 @@
             self._cut_domain,
             self._cut_one_way,
             self._reset_connections,
+            self._partition_entries,
         ]
 
     def _pause(self) -> None:
@@ -162,8 +164,18 @@
         self.site.proxy.reset_all()
         self._pause()
 
+    def _partition_entries(self) -> None:
+        """Partition the entry VMs of a failure domain from all servers, which others reach."""
+        domain = self._fault_rng.randrange(3)
+        rule = self._fault_rng.choice((Rule(cut=True), Rule(refuse=True)))
+        self.site.proxy.set_client_rule(domain, SERVER_PORT, rule)
+        time.sleep(self._fault_rng.uniform(0.5, 4.0))
+        self.site.proxy.set_client_rule(domain, SERVER_PORT, Rule())
+
     def heal(self) -> None:
         """Remove all network cuts and restart every process that is not running."""
+        for domain in range(3):
+            self.site.proxy.set_client_rule(domain, SERVER_PORT, Rule())
         for source in range(3):
             for target in range(3):
                 if source != target:
