Raise errors of the public listening socket

An error of the listening socket itself would have made accept_waiting try it again without end, which stops the process; only errors of a waiting connection may be skipped. Found by reading; no way to it was seen, since the socket is closed after its task. A lack of descriptors is logged with the other decisions as connections.exhausted. The new tests and those of floods and draining pass.

--- a/siskinspoke/gateway/accepting.py
+++ b/siskinspoke/gateway/accepting.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 
 import trio
-from loguru import logger
 
 from siskinspoke.coordination.connection_limit import INTERVAL_MS
 from siskinspoke.gateway.context import Gateway
@@ -55,7 +54,7 @@
             self._gateway.counters.count("client.shed", len(waiting) - admitted)
         if is_exhausted:
             self._gateway.counters.count("client.exhausted")
-            logger.warning("no descriptors or memory for another connection")
+            self._gateway.log.note("connections.exhausted", open=self._gateway.open_requests)
             await trio.sleep(EXHAUSTED_SECONDS)
 
     async def _follow_lateness(self) -> None:
--- a/siskinspoke/transport/accepting.py
+++ b/siskinspoke/transport/accepting.py
@@ -7,6 +7,18 @@
 
 # The process or the machine lacks descriptors or memory for another connection.
 EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS))
+# The waiting connection has failed, not the listening socket.
+CONNECTION_FAILED = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+    )
+)
 
 
 def accept_waiting(listener: socket.socket, count: int) -> tuple[list[socket.socket], bool]:
@@ -23,8 +35,8 @@
         except OSError as error:
             if error.errno in EXHAUSTED:
                 return accepted, True
-            # The client has closed the connection while it waited.
-            continue
+            if error.errno not in CONNECTION_FAILED:
+                raise
     return accepted, False
 
 
--- a/tests/transport/test_early.py
+++ b/tests/transport/test_early.py
@@ -3,11 +3,13 @@
 import json
 import socket
 
+import pytest
 import trio
 
 from siskinspoke.gateway.clients import ClientServer
 from siskinspoke.platform import SETTINGS_VARIABLE
-from siskinspoke.transport.early import listen_early, take_early_listener
+from siskinspoke.transport.accepting import accept_waiting
+from siskinspoke.transport.early import listen, listen_early, take_early_listener
 from tests.platform.site import gateway_site, read_answer, request_bytes, servers
 from tests.platform.standin_server import Whole
 
@@ -78,3 +80,23 @@
             port = other.getsockname()[1]
             listen_early([f"--vm_file={settings_file(tmp_path, public=f'{HOST}:{port}')}"])
             assert take_early_listener(HOST, port) is None
+
+
+class TestAcceptWaiting:
+    """Guards against a loop without end at a listening socket that fails."""
+
+    def test_waiting_connections_are_accepted_at_once(self):
+        with listen(HOST, 0) as listener:
+            listener.setblocking(False)
+            clients = [socket.create_connection(listener.getsockname()) for _ in range(3)]
+            first, is_exhausted = accept_waiting(listener, 2)
+            rest, _ = accept_waiting(listener, 2)
+            assert (len(first), len(rest), is_exhausted) == (2, 1, False)
+            for connection in (*clients, *first, *rest):
+                connection.close()
+
+    def test_closed_listener_raises(self):
+        listener = listen(HOST, 0)
+        listener.close()
+        with pytest.raises(OSError, match="Bad file descriptor"):
+            accept_waiting(listener, 2)
