--- a/review/3/case.py
+++ b/review/3/case.py
@@ -151,7 +151,7 @@
     tasks = []
     try:
         for server in servers:
-            address = await server.listen("127.0.0.1")
+            address = await server.listen(deployment.servers_host)
             heartbeat = Heartbeat(server.name, "wuno96b", address, "a", 8)
             tasks.append(asyncio.create_task(deployment.heartbeats(heartbeat)))
         await deployment.start_all(CONFIGURATION)
