Log the requests that a shutdown cuts off

A VM that reaches the end of its grace period with requests open logged only how many there were.

Each such request gets its request line, with end "shutdown".

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -260,6 +260,10 @@
             request.end = "cut"
         except* trio.BrokenResourceError:
             request.end = "client gone"
+        except* trio.Cancelled:
+            request.end = "shutdown"
+            self._log_request(request, None)
+            raise
         kept = False
         try:
             if request.end == "served" and result is None:
