Accept requests during a shutdown by the time that they have left

Cause: Gateway.accepts compared the age of the shutdown with a fixed time for each kind of request. It looked at neither the route's timeout nor the client's deadline nor the grace period. The request lines of the cut calls (end "shutdown") showed calls that were 2.1 to 3.1 s old with time left, at the end of a drain that lasted its whole time; an early end of the drain, late servers and a second signal were ruled out by that.

A pure function now compares the time until the request's deadline with that until the VM ends open requests. A request that ends in time in any case is accepted at any age; one that may not is accepted only if a forecast (the longest of the recent requests on its route, and for a stream its size) fits with a margin. The margin is wider once the balancer has had time to remove the VM, since clients can go elsewhere then. Refusals are logged with both times (drain.refused), and stay "not run", with Connection: close.

test_late_streams_are_refused and test_plain_requests_are_accepted_for_longer name their ages as figures, as the fixed times are gone: 6 s (as its text says), 2,901 and 5,501 ms (as before).

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -12,6 +12,10 @@
 from siskinspoke.core.supervise import log_fault
 from siskinspoke.gateway.accepting import Acceptor
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.draining import (
+    RETRY_AFTER_MS,
+    find_drain_refusal,
+)
 from siskinspoke.gateway.forwarding.results import mark_result
 from siskinspoke.gateway.plain import serve_plain
 from siskinspoke.gateway.plain_attempts import WholeAnswer
@@ -37,9 +41,6 @@
 IDLE_GRACE_SECONDS = 1.0
 # Read timeout of an idle connection while this VM drains: a request may already be on its way.
 DRAINING_IDLE_SECONDS = 0.1
-# Retry-After for requests refused while draining: another VM accepts them at once.  Not zero, which
-# would look like an error.  Milliseconds.
-DRAINING_RETRY_AFTER_MS = 10
 # Retry-After while this VM has no configuration: control VMs that start with it take a second to
 # elect a leader and hear from all servers within 1.2 s.  Milliseconds.
 UNCONFIGURED_RETRY_AFTER_MS = 1_200
@@ -136,7 +137,7 @@
 
     async def _wait_for_request(self, connection: ClientConnection, seconds: float) -> bool:
         """Wait for the client's next request; return False on disconnect or timeout."""
-        if self._gateway.refuses_streams:
+        if self._gateway.closes_idle_connections:
             seconds = DRAINING_IDLE_SECONDS
         with trio.move_on_after(seconds) as scope:
             self._gateway.idle_connections.add(scope)
@@ -209,7 +210,7 @@
         table = gateway.table
         if origin is not None and table is not None and table.version < origin.version:
             message = f"this VM has configuration {table.version}, the peer {origin.version}"
-            return Failure(ResultCode.OLDER_CONFIGURATION, message, DRAINING_RETRY_AFTER_MS)
+            return Failure(ResultCode.OLDER_CONFIGURATION, message, RETRY_AFTER_MS)
         if table is None:
             message = "this VM has no configuration yet"
             return Failure(
@@ -221,14 +222,16 @@
         customer = table.customer_of(call.key)
         if table.needs_keys and not route.public and customer is None:
             return Failure(ResultCode.UNAUTHENTICATED, "the key is no customer's")
-        if not gateway.accepts(route.kind):
-            return Failure(ResultCode.DRAINING, "this VM is about to stop", DRAINING_RETRY_AFTER_MS)
-        if not gateway.buffers.accepts(len(call.body)):
-            return self._buffers_full(call)
         domains = domains_of(gateway, route, customer)
-        return Request(
+        request = Request(
             call, route, customer, arrived_ms, table.version, domains=domains, origin=origin
         )
+        refusal = find_drain_refusal(gateway, request)
+        if refusal is not None:
+            return refusal
+        if not gateway.buffers.accepts(len(call.body)):
+            return self._buffers_full(call)
+        return request
 
     def _buffers_full(self, call: Call) -> Failure:
         """Return the refusal of a request while this VM holds too much for slow clients."""
@@ -336,6 +339,8 @@
         kind = request.route.kind.value
         suspect = gateway.crashes.is_suspect(request.subject)
         gateway.latencies.record(f"request_{kind}", took)
+        if request.end == "served":
+            gateway.durations.record(request.route.name, took)
         gateway.counters.count(f"ended.{request.end.replace(' ', '_')}")
         waited = {}
         if gateway.waiting is not None and gateway.waiting.enabled:
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -22,13 +22,18 @@
 from siskinspoke.coordination.first_token_margin import FirstTokenMargin
 from siskinspoke.coordination.forwarding.connection_failures import ConnectionFailures
 from siskinspoke.coordination.forwarding.peer_choice import ForwardingRecord
+from siskinspoke.coordination.graceful_shutdown import (
+    RouteDurations,
+    ShutdownTimes,
+    shutdown_times,
+)
 from siskinspoke.coordination.liveness import ConnectTimeout, ProbeTracker
 from siskinspoke.coordination.no_room_cache import NoRoomCache
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.rate_limits import RateLimits
 from siskinspoke.coordination.retries import SharedRetryBudget
 from siskinspoke.coordination.room_forecast import RoomForecast
-from siskinspoke.coordination.routes import CallKind, ClientLimits, Customer, Route, RouteTable
+from siskinspoke.coordination.routes import ClientLimits, Customer, Route, RouteTable
 from siskinspoke.coordination.server_health import ServerHealth
 from siskinspoke.coordination.work_table import WorkTable
 from siskinspoke.core.counters import Counters
@@ -48,12 +53,6 @@
 from siskinspoke.protocol.feed import EntryPeer
 from siskinspoke.protocol.forwarding import ForwardedCall
 
-# How long after the stop signal a VM still accepts requests. The load balancer stops sending new
-# ones after 3 s, and requests that arrived by then may be cut off. Plain requests finish within
-# 1.5 s.
-ACCEPT_STREAMS_MS = 2_900.0
-ACCEPT_PLAIN_MS = 5_500.0
-
 
 def now_ms() -> float:
     """Return this VM's monotonic clock, in milliseconds."""
@@ -101,6 +100,7 @@
     table: RouteTable | None = None
     draining_since_ms: float | None = None
     open_requests: int = 0
+    durations: RouteDurations = field(default_factory=RouteDurations)
     idle_connections: set[trio.CancelScope] = field(default_factory=set)
     crash_probes: dict[tuple[str, int], trio.Event] = field(default_factory=dict)
     configured: trio.Event = field(default_factory=trio.Event)
@@ -120,19 +120,17 @@
         return self.draining_since_ms is not None
 
     @property
-    def refuses_streams(self) -> bool:
-        """Return whether this VM no longer accepts streams."""
-        return not self.accepts(CallKind.STREAM)
-
-    def accepts(self, kind: CallKind) -> bool:
-        """Return whether a request of this kind that arrives now can finish before shutdown.
-
-        A request accepted too late would be cut off in the middle of its response.
-        """
+    def shutdown(self) -> ShutdownTimes | None:
+        """Return the times of the shutdown, or None before it begins."""
         if self.draining_since_ms is None:
-            return True
-        elapsed_ms = now_ms() - self.draining_since_ms
-        return elapsed_ms < (ACCEPT_STREAMS_MS if kind is CallKind.STREAM else ACCEPT_PLAIN_MS)
+            return None
+        return shutdown_times(self.draining_since_ms, self.settings.shutdown_seconds * 1000)
+
+    @property
+    def closes_idle_connections(self) -> bool:
+        """Return whether idle connections are closed, so that clients connect to another VM."""
+        shutdown = self.shutdown
+        return shutdown is not None and now_ms() >= shutdown.closes_idle_at_ms
 
     def close_idle_connections(self) -> None:
         """Close idle client connections so that their clients reconnect to another VM."""
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -38,6 +38,7 @@
 from siskinspoke.gateway.cold import has_cold_services, maintain_cold_servers
 from siskinspoke.gateway.cold_permits import ColdPermits
 from siskinspoke.gateway.context import Gateway, now_ms
+from siskinspoke.gateway.draining import begin_drain, drain
 from siskinspoke.gateway.evacuations import apply_evacuations, report_evacuations
 from siskinspoke.gateway.forwarding.receiving import ForwardServer
 from siskinspoke.gateway.forwarding.survey import log_partition, survey_forever
@@ -66,12 +67,6 @@
 
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 RELOAD_INTERVAL_SECONDS = 1.0
-# The load balancer checks readiness once a second and removes a VM after two failed checks; after
-# this time no new clients arrive.
-BALANCER_REMOVAL_SECONDS = 3.0
-# Reserved at the end of the shutdown time, to send the responses that are cut off then.
-SHUTDOWN_RESERVE_SECONDS = 0.4
-DRAIN_POLL_SECONDS = 0.05
 
 
 class GatewayDaemon:
@@ -331,19 +326,14 @@
             nursery.cancel_scope.cancel()
 
     async def _drain(self) -> None:
-        """Report not ready, serve requests that still arrive, and return once none are open."""
+        """Report not ready, and return once the process may exit."""
         gateway = self.gateway
-        gateway.draining_since_ms = now_ms()
+        began = now_ms()
+        begin_drain(gateway)
         self._log.note("drain", open=gateway.open_requests)
-        began = trio.current_time()
-        limit = self._settings_watch.settings.shutdown_seconds - SHUTDOWN_RESERVE_SECONDS
-        with trio.move_on_after(limit):
-            await trio.sleep(BALANCER_REMOVAL_SECONDS)
-            gateway.close_idle_connections()
-            while gateway.open_requests:
-                await trio.sleep(DRAIN_POLL_SECONDS)
-        elapsed = trio.current_time() - began
-        self._log.note("stop", open=gateway.open_requests, took=round(elapsed * 1000))
+        await drain(gateway)
+        took = round(now_ms() - began)
+        self._log.note("stop", open=gateway.open_requests, took=took)
 
     async def _maintain_forever(self) -> None:
         """Expire old state, and divide the common retry budget among the known VMs."""
@@ -353,6 +343,8 @@
             now = now_ms()
             gateway.budget.set_vms(1 + len(self._feeds.peers), 1 + gateway.peers.count_heard(now))
             gateway.directory.prune(now)
+            if gateway.table is not None:
+                gateway.durations.prune({route.name for route in gateway.table.routes})
             self._feeds.prune_peers()
             names = [item.announcement.server for item in gateway.directory.all_records()]
             gateway.server_health.prune(names)
--- a/siskinspoke/gateway/stream_admission.py
+++ b/siskinspoke/gateway/stream_admission.py
@@ -25,6 +25,7 @@
 )
 from siskinspoke.gateway.booking import book
 from siskinspoke.gateway.context import Gateway, Request, now_ms
+from siskinspoke.gateway.draining import find_drain_refusal
 from siskinspoke.gateway.failover import PlannedAttempt
 from siskinspoke.gateway.remote_placement import request_remote_place
 from siskinspoke.gateway.servers import cell_candidates
@@ -66,7 +67,7 @@
         return forecast.room_in_ms(job, ahead)
 
     def refused_now() -> str:
-        return "draining" if gateway.refuses_streams else ""
+        return "" if find_drain_refusal(gateway, request) is None else "draining"
 
     waiter = _waiter(request, costs, job)
     search = Search(
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -2,7 +2,8 @@
 
 import trio
 
-from siskinspoke.gateway.context import ACCEPT_PLAIN_MS, ACCEPT_STREAMS_MS, now_ms
+from siskinspoke.coordination.graceful_shutdown import MIN_DURATIONS
+from siskinspoke.gateway.context import now_ms
 from tests.platform.site import gateway_site, read_answer, request_bytes, servers
 from tests.platform.standin_server import Events, Whole
 
@@ -34,7 +35,7 @@
                 gateway_site(tmp_path) as site,
                 servers(site, "engines", [Events()]) as (one,),
             ):
-                site.gateway.draining_since_ms = now_ms() - ACCEPT_STREAMS_MS - 1
+                site.gateway.draining_since_ms = now_ms() - 6_000
                 answer = await site.ask("/stream/x", **PROMPT)
                 assert answer.status == 503
                 assert b"Connection: close" in answer.raw
@@ -45,9 +46,9 @@
     def test_plain_requests_are_accepted_for_longer(self, tmp_path):
         async def run():
             async with gateway_site(tmp_path) as site, servers(site, "plain", [Whole()]):
-                site.gateway.draining_since_ms = now_ms() - ACCEPT_STREAMS_MS - 1
+                site.gateway.draining_since_ms = now_ms() - 2_901
                 assert (await site.ask("/once/x")).status == 200
-                site.gateway.draining_since_ms = now_ms() - ACCEPT_PLAIN_MS - 1
+                site.gateway.draining_since_ms = now_ms() - 5_501
                 assert (await site.ask("/once/x")).status == 503
 
         trio.run(run)
@@ -64,3 +65,103 @@
                     assert await stream.receive_some() == b""
 
         trio.run(run)
+
+
+class TestTimeLeft:
+    """A request is accepted if it ends before the VM does, whatever its route and grace period."""
+
+    async def ask_at(self, site, age_ms: float, path: str = "/once/x", **headers):
+        """Send a request at an age of the shutdown."""
+        site.gateway.draining_since_ms = now_ms() - age_ms
+        return await site.ask(path, **headers)
+
+    def test_call_that_may_outlast_the_vm_is_refused(self, tmp_path):
+        """Guards against accepting a call of a 4 s route that is cut after 3.1 s."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, timeout_ms=4_000) as site,
+                servers(site, "plain", [Whole()]) as (one,),
+            ):
+                answer = await self.ask_at(site, 4_500, Deadline_Ms="5000")
+                assert answer.status == 503
+                assert b"Connection: close" in answer.raw
+                assert b"retry-after: 0.010" in answer.raw.lower()
+                assert b'"run":"not_run"' in answer.raw
+                assert not one.seen
+                assert (await self.ask_at(site, 3_400, Deadline_Ms="5000")).status == 200
+
+        trio.run(run)
+
+    def test_short_grace_period_counts(self, tmp_path):
+        """Guards against accepting a call of a 2 s route 0.6 s before its VM ends."""
+
+        async def run():
+            async with (
+                gateway_site(
+                    tmp_path, timeout_ms=2_000, settings={"shutdown_seconds": 5.0}
+                ) as site,
+                servers(site, "plain", [Whole()]) as (one,),
+            ):
+                assert (await self.ask_at(site, 4_000)).status == 503
+                assert not one.seen
+                assert (await self.ask_at(site, 2_400)).status == 200
+
+        trio.run(run)
+
+    def test_deadline_of_the_client_counts(self, tmp_path):
+        """Guards against refusing a call whose client waits for a shorter time than the route."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, timeout_ms=7_000) as site,
+                servers(site, "plain", [Whole()]),
+            ):
+                assert (await self.ask_at(site, 3_000, Deadline_Ms="3600")).status == 200
+                assert (await self.ask_at(site, 4_200, Deadline_Ms="3600")).status == 503
+
+        trio.run(run)
+
+    def test_long_grace_period_is_used(self, tmp_path):
+        """Guards against refusing calls that have seconds to end in, from a fixed time on."""
+
+        async def run():
+            async with (
+                gateway_site(
+                    tmp_path, timeout_ms=6_000, settings={"shutdown_seconds": 14.0}
+                ) as site,
+                servers(site, "plain", [Whole()]),
+            ):
+                assert (await self.ask_at(site, 7_000, Deadline_Ms="7000")).status == 200
+
+        trio.run(run)
+
+    def test_short_calls_of_a_patient_route_are_accepted(self, tmp_path):
+        """Guards against refusing calls of some milliseconds since their route allows 30 s."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, timeout_ms=30_000) as site,
+                servers(site, "plain", [Whole()]),
+            ):
+                for _ in range(MIN_DURATIONS):
+                    assert (await site.ask("/once/x", Deadline_Ms="30000")).status == 200
+                assert (await self.ask_at(site, 6_000, Deadline_Ms="30000")).status == 200
+
+        trio.run(run)
+
+    def test_short_streams_are_accepted_for_longer(self, tmp_path):
+        """Guards against refusing short and long streams from the same time on."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, timeout_ms=10_000) as site,
+                servers(site, "engines", [Events()]) as (one,),
+            ):
+                long = {"Token_Counts": "5000,9000", "Deadline_Ms": "10000"}
+                assert (await self.ask_at(site, 500, "/stream/x", **long)).status == 503
+                assert not one.seen
+                short = {"Token_Counts": "5000,100", "Deadline_Ms": "10000"}
+                assert (await self.ask_at(site, 4_000, "/stream/x", **short)).status == 200
+
+        trio.run(run)
