Answer the requests that are open at the end of the grace period

Callers whose requests were open when a stopping VM ended (accepted before the SIGTERM on a route longer than the grace period, or with a forecast that did not hold) got a closed connection, which tells them nothing: a call that no server had got could not be repeated by a client that must not run it twice.

Cause: the end of the drain cancelled everything at once, answers included.

A call of which an attempt may have run is answered 502 (unknown), any other 503 (not run) with Retry-After; each request counts the attempts that are not proved unsent or refused. A stream that has begun is reset, as at its deadline.

test_call_at_a_server_is_answered and test_call_that_waits_for_a_place_is_not_run fail on the code before, with a closed connection in place of the answer.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -1,6 +1,7 @@
 """Client connections: read requests, resolve their routes and send one answer to each."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 import trio
@@ -15,6 +16,8 @@
 from siskinspoke.gateway.draining import (
     RETRY_AFTER_MS,
     find_drain_refusal,
+    response_deadline,
+    unfinished_failure,
 )
 from siskinspoke.gateway.forwarding.results import mark_result
 from siskinspoke.gateway.plain import serve_plain
@@ -251,13 +254,11 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.cancel_on_disconnect, nursery.cancel_scope)
-                seconds = max(0.0, request.remaining_ms(now_ms()) - ANSWER_MARGIN_MS) / 1000
-                with trio.move_on_after(seconds) as limit:
+                with self._limited(request) as limit:
                     result = await self._dispatch(connection, request, close_connection)
                     request.end = "served"
                 if limit.cancelled_caught:
-                    request.end = "timeout"
-                    result = self._timeout_failure(request)
+                    result = self._late_failure(request)
                 nursery.cancel_scope.cancel()
         except* StreamCutError:
             request.end = "cut"
@@ -281,6 +282,19 @@
             self._log_request(request, result)
         return kept
 
+    @contextmanager
+    def _limited(self, request: Request) -> Iterator[trio.CancelScope]:
+        """Cancel the context at the request's deadline, or when this VM stops."""
+        gateway = self._gateway
+        seconds = max(0.0, request.remaining_ms(now_ms()) - ANSWER_MARGIN_MS) / 1000
+        deadline = response_deadline(gateway, trio.current_time() + seconds)
+        with trio.CancelScope(deadline=deadline) as scope:
+            gateway.response_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                gateway.response_scopes.discard(scope)
+
     async def _dispatch(
         self, connection: ClientConnection, request: Request, close_connection: bool
     ) -> WholeAnswer | Failure | None:
@@ -293,7 +307,12 @@
             case _:
                 return await serve_plain(self._gateway, request)
 
-    def _timeout_failure(self, request: Request) -> Failure:
+    def _late_failure(self, request: Request) -> Failure:
+        """Return the answer to a request that ended at its deadline, or since this VM stops."""
+        if request.remaining_ms(now_ms()) > ANSWER_MARGIN_MS:
+            request.end = "shutdown"
+            return unfinished_failure(request)
+        request.end = "timeout"
         message = "the answer did not come within the time of its route or its caller"
         return Failure(ResultCode.DEADLINE_PASSED, message)
 
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -100,6 +100,8 @@
     table: RouteTable | None = None
     draining_since_ms: float | None = None
     open_requests: int = 0
+    # Scopes that end at the deadlines of open requests.
+    response_scopes: set[trio.CancelScope] = field(default_factory=set)
     durations: RouteDurations = field(default_factory=RouteDurations)
     idle_connections: set[trio.CancelScope] = field(default_factory=set)
     crash_probes: dict[tuple[str, int], trio.Event] = field(default_factory=dict)
@@ -196,6 +198,8 @@
     origin: ForwardedCall | None = None
     # How many times this VM has forwarded the request.
     forwards: int = 0
+    # Attempts of which it is not proved that the request has not run and never will.
+    unsettled_attempts: int = 0
 
     @property
     def deadline_ms(self) -> float:
--- a/siskinspoke/gateway/draining.py
+++ b/siskinspoke/gateway/draining.py
@@ -13,11 +13,20 @@
 # would look like an error.  Milliseconds.
 RETRY_AFTER_MS = 10
 STOPPING = "this VM is about to stop"
+UNFINISHED = "this VM stopped before the answer was complete"
 
 
 def begin_drain(gateway: Gateway) -> None:
-    """Begin the shutdown."""
+    """Begin the shutdown; open requests end by its cutoff."""
     gateway.draining_since_ms = now_ms()
+    for scope in gateway.response_scopes:
+        scope.deadline = response_deadline(gateway, scope.deadline)
+
+
+def response_deadline(gateway: Gateway, deadline: float) -> float:
+    """Return when a request with a deadline on Trio's clock is ended."""
+    shutdown = gateway.shutdown
+    return deadline if shutdown is None else min(deadline, shutdown.cutoff_ms / 1000)
 
 
 def find_drain_refusal(gateway: Gateway, request: Request) -> Failure | None:
@@ -39,6 +48,13 @@
     return Failure(ResultCode.DRAINING, STOPPING, RETRY_AFTER_MS)
 
 
+def unfinished_failure(request: Request) -> Failure:
+    """Return the answer to a request that is open at the cutoff."""
+    if request.unsettled_attempts:
+        return Failure(ResultCode.FATE_UNKNOWN, UNFINISHED)
+    return Failure(ResultCode.DRAINING, STOPPING, RETRY_AFTER_MS)
+
+
 async def drain(gateway: Gateway) -> None:
     """Serve requests that still arrive; return once none is open, or when the process must exit."""
     shutdown = gateway.shutdown
--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -105,12 +105,14 @@
     connection = None
     gateway.forwarding.begin(peer.host)
     gateway.counters.count("forward.sent")
+    request.unsettled_attempts += 1
     try:
         connection = await _connect(gateway, peer)
         if connection is None:
             outcome: ForwardOutcome = Refused(None)
         else:
             outcome = await _exchange(gateway, request, progress, connection)
+        request.unsettled_attempts -= isinstance(outcome, Refused)
         _record(gateway, request, peer, outcome, began)
         yield _for_client(outcome)
     finally:
--- a/siskinspoke/gateway/plain_attempts.py
+++ b/siskinspoke/gateway/plain_attempts.py
@@ -146,10 +146,12 @@
             prepare_permits(gateway, request, server, attempt, excluded)
             usual_ms = gateway.server_health.median_latency_ms([name], began_at)
             attempt.expect_answer_within(answer_timeout_ms(usual_ms), began_at)
+            request.unsettled_attempts += 1
             with attempt.wait_scope(left / 1000):
                 outcome = await send(
                     gateway, dispatch, server, attempt, timeout_ms / 1000, max_idle_ms
                 )
+            request.unsettled_attempts -= isinstance(outcome, NotRun)
             if isinstance(outcome, AnswerStarted):
                 give_up_at = began_at + timeout_ms
                 outcome = await _read_whole(gateway, server, outcome, attempt, give_up_at)
--- a/siskinspoke/gateway/stream_attempts.py
+++ b/siskinspoke/gateway/stream_attempts.py
@@ -114,11 +114,13 @@
             if assignment.job is not None:
                 watch_first_token(gateway, request, assignment, retry_state, attempt, failover)
             max_idle_ms = MAX_IDLE_AFTER_LOSS_MS if retry_state.lost_servers else MAX_IDLE_MS
+            request.unsettled_attempts += 1
             with attempt.wait_scope(math.inf):
                 sent = await send(
                     gateway, dispatch, assignment.server, attempt, seconds, max_idle_ms
                 )
             outcome = sent or abandoned_outcome(attempt)
+            request.unsettled_attempts -= isinstance(outcome, NotRun)
             if isinstance(outcome, AnswerStarted):
                 # The answer may arrive in the tick in which the next attempt was planned.
                 retry_state.release(gateway, request)
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -4,10 +4,13 @@
 
 from siskinspoke.coordination.graceful_shutdown import MIN_DURATIONS
 from siskinspoke.gateway.context import now_ms
-from tests.platform.site import gateway_site, read_answer, request_bytes, servers
-from tests.platform.standin_server import Events, Whole
+from siskinspoke.gateway.draining import begin_drain, drain
+from tests.platform.plain_server import plain_servers, plain_site
+from tests.platform.site import gateway_site, read_answer, request_bytes, servers, until
+from tests.platform.standin_server import Events, Silent, Whole
 
 PROMPT = {"Token_Counts": "5000,900"}
+SHORT_GRACE = {"shutdown_seconds": 1.5}
 
 
 class TestDraining:
@@ -165,3 +168,81 @@
                 assert (await self.ask_at(site, 4_000, "/stream/x", **short)).status == 200
 
         trio.run(run)
+
+
+class TestCutoff:
+    """Requests that are open at the end of the grace period get an answer that is true."""
+
+    async def drain(self, site) -> None:
+        begin_drain(site.gateway)
+        await drain(site.gateway)
+
+    def test_call_at_a_server_is_answered(self, tmp_path):
+        """Guards against a closed connection for a call that was accepted before the shutdown."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, settings=SHORT_GRACE) as site,
+                servers(site, "plain", [Silent()]) as (one,),
+                site.request_in_background("/once/x") as answers,
+            ):
+                await until(lambda: one.seen)
+                await self.drain(site)
+                assert not site.gateway.open_requests
+            assert answers[0].status == 502
+            assert answers[0].whole
+            assert b'"run":"unknown"' in answers[0].raw
+
+        trio.run(run)
+
+    def test_call_that_waits_for_a_place_is_not_run(self, tmp_path):
+        """Guards against a closed connection for a call that no server has got."""
+
+        async def run():
+            async with (
+                plain_servers(1, 2.4, slots=1) as running,
+                plain_site(tmp_path, running) as site,
+                site.request_in_background("/once/x", Deadline_Ms="9000") as first,
+            ):
+                site.gateway.settings = site.gateway.settings._replace(shutdown_seconds=1.0)
+                await until(lambda: running[0].running)
+                async with site.request_in_background("/once/x", Deadline_Ms="9000") as second:
+                    await until(lambda: site.gateway.plain_admission.waiting_count)
+                    await self.drain(site)
+                    assert not site.gateway.open_requests
+                assert second[0].status == 503
+                assert b'"run":"not_run"' in second[0].raw
+            assert first[0].status == 502
+
+        trio.run(run)
+
+    def test_stream_looks_truncated(self, tmp_path):
+        """Guards against a stream that is cut at the end of the grace period and looks complete."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, settings=SHORT_GRACE) as site,
+                servers(site, "engines", [Events(last=2, then="silent")]),
+                site.request_in_background("/solo/x", **PROMPT) as answers,
+            ):
+                await until(lambda: site.gateway.open_requests)
+                await self.drain(site)
+            assert answers[0].status == 200
+            assert answers[0].ended and not answers[0].whole
+
+        trio.run(run)
+
+    def test_answer_in_time_is_delivered(self, tmp_path):
+        """Guards against ending a call at once that is open when the shutdown begins."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, settings=SHORT_GRACE) as site,
+                servers(site, "plain", [Whole(begin_after=0.9)]) as (one,),
+                site.request_in_background("/once/x") as answers,
+            ):
+                await until(lambda: one.seen)
+                await self.drain(site)
+            assert answers[0].status == 200
+
+        trio.run(run)
