Serve requests that arrive as the process is about to exit

Callers whose request was still arriving, arrived on a kept connection in the turn in which that was closed, or waited in the listener's queue lost it when a stopping VM ended: a closed or reset connection, unread.

Cause: the drain counted only requests that had been read whole; closing an idle connection did not look whether a request had come; the listening socket was closed by the end of the process, with what waited in its queue.

Requests that are being read keep the VM up like open ones, and are read until the cutoff at most (408 after that). A connection that is closed for being idle is looked at once more. Before the exit the VM accepts what waits, closes the listening socket, and serves that.

The three tests of TestArrivals fail on the code before; the last one there for want of the event that ends listening.

--- a/siskinspoke/gateway/accepting.py
+++ b/siskinspoke/gateway/accepting.py
@@ -29,21 +29,31 @@
         self._interval_ended = trio.Event()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Accept connections forever, and serve each in a task of its own."""
+        """Accept connections until the shutdown ends that, and serve each in a task of its own."""
         self._listener.setblocking(False)
         with self._listener:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._follow_lateness)
                 task_status.started()
-                while True:
-                    await trio.lowlevel.wait_readable(self._listener)
-                    if self._limit.is_limited:
-                        # Those that wait until the end of the interval are counted together.
-                        await self._interval_ended.wait()
-                    await self._accept(nursery)
+                accepting = trio.CancelScope()
+                nursery.start_soon(self._end_with_shutdown, accepting)
+                with accepting:
+                    while True:
+                        await trio.lowlevel.wait_readable(self._listener)
+                        if self._limit.is_limited:
+                            # Those that wait until the end of the interval are counted together.
+                            await self._interval_ended.wait()
+                        await self._accept(nursery)
+                await self._accept(nursery, MAX_ACCEPTED_IF_LIMITED)
+                self._listener.close()
 
-    async def _accept(self, nursery: trio.Nursery) -> None:
-        most = MAX_ACCEPTED_IF_LIMITED if self._limit.is_limited else MAX_ACCEPTED
+    async def _end_with_shutdown(self, accepting: trio.CancelScope) -> None:
+        """Stop accepting connections when the shutdown asks for it."""
+        await self._gateway.listening_ended.wait()
+        accepting.cancel()
+
+    async def _accept(self, nursery: trio.Nursery, most: int = MAX_ACCEPTED) -> None:
+        most = MAX_ACCEPTED_IF_LIMITED if self._limit.is_limited else most
         waiting, is_exhausted = accept_waiting(self._listener, most)
         admitted = self._limit.admit(len(waiting))
         for connection in waiting[:admitted]:
--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -8,7 +8,7 @@
 from expression import Result
 
 from siskinspoke.coordination.byte_budget import HeldBytes
-from siskinspoke.coordination.routes import CallKind
+from siskinspoke.coordination.routes import CallKind, ClientLimits
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
 from siskinspoke.core.supervise import log_fault
 from siskinspoke.gateway.accepting import Acceptor
@@ -126,18 +126,26 @@
         limits = gateway.limits
         if not await self._wait_for_request(connection, limits.idle_ms / 1000 + IDLE_GRACE_SECONDS):
             return False
+        gateway.arriving_requests += 1
         try:
-            head = None
-            with trio.move_on_after(limits.header_ms / 1000):
-                head = await connection.read_head()
-                body = await connection.read_body(limits.body_bytes)
-            if head is None:
-                raise BadRequestError(408, "the request did not arrive in time")
+            head, body = await self._read_request(connection, limits)
         except BadRequestError as error:
             await self._refuse_unread(connection, error)
             return False
+        finally:
+            gateway.arriving_requests -= 1
         return await self._answer(connection, head, body)
 
+    async def _read_request(
+        self, connection: ClientConnection, limits: ClientLimits
+    ) -> tuple[RequestHead, bytes]:
+        """Read a request whose first byte has arrived."""
+        deadline = trio.current_time() + limits.header_ms / 1000
+        with trio.move_on_at(response_deadline(self._gateway, deadline)):
+            head = await connection.read_head()
+            return head, await connection.read_body(limits.body_bytes)
+        raise BadRequestError(408, "the request did not arrive in time")
+
     async def _wait_for_request(self, connection: ClientConnection, seconds: float) -> bool:
         """Wait for the client's next request; return False on disconnect or timeout."""
         if self._gateway.closes_idle_connections:
@@ -148,7 +156,8 @@
                 return await connection.wait_for_request()
             finally:
                 self._gateway.idle_connections.discard(scope)
-        return False
+        # A request may have arrived in the turn in which the connection was to be closed.
+        return connection.has_unread_data() and await connection.wait_for_request()
 
     async def _refuse_unread(self, connection: ClientConnection, error: BadRequestError) -> None:
         """Answer a request that could not be read and close the connection."""
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -100,10 +100,14 @@
     table: RouteTable | None = None
     draining_since_ms: float | None = None
     open_requests: int = 0
+    # Requests of which a part has been received.
+    arriving_requests: int = 0
     # Scopes that end at the deadlines of open requests.
     response_scopes: set[trio.CancelScope] = field(default_factory=set)
     durations: RouteDurations = field(default_factory=RouteDurations)
     idle_connections: set[trio.CancelScope] = field(default_factory=set)
+    # Set when no further connections are accepted.
+    listening_ended: trio.Event = field(default_factory=trio.Event)
     crash_probes: dict[tuple[str, int], trio.Event] = field(default_factory=dict)
     configured: trio.Event = field(default_factory=trio.Event)
     started_at: float = -math.inf
--- a/siskinspoke/gateway/draining.py
+++ b/siskinspoke/gateway/draining.py
@@ -62,10 +62,14 @@
         await trio.sleep_until(shutdown.closes_idle_at_ms / 1000)
         gateway.close_idle_connections()
         await _until_idle(gateway)
+        # Connections that wait in the listener's queue are served, and no others.
+        gateway.listening_ended.set()
+        await trio.sleep(POLL_SECONDS)
+        await _until_idle(gateway)
 
 
 async def _until_idle(gateway: Gateway) -> None:
-    while gateway.open_requests:
+    while gateway.open_requests or gateway.arriving_requests:
         await trio.sleep(POLL_SECONDS)
 
 
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -63,6 +63,13 @@
     framed: bool
 
 
+def has_unread_data(stream: trio.SocketStream) -> bool:
+    """Tell whether the kernel holds data that was received on a connection, or its close."""
+    poller = select.poll()
+    poller.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class ClientConnection:
     """The server side of a client's connection."""
 
@@ -81,6 +88,10 @@
         self._buffered += data
         return bool(data)
 
+    def has_unread_data(self) -> bool:
+        """Tell whether the kernel holds data from the client, or its close."""
+        return has_unread_data(self._stream)
+
     async def _receive(self) -> bytes:
         try:
             return await self._stream.receive_some(READ_BYTES)
@@ -304,9 +315,7 @@
 
     def has_no_pending_data(self) -> bool:
         """Tell whether the idle connection has received neither data nor a close."""
-        poller = select.poll()
-        poller.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poller.poll(0)
+        return not has_unread_data(self._stream)
 
     def reset(self) -> None:
         """Reset the connection."""
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -3,8 +3,11 @@
 import trio
 
 from siskinspoke.coordination.graceful_shutdown import MIN_DURATIONS
+from siskinspoke.gateway.accepting import Acceptor
+from siskinspoke.gateway.clients import ClientServer
 from siskinspoke.gateway.context import now_ms
 from siskinspoke.gateway.draining import begin_drain, drain
+from siskinspoke.transport.early import listen
 from tests.platform.plain_server import plain_servers, plain_site
 from tests.platform.site import gateway_site, read_answer, request_bytes, servers, until
 from tests.platform.standin_server import Events, Silent, Whole
@@ -246,3 +249,81 @@
             assert answers[0].status == 200
 
         trio.run(run)
+
+
+class TestArrivals:
+    """Requests that arrive as the process is about to exit."""
+
+    def test_body_is_still_arriving(self, tmp_path):
+        """Guards against exiting between the head and the body of a request."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path, settings={"shutdown_seconds": 5.0}) as site,
+                servers(site, "plain", [Whole()]),
+                trio.open_nursery() as nursery,
+            ):
+                raw = request_bytes("/once/x", body=b"x" * 2_000, Deadline_Ms="500")
+                stream = await site.connect()
+                await until(lambda: site.gateway.idle_connections)
+                await stream.send_all(raw[:-500])
+                await until(lambda: not site.gateway.idle_connections)
+                begin_drain(site.gateway)
+                site.gateway.draining_since_ms -= 2_400
+                ended = []
+
+                async def exit_after_drain():
+                    await drain(site.gateway)
+                    ended.append(trio.current_time())
+
+                nursery.start_soon(exit_after_drain)
+                await trio.sleep(0.4)
+                assert not ended
+                await stream.send_all(raw[-500:])
+                assert (await read_answer(stream)).status == 200
+
+        trio.run(run)
+
+    def test_call_arrives_as_its_connection_is_closed(self, tmp_path):
+        """Guards against closing a kept connection on which a call has just arrived."""
+
+        async def run():
+            async with gateway_site(tmp_path) as site, servers(site, "plain", [Whole()]):
+                stream = await site.connect()
+                await stream.send_all(request_bytes("/once/x"))
+                assert (await read_answer(stream)).status == 200
+                await until(lambda: site.gateway.idle_connections)
+                site.gateway.draining_since_ms = now_ms()
+                # Both happen before the connection's task runs again.
+                stream.socket._sock.send(request_bytes("/once/x", "r2"))
+                site.gateway.close_idle_connections()
+                answer = await read_answer(stream)
+                assert answer.status == 200
+                assert b"Connection: close" in answer.raw
+
+        trio.run(run)
+
+    def test_waiting_connections_are_served(self, tmp_path):
+        """Guards against resetting connections that wait in the listener's queue."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", [Whole()]),
+                trio.open_nursery() as nursery,
+            ):
+                listener = listen("127.0.0.1", 0)
+                address = listener.getsockname()
+                site.gateway.draining_since_ms = now_ms()
+                site.gateway.listening_ended.set()
+                streams = [await trio.open_tcp_stream(*address) for _ in range(20)]
+                for number, stream in enumerate(streams):
+                    await stream.send_all(request_bytes("/once/x", f"r{number}"))
+                acceptor = Acceptor(site.gateway, listener, ClientServer(site.gateway).serve_one)
+                nursery.start_soon(acceptor.run)
+                for stream in streams:
+                    assert (await read_answer(stream)).status == 200
+                await until(lambda: listener.fileno() == -1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
