Ignore further stop signals during a shutdown

What callers saw: a second SIGTERM within the grace period ended an entry VM at once; an open call got a closed connection without an answer. A registry that got one was ended by it before it handed its leadership over (exit code -15).

Cause: the receiver of SIGTERM was closed when the first one had come, which restored the default action, for the whole drain. The product's own entry daemon closed it once its requests had ended, and ended its clean-up so.

The receivers stay open until the daemons have closed everything; after them a handler without effect remains, so that a signal that arrives in the last milliseconds, or that was never taken from the queue, does nothing either. Further signals are logged (stop.again).

Test: signals in series (TERM, HUP, TERM, INT, HUP) to real processes. Before: the open call of the gateway got no byte, both registries exited with -15; now 200 and exit codes 0.

--- a/siskinspoke/control/daemon.py
+++ b/siskinspoke/control/daemon.py
@@ -16,6 +16,7 @@
 from siskinspoke.coordination.replica_types import Times
 from siskinspoke.core.codes import FailureError
 from siskinspoke.core.counters import create_counters
+from siskinspoke.core.signals import log_further_signals, receive_signals
 from siskinspoke.state.replica_store import open_store
 from siskinspoke.transport.http import HttpServer, serve
 from siskinspoke.transport.links import LinkListener, LinkSender
@@ -72,9 +73,9 @@
             serve, HttpServer(app, vm.host, vm.port, SHUTDOWN_TIMEOUT_SECONDS), shutdown
         )
         logger.info("control replica {} listening on {}:{}", name, vm.host, vm.port)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
-        await task.transfer_leadership()
-        shutdown.set()
-        nursery.cancel_scope.cancel()
+        with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
+            await anext(signals)
+            await nursery.start(log_further_signals, signals, _log_event)
+            await task.transfer_leadership()
+            shutdown.set()
+            nursery.cancel_scope.cancel()
--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -2,7 +2,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple, Protocol
@@ -22,6 +22,7 @@
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.core.latencies import Latencies
+from siskinspoke.core.signals import log_further_signals, receive_signals
 from siskinspoke.core.supervise import keep_running
 from siskinspoke.feeds.follower import FeedClients, FeedHandlers, FollowerIdentity
 from siskinspoke.protocol.feed import ControlUp
@@ -36,6 +37,7 @@
 
 # A small VM's disk may take 0.15 s for a sync; a leader whose heartbeats are delayed by a few such
 # syncs must not be deposed.
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 HEARTBEAT_MS = 100.0
 ELECTION_MS = 600.0
 # Journal entries between snapshots. Each holds a whole configuration, which takes several times its
@@ -154,11 +156,13 @@
             self._log.note(
                 "start", role="control", found=settings.is_first_start, host=settings.host
             )
-            await self._wait_for_stop_signal()
-            self._log.note("stop", role="control")
-            if self._task is not None:
-                await self._task.transfer_leadership()
-            nursery.cancel_scope.cancel()
+            with receive_signals(*HANDLED_SIGNALS) as signals:
+                await self._wait_for_stop_signal(signals)
+                await nursery.start(log_further_signals, signals, self._log.note)
+                self._log.note("stop", role="control")
+                if self._task is not None:
+                    await self._task.transfer_leadership()
+                nursery.cancel_scope.cancel()
 
     async def _serve_calls(
         self, load_app: Callable[[], AppFactory], parts: ControlParts, metrics_port: int
@@ -182,14 +186,12 @@
             await nursery.start(serve_calls, handle, limits, address.host, address.port)
             self._log.note("operators.open", port=address.port)
 
-    async def _wait_for_stop_signal(self) -> None:
+    async def _wait_for_stop_signal(self, signals: AsyncIterator[int]) -> None:
         """Wait for SIGTERM or SIGINT; reload the settings on SIGHUP."""
-        handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*handled) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
-                self._watch.reload()
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            self._watch.reload()
 
     def _open_link(self, host: str) -> LinkSender:
         settings = self._watch.settings
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -19,6 +19,7 @@
 from siskinspoke.coordination.routing import Router
 from siskinspoke.coordination.watchers import SMALL_SITE_ENTRY_VMS
 from siskinspoke.core.counters import Counters, create_counters
+from siskinspoke.core.signals import receive_signals
 from siskinspoke.core.stall_detector import StallDetector, tick_forever
 from siskinspoke.entry.backend import Backend
 from siskinspoke.entry.context import EntryContext
@@ -131,6 +132,7 @@
         for task in tasks:
             nursery.start_soon(task)
         nursery.start_soon(prune_forever, context)
+        nursery.start_soon(_drain_on_signal, context)
         async with trio.open_nursery() as servers:
             for app, listen_port in (
                 (internal_app(context), vm.internal_port),
@@ -162,18 +164,16 @@
     New requests are meanwhile refused as "not run"; the pause lets the load balancer notice the
     drain before the port closes.
     """
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_drain_on_signal, context)
-        await context.drain_begun.wait()
-        logger.info("entry {} drains, {} requests open", context.vm.name, context.open_requests)
-        await trio.sleep(DRAIN_NOTICE_SECONDS)
-        with trio.move_on_after(drain_seconds):
-            await context.drained.wait()
-        nursery.cancel_scope.cancel()
+    await context.drain_begun.wait()
+    logger.info("entry {} drains, {} requests open", context.vm.name, context.open_requests)
+    await trio.sleep(DRAIN_NOTICE_SECONDS)
+    with trio.move_on_after(drain_seconds):
+        await context.drained.wait()
 
 
 async def _drain_on_signal(context: EntryContext) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    """Drain on a signal; further ones change nothing, and must not end the process."""
+    with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             context.begin_drain()
 
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -28,6 +28,7 @@
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.decisions import DecisionLog
 from siskinspoke.core.latencies import Latencies
+from siskinspoke.core.signals import log_further_signals, receive_signals
 from siskinspoke.core.supervise import keep_running
 from siskinspoke.feeds.follower import FeedClients, FeedHandlers, FollowerIdentity
 from siskinspoke.gateway.announcements import handle_announcement
@@ -319,11 +320,11 @@
                 pages = metrics_pages(gateway.counters, gateway.latencies)
                 await nursery.start(serve_pages, pages, settings.host, metrics_port)
             self._log.note("start", role="gateway", host=settings.host)
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for _ in signals:
-                    break
-            await self._drain()
-            nursery.cancel_scope.cancel()
+            with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
+                await anext(signals)
+                await nursery.start(log_further_signals, signals, self._log.note)
+                await self._drain()
+                nursery.cancel_scope.cancel()
 
     async def _drain(self) -> None:
         """Report not ready, and return once the process may exit."""
