Answer open orders of operators before a registry stops

A stopping registry waits for the answers to open calls, for an eighth of its grace period at most, then transfers the leadership, and waits once more for what has arrived meanwhile.

Test: an order at a follower whose peers stand still is answered (200, or 503 where the others need too long).

--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -33,7 +33,7 @@
 from siskinspoke.transport.links import LinkListener, LinkSender, LinkSet
 
 if TYPE_CHECKING:
-    from siskinspoke.transport.calls import BodyLimits, Call, Reply
+    from siskinspoke.transport.calls import BodyLimits, Call, OpenCalls, Reply
 
 # A small VM's disk may take 0.15 s for a sync; a leader whose heartbeats are delayed by a few such
 # syncs must not be deposed.
@@ -44,6 +44,9 @@
 # size in memory.
 SNAPSHOT_ENTRIES = 24
 DISK_RETRY_SECONDS = 0.5
+# A stopping VM waits for the answers to open calls twice, before and after it transfers its
+# leadership, for this share of its grace period at most.
+OPEN_CALLS_SHARE = 0.125
 MAINTENANCE_SECONDS = 2.0
 # Servers join and leave in bursts; the lists are written at most this often.
 SAVE_LISTS_SECONDS = 0.5
@@ -93,6 +96,8 @@
         )
         self._replica: Replica | None = None
         self._task: ReplicaTask | None = None
+        # None until operators are served.
+        self._open_calls: OpenCalls | None = None
         self._feeds = self._make_feeds()
         self._hub = FeedHub(
             self._watch.settings.host,
@@ -160,10 +165,23 @@
                 await self._wait_for_stop_signal(signals)
                 await nursery.start(log_further_signals, signals, self._log.note)
                 self._log.note("stop", role="control")
-                if self._task is not None:
-                    await self._task.transfer_leadership()
+                await self._stop()
                 nursery.cancel_scope.cancel()
 
+    async def _stop(self) -> None:
+        """Answer the open calls, and transfer the leadership between two waits for them.
+
+        A new leader doesn't know of a change that this VM has not replicated yet; the calls that
+        arrive meanwhile are forwarded to it.
+        """
+        seconds = OPEN_CALLS_SHARE * self._watch.settings.shutdown_seconds
+        if self._open_calls is not None:
+            await self._open_calls.wait_until_answered(seconds)
+        if self._task is not None:
+            await self._task.transfer_leadership()
+        if self._open_calls is not None:
+            await self._open_calls.wait_until_answered(seconds)
+
     async def _serve_calls(
         self, load_app: Callable[[], AppFactory], parts: ControlParts, metrics_port: int
     ) -> None:
@@ -173,7 +191,7 @@
         configuration. The HTTP modules are imported here so that they do not delay that.
         """
         await trio.sleep(HTTP_START_DELAY_SECONDS)
-        from siskinspoke.transport.calls import serve_calls
+        from siskinspoke.transport.calls import OpenCalls, serve_calls
         from siskinspoke.transport.pages import metrics_pages, serve_pages
 
         make_app, limits = load_app()
@@ -183,7 +201,10 @@
                 pages = metrics_pages(self._counters, parts.latencies)
                 nursery.start_soon(serve_pages, pages, host, metrics_port)
             handle = make_app(parts).answer
-            await nursery.start(serve_calls, handle, limits, address.host, address.port)
+            self._open_calls = OpenCalls()
+            await nursery.start(
+                serve_calls, handle, limits, address.host, address.port, self._open_calls
+            )
             self._log.note("operators.open", port=address.port)
 
     async def _wait_for_stop_signal(self, signals: AsyncIterator[int]) -> None:
--- a/siskinspoke/transport/calls.py
+++ b/siskinspoke/transport/calls.py
@@ -5,7 +5,8 @@
 much of a small VM's startup time and memory.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 import trio
@@ -47,19 +48,47 @@
 CallHandler = Callable[[Call], Awaitable[Reply]]
 
 
+class OpenCalls:
+    """The calls of a server that are not answered yet."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._all_answered = trio.Event()
+
+    @contextmanager
+    def call(self) -> Iterator[None]:
+        """Count a call while the context is open."""
+        self._count += 1
+        try:
+            yield
+        finally:
+            self._count -= 1
+            if not self._count:
+                self._all_answered.set()
+                self._all_answered = trio.Event()
+
+    async def wait_until_answered(self, seconds: float) -> None:
+        """Wait until no call is open, for a limited time."""
+        with trio.move_on_after(seconds):
+            while self._count:
+                await self._all_answered.wait()
+
+
 async def serve_calls(
     handle: CallHandler,
     limits: BodyLimits,
     host: str,
     port: int,
+    open_calls: OpenCalls | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve calls until cancelled."""
+    """Serve calls until cancelled; ``open_calls`` counts those that are not answered yet."""
+    open_calls = open_calls or OpenCalls()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
         connection = ClientConnection(stream, MAX_HEADER_BYTES)
         try:
-            while await _serve_call(handle, limits, connection):
+            while await _serve_call(handle, limits, connection, open_calls):
                 pass
         except (trio.BrokenResourceError, trio.ClosedResourceError, BadRequestError):
             # The client has disconnected or sent invalid HTTP; its connection is closed.
@@ -79,7 +108,7 @@
 
 
 async def _serve_call(
-    handle: CallHandler, limits: BodyLimits, connection: ClientConnection
+    handle: CallHandler, limits: BodyLimits, connection: ClientConnection, open_calls: OpenCalls
 ) -> bool:
     """Answer one call; return False if the connection must be closed."""
     received = False
@@ -87,6 +116,14 @@
         received = await connection.wait_for_request()
     if not received:
         return False
+    with open_calls.call():
+        return await _answer_call(handle, limits, connection)
+
+
+async def _answer_call(
+    handle: CallHandler, limits: BodyLimits, connection: ClientConnection
+) -> bool:
+    """Read and answer a call of which a part has arrived."""
     reply = Reply(408)
     with trio.move_on_after(limits.timeout_seconds) as timeout:
         head = await connection.read_head()
--- a/tests/integration/test_shutdown.py
+++ b/tests/integration/test_shutdown.py
@@ -1,6 +1,7 @@
 """Processes that get signals in series while they shut down, with requests open."""
 
 import signal
+from contextlib import contextmanager
 
 import pytest
 import trio
@@ -27,6 +28,25 @@
     group_site.close()
 
 
+def is_leader(site: GroupSite, name: str) -> bool:
+    """Return whether a registry last logged that it is the leader."""
+    lines = (site.folder / f"{name}.log").read_text().splitlines()
+    roles = [line for line in lines if '"replica.role"' in line]
+    return bool(roles) and '"role":"leader"' in roles[-1]
+
+
+@contextmanager
+def paused(site: GroupSite, *names: str):
+    """Pause processes while the context is open."""
+    for name in names:
+        site.signal(name, signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for name in names:
+            site.signal(name, signal.SIGCONT)
+
+
 class TestSignals:
     """Signals that follow the first SIGTERM change nothing."""
 
@@ -85,3 +105,44 @@
             site.signal(name, number)
         wait_until(lambda: not site.is_running(name), "the registry's exit")
         assert site.exit_code(name) == 0
+
+
+class TestOperators:
+    """Orders of operators that are open when their registry stops."""
+
+    def test_order_at_a_stopping_follower_is_answered(self, site):
+        """Guards against a closed connection for an order that is open at a stopping registry."""
+        site.call_until_success("c1", "POST", "/config/replace", document(1))
+        leaders: list[str] = []
+
+        def found_leader() -> bool:
+            leaders[:] = [name for name in REGISTRIES if is_leader(site, name)]
+            return len(leaders) == 1
+
+        wait_until(found_leader, "a leader")
+        follower = next(name for name in REGISTRIES if name != leaders[0])
+        others = [name for name in REGISTRIES if name != follower]
+        answers: list[tuple[int, object]] = []
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+
+                async def order():
+                    answers.append(
+                        await trio.to_thread.run_sync(
+                            site.call, follower, "POST", "/config/replace", document(2)
+                        )
+                    )
+
+                with paused(site, *others):
+                    nursery.start_soon(order)
+                    await trio.sleep(0.2)
+                    assert not answers
+                    site.signal(follower, signal.SIGTERM)
+                    await trio.sleep(0.1)
+
+        trio.run(run)
+        # Whether the order is confirmed in time depends on the others.
+        assert answers[0][0] in (200, 503), answers
+        wait_until(lambda: not site.is_running(follower), "the registry's exit")
+        assert site.exit_code(follower) == 0
