Give up answers in tiny chunks or with interim answers without end

What callers saw: of 150 calls at 25 a second, with three of seven servers sending chunks of one byte without end, 2 were served and 144 got no answer, as the VM's processor parsed chunks (7.8 s of it in 6 s) and new connections were closed unread. Streams: 78 of 150 without an answer.

Cause: each chunk costs some 15 us to parse, whatever its size; one read of 64 KB brings 10,000 of them, which were parsed in one turn of the event loop, until the deadline. Interim answers (1xx) were skipped without a limit, in the same way. That the bytes of such answers fill the memory is another fault: this VM had a peak of 55 MB.

After 4,096 chunks of less than three bytes on average, and after 16 interim answers, the answer is given up and its connection reset; other tasks run after each 64 chunks. A stream whose server writes each part of an event by itself has more. An answer that is given up so counts as invalid: its server is left out at once, as one that is silent is, since no sound server sends this.

--- a/siskinspoke/coordination/server_health.py
+++ b/siskinspoke/coordination/server_health.py
@@ -30,6 +30,7 @@
     UNREACHABLE = "unreachable"
     SILENT = "silent"
     BROKEN = "broken"
+    INVALID = "invalid"
     ERROR = "error"
     BUSY = "busy"
     HELD = "held"
@@ -96,7 +97,7 @@
                 # Does not show how the server performs once it can be reached.
                 record.consecutive_failures += 1
                 record.unreachable = True
-            case FailureKind.SILENT:
+            case FailureKind.SILENT | FailureKind.INVALID:
                 record.consecutive_failures += 1
                 record.failure_ewma += FAILURE_EWMA_WEIGHT * (1 - record.failure_ewma)
             case FailureKind.BROKEN | FailureKind.ERROR:
--- a/siskinspoke/gateway/upstream.py
+++ b/siskinspoke/gateway/upstream.py
@@ -12,7 +12,12 @@
 from siskinspoke.gateway.reachability import connect_to
 from siskinspoke.gateway.restrictions import apply_restrictions
 from siskinspoke.gateway.wire import Answer, Dispatch
-from siskinspoke.transport.http1 import PeerError, RequestHead, ServerConnection
+from siskinspoke.transport.http1 import (
+    InvalidAnswerError,
+    PeerError,
+    RequestHead,
+    ServerConnection,
+)
 
 
 @dataclass(frozen=True)
@@ -51,7 +56,9 @@
 
 def connection_failure(error: PeerError) -> OutcomeUnknown:
     """Return the outcome of an attempt whose connection failed."""
-    return OutcomeUnknown(FailureKind.BROKEN, str(error), closed=error.closed)
+    is_invalid = isinstance(error, InvalidAnswerError)
+    failure_kind = FailureKind.INVALID if is_invalid else FailureKind.BROKEN
+    return OutcomeUnknown(failure_kind, str(error), closed=error.closed)
 
 
 @dataclass(frozen=True)
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -22,6 +22,13 @@
 READ_BYTES = 65_536
 # How many bytes of pipelined requests are buffered; further ones stay in the socket's buffer.
 MAX_PIPELINED_BYTES = 65_536
+# Interim answers (status 1xx) before an answer.
+MAX_INTERIM_ANSWERS = 16
+# Parsing a chunk takes far longer than reading its bytes.  After MIN_CHUNKS chunks, the average one
+# of an answer must have MIN_CHUNK_BYTES.
+MIN_CHUNKS = 4_096
+CHUNKS_PER_TURN = 64
+MIN_CHUNK_BYTES = 3
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -47,6 +54,13 @@
         self.closed = closed
 
 
+class InvalidAnswerError(PeerError):
+    """The received bytes are no answer that could end, or exceed a limit on its size."""
+
+    def __init__(self, message: str):
+        super().__init__(message, began=True)
+
+
 class RequestHead(NamedTuple):
     """The request line and headers of a request."""
 
@@ -230,6 +244,9 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._body_sent = True
+        self._is_chunked = False
+        self._chunks = 0
+        self._chunk_bytes = 0
         self.last_used_at = now
         self.request_count = 0
         self.idle_seconds: float | None = None
@@ -274,7 +291,7 @@
 
     async def read_head(self) -> ResponseHead:
         """Read status and headers of the answer."""
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -282,18 +299,34 @@
                 raise PeerError("the server closed without an answer", closed=True)
             headers = list(event.headers.raw_items())
             names = {name.lower() for name, _ in headers}
+            self._is_chunked = b"transfer-encoding" in names
             framed = bool(names & {b"content-length", b"transfer-encoding"})
             return ResponseHead(event.status_code, headers, framed)
+        raise InvalidAnswerError("too many interim answers")
 
     async def read_body_part(self) -> bytes | None:
         """Read part of the answer's body; return None at its end."""
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            if self._is_chunked:
+                await self._check_chunk(len(event.data))
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise PeerError("the server closed in the middle of its answer", began=True, closed=True)
 
+    async def _check_chunk(self, size: int) -> None:
+        """Raise InvalidAnswerError if the body comes in too many tiny chunks.
+
+        One read may bring thousands of chunks; other tasks must run in between.
+        """
+        self._chunks += 1
+        if not self._chunks % CHUNKS_PER_TURN:
+            await trio.lowlevel.checkpoint()
+        self._chunk_bytes += size
+        if self._chunks >= MIN_CHUNKS and self._chunk_bytes < MIN_CHUNK_BYTES * self._chunks:
+            raise InvalidAnswerError("the answer comes in tiny chunks")
+
     def prepare_reuse(self, now: float) -> bool:
         """Prepare for another request; return False if the connection must not be reused.
 
@@ -309,6 +342,7 @@
         if trailing or closed:
             return False
         self._h11.start_next_cycle()
+        self._chunks = self._chunk_bytes = 0
         self.last_used_at = now
         self.idle = self.has_no_pending_data()
         return self.idle
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -82,7 +82,39 @@
     body: bytes = b"unframed"
 
 
-Behaviour = Whole | Events | Refuse | Close | Silent | Unframed
+@dataclass(frozen=True)
+class Endless:
+    """Send bytes that are no answer until the VM closes the connection.
+
+    ``form`` is a name in ENDLESS_FORMS; ``pause`` is the number of seconds between two writes.
+    """
+
+    form: str = "body"
+    status: int = 200
+    pause: float = 0.0
+
+
+# What is sent once after the status line and Request-Id, and what is repeated after it.  Forms
+# that end in "head" never end the head.
+ENDLESS_FORMS: dict[str, tuple[bytes, bytes]] = {
+    "body": (b"Connection: close\r\n\r\n", bytes(65_536)),
+    "chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"10000\r\n" + bytes(65_536) + b"\r\n"),
+    "small chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\n0\r\n" * 8_192),
+    "declared": (b"Content-Length: 999999999999\r\n\r\n", bytes(65_536)),
+    "lines": (b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + b"data: x\n" * 512 + b"\r\n"),
+    "blank lines": (b"Connection: close\r\n\r\n", b"\n" * 65_536),
+    "old events": (b"Connection: close\r\n\r\n", b"id: 1\ndata: x\n\n" * 4_096),
+    "no events": (b"Connection: close\r\n\r\n", (b"\0" * 62 + b"\n\n") * 1_024),
+    "chunk length": (b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 65_536),
+    "trailers": (b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Trailer: x\r\n" * 4_096),
+    "line of the head": (b"X-Line: ", b"x" * 65_536),
+    "headers": (b"", b"X-Header: x\r\n" * 4_096),
+    "interim answers": (b"", b""),
+}
+INTERIM_ANSWERS = b"HTTP/1.1 100 Continue\r\n\r\n" * 2_048
+
+
+Behaviour = Whole | Events | Refuse | Close | Silent | Unframed | Endless
 
 
 @dataclass
@@ -123,6 +155,9 @@
     starts: int = 1
     on_restart: Callable[["StandinServer"], None] = lambda server: None
     process: trio.CancelScope | None = None
+    # Bytes written by all answers without end, and the connections on which one is written now.
+    endless_bytes: int = 0
+    endless_open: int = 0
     rate_limit: float | None = None
     leaving: bool = False
     account: ServerAccount = field(init=False)
@@ -251,6 +286,27 @@
                 return False
             case Close():
                 return False
+            case Endless() as endless:
+                await self._send_endless(stream, endless, request_id)
+                return False
+
+    async def _send_endless(
+        self, stream: trio.SocketStream, endless: Endless, request_id: bytes
+    ) -> None:
+        """Send until the VM closes the connection."""
+        begin, repeated = ENDLESS_FORMS[endless.form]
+        head = b"HTTP/1.1 %d OK\r\nRequest-Id: %b\r\n" % (endless.status, request_id)
+        if endless.form == "interim answers":
+            head, repeated = b"", INTERIM_ANSWERS
+        self.endless_open += 1
+        try:
+            await stream.send_all(head + begin)
+            while True:
+                await stream.send_all(repeated)
+                self.endless_bytes += len(repeated)
+                await trio.sleep(endless.pause)
+        finally:
+            self.endless_open -= 1
 
 
 def _peer(stream: trio.SocketStream) -> str:
