End streams whose bytes are no events, or bring nothing new

Cause: the bytes after the last event were kept without a limit, and searched from their beginning for each part that arrived; nothing looked whether an event has a field, or whether events keep bringing only what the client has.

Otherwise the attempt is over, the connection is reset, and a stream that may be resumed continues at another engine. The streams of peers, here and at the product's own interface, go the same way.

--- a/siskinspoke/entry/forwarding/sending.py
+++ b/siskinspoke/entry/forwarding/sending.py
@@ -21,7 +21,7 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.entry.backend import connection_failed
 from siskinspoke.entry.context import EntryContext, now_ms
-from siskinspoke.protocol.events import EventSplitter
+from siskinspoke.protocol.events import EventSplitter, InvalidStreamError
 from siskinspoke.protocol.forwarding import (
     FORWARD_HEADER,
     RESULT_HEADER,
@@ -298,11 +298,17 @@
     """Yield whole events; a stream that breaks off ends with a failure."""
     splitter = EventSplitter()
     try:
+        is_valid = True
         async for data in exchange.chunks():
-            events = splitter.feed(data)
+            try:
+                events = splitter.feed(data)
+            except InvalidStreamError as error:
+                logger.info("forward.invalid {}", {"why": str(error)})
+                is_valid = False
+                break
             if events:
                 yield b"".join(events)
-        if not exchange.is_complete or splitter.incomplete:
+        if not is_valid or not exchange.is_complete or splitter.incomplete:
             failure = Failure(ResultCode.ENGINE_LOST, "the peer that served the stream is gone")
             yield b"data: " + msgspec.json.encode(failure.to_document()) + b"\n\n"
     finally:
--- a/siskinspoke/gateway/forwarding/streams.py
+++ b/siskinspoke/gateway/forwarding/streams.py
@@ -23,7 +23,7 @@
     silent_ms,
 )
 from siskinspoke.gateway.upstream import OutcomeUnknown, connection_failure
-from siskinspoke.protocol.events import EventSplitter
+from siskinspoke.protocol.events import EventSplitter, InvalidStreamError
 from siskinspoke.transport.http1 import PeerError
 
 # The peer moves a silent stream to another engine by itself, which it needs time for.
@@ -46,6 +46,8 @@
             return await _relay(gateway, request, relay, outcome)
         except PeerError as error:
             return connection_failure(error)
+        except InvalidStreamError as error:
+            return OutcomeUnknown(FailureKind.INVALID, str(error))
 
 
 async def _relay(
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -20,7 +20,12 @@
     release_connection,
 )
 from siskinspoke.gateway.wire import Answer
-from siskinspoke.protocol.events import EventSplitter, parse_event_id
+from siskinspoke.protocol.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    InvalidStreamError,
+    parse_event_id,
+)
 from siskinspoke.transport.http1 import ClientConnection, PeerError
 
 # Silence after which a stream continues on another engine, if one can take it: a multiple of the
@@ -49,6 +54,8 @@
     last_id: str | None = None
     events: int = 0
     last_event_at: float | None = None
+    # Bytes since the last event that the client lacked.
+    stale_bytes: int = 0
 
     async def flush(self) -> None:
         """Return when the client has been sent all that was received."""
@@ -115,6 +122,8 @@
         return outcome
     except PeerError as error:
         return connection_failure(error)
+    except InvalidStreamError as error:
+        return OutcomeUnknown(FailureKind.INVALID, str(error))
     except AttemptAbandonedError:
         return abandoned_outcome(stream.attempt)
     finally:
@@ -174,13 +183,19 @@
 async def relay_events(
     request: Request, relay: Relay, splitter: EventSplitter, events: list[bytes]
 ) -> None:
-    """Send the events to the client that it lacks."""
+    """Send the events to the client that it lacks.
+
+    Raise InvalidStreamError if there are none for too long.
+    """
     now = now_ms()
     if relay.last_event_at is not None:
         pause = now - relay.last_event_at
         request.longest_pause_ms = max(request.longest_pause_ms, pause)
     relay.last_event_at = now
     fresh = [event for event in events if _is_new(relay, event)]
+    relay.stale_bytes = 0 if fresh else relay.stale_bytes + sum(map(len, events))
+    if relay.stale_bytes > MAX_EVENT_BYTES:
+        raise InvalidStreamError("the stream brings no new events")
     if fresh:
         relay.events += len(fresh)
         relay.last_id = splitter.last_id or relay.last_id
