Limit the answers to reports and orders, and the refusals of peers

A server that answered a look at its report, or an order, with bytes without end filled the memory of the VM for as long as the exchange may last, and so could another program at the address of a peer with its refusal.

Cause: these bodies are short, but were read without a limit.

They are read up to 1 MB and 64 KB; beyond that there is no answer, as where none came in time, and the connection is reset.

Seven of the cases of TestExchanges fail on the code before: the answer is read for all of the 5 s.

--- a/siskinspoke/gateway/exchange.py
+++ b/siskinspoke/gateway/exchange.py
@@ -9,6 +9,9 @@
 from siskinspoke.gateway.restrictions import apply_restrictions
 from siskinspoke.transport.http1 import PeerError, RequestHead, connect
 
+# Longest answer to a question or an order.
+MAX_REPLY_BYTES = 1_000_000
+
 
 class Reply(NamedTuple):
     """A server's complete answer to a question or an order."""
@@ -42,12 +45,10 @@
             await connection.send_request(head, body)
             answer = await connection.read_head()
             apply_restrictions(gateway, "", server, gateway.wire.decode_answer(answer), sent_at)
-            parts = []
-            while (data := await connection.read_body_part()) is not None:
-                parts.append(data)
+            reply = await connection.read_short_body(MAX_REPLY_BYTES)
             if connection.prepare_reuse(now_ms()):
                 gateway.pool.put(server, connection)
-            return Reply(answer.status, b"".join(parts))
+            return Reply(answer.status, reply)
     except (OSError, PeerError):
         return None
     finally:
--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -42,6 +42,8 @@
 # given up if the request may be repeated.
 PATIENCE_TARGETS = 3.0
 MIN_PATIENCE_MS = 1_500.0
+# Longest refusal of a peer.
+MAX_REFUSAL_BYTES = 65_536
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 
 
@@ -199,10 +201,7 @@
     if int(results[0]) == ResultCode.OK:
         answer = gateway.wire.decode_answer(head)
         return ForwardStarted(answer._replace(headers=answer_headers(head.headers)), connection)
-    body = b""
-    while (data := await connection.read_body_part()) is not None:
-        body += data
-    failure = _decode_failure(body)
+    failure = _decode_failure(await connection.read_short_body(MAX_REFUSAL_BYTES))
     if failure is None:
         return OutcomeUnknown(FailureKind.BROKEN, "the peer's refusal cannot be read")
     return Refused(failure) if failure.run_status is RunStatus.NOT_RUN else failure
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -315,6 +315,15 @@
             return None
         raise PeerError("the server closed in the middle of its answer", began=True, closed=True)
 
+    async def read_short_body(self, limit: int) -> bytes:
+        """Return the answer's body; raise InvalidAnswerError if it exceeds ``limit``."""
+        body = bytearray()
+        while (data := await self.read_body_part()) is not None:
+            body += data
+            if len(body) > limit:
+                raise InvalidAnswerError(f"the answer exceeds {limit} bytes")
+        return bytes(body)
+
     async def _check_chunk(self, size: int) -> None:
         """Raise InvalidAnswerError if the body comes in too many tiny chunks.
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from siskinspoke.gateway.exchange import ask
 from tests.platform.site import gateway_site, servers, until
 from tests.platform.standin_server import ENDLESS_FORMS, Endless, Events
 from tests.platform.test_streams import data_of
@@ -69,6 +70,29 @@
         trio.run(run)
 
 
+class TestExchanges:
+    """Reports and orders, whose answers are short."""
+
+    @pytest.mark.parametrize("form", FORMS)
+    def test_answer_is_given_up(self, tmp_path, form):
+        """Guards against a report without end that fills the memory."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "engines", [Endless(form)]) as (one,),
+            ):
+                record = site.gateway.directory.latest(one.name)
+                head = site.gateway.wire.report_request(one.name)
+                began = trio.current_time()
+                assert await ask(site.gateway, record, head, b"", 5.0, 0.0) is None
+                assert trio.current_time() - began < 1.0
+                await until(lambda: not one.endless_open)
+                assert one.endless_bytes < 1_000_000 + SOCKET_BYTES
+
+        trio.run(run)
+
+
 class TestSoundAnswers:
     """Long answers of sound servers are not cut."""
 
