Bound the memory of answers that are read as a whole

What callers saw: with three of seven servers sending bodies without end, a VM of 300 MB had a peak of 1,246 MB (no framing) and 935 MB (chunks) within 6 s, and 19 and 20 of 150 calls that may run again got 504 at their deadline, without a second attempt; the platform ends a VM beyond its memory.

Cause: the body of a plain answer, and of a stream's failure, was collected without a limit, also where a peer passes it on; and a call was tried at another server only when its server was silent, not while bytes arrived.

The answers of a VM may take up a quarter of its memory together, from their first byte until they have been passed on. Beyond that the largest that is still being read ends; an answer may be as long as there is room. A body that is not complete when its attempt's share of the time is over has another server tried beside it. A call that may run only once is answered 502 (unknown) when its answer is given up. Long answers are sent without another copy.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -196,6 +196,8 @@
         finally:
             gateway.open_requests -= 1
             found.held_bytes.release(now_ms())
+            for response in found.responses:
+                response.release()
 
     async def _wait_for_configuration(self, connection: ClientConnection) -> bool:
         """Wait for the first configuration after startup; return False on a client disconnect.
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -31,6 +31,7 @@
 from siskinspoke.coordination.no_room_cache import NoRoomCache
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.rate_limits import RateLimits
+from siskinspoke.coordination.response_budget import HeldResponse, ResponseBudget, response_capacity
 from siskinspoke.coordination.retries import SharedRetryBudget
 from siskinspoke.coordination.room_forecast import RoomForecast
 from siskinspoke.coordination.routes import ClientLimits, Customer, Route, RouteTable
@@ -112,6 +113,9 @@
     configured: trio.Event = field(default_factory=trio.Event)
     started_at: float = -math.inf
     buffers: ByteBudget = field(default_factory=lambda: ByteBudget(0))
+    responses: ResponseBudget = field(
+        default_factory=lambda: ResponseBudget(response_capacity(0.0))
+    )
     known_peers: Callable[[], list[EntryPeer]] = list
     forwarding: ForwardingRecord = field(default_factory=ForwardingRecord)
     connection_failures: ConnectionFailures = field(default_factory=ConnectionFailures)
@@ -198,6 +202,8 @@
     domains: frozenset[str] | None = None
     # Bytes of this request that count towards this VM's bound.
     held_bytes: HeldBytes | None = None
+    # The answers that were read for this request.
+    responses: list[HeldResponse] = field(default_factory=list)
     # Set if a peer has forwarded the request; it is not forwarded again.
     origin: ForwardedCall | None = None
     # How many times this VM has forwarded the request.
--- a/siskinspoke/gateway/daemon.py
+++ b/siskinspoke/gateway/daemon.py
@@ -22,6 +22,7 @@
 from siskinspoke.coordination.liveness import ConnectTimeout, ProbeTracker
 from siskinspoke.coordination.placement import Placement
 from siskinspoke.coordination.rate_limits import RateLimits
+from siskinspoke.coordination.response_budget import ResponseBudget, response_capacity
 from siskinspoke.coordination.retries import SharedRetryBudget
 from siskinspoke.coordination.server_health import ServerHealth
 from siskinspoke.coordination.work_table import WorkTable
@@ -186,6 +187,7 @@
             log=log,
             rng=rng,
             buffers=ByteBudget(settings.buffer_bytes),
+            responses=ResponseBudget(response_capacity(settings.memory_mb)),
             cold_permits=ColdPermits(
                 EntryPeer(settings.host, settings.peer_port, settings.failure_domain),
                 lambda: self._feeds.peers,
@@ -370,6 +372,8 @@
             gateway.counters.gauge("rate_limits.in_force", len(gateway.rate_limits))
             gateway.counters.gauge("back_offs.in_force", len(gateway.back_offs))
             gateway.counters.gauge("log.dropped", self._log.dropped)
+            gateway.counters.gauge("responses.bytes", gateway.responses.held)
+            gateway.counters.gauge("responses.peak", gateway.responses.peak)
             if gateway.buffers.enabled:
                 gateway.counters.gauge("buffer.bytes", gateway.buffers.held)
                 gateway.counters.gauge("buffer.peak", gateway.buffers.peak)
--- a/siskinspoke/gateway/forwarding/streams.py
+++ b/siskinspoke/gateway/forwarding/streams.py
@@ -40,7 +40,7 @@
         if not isinstance(outcome, ForwardStarted):
             return outcome
         if outcome.answer.status >= 300:
-            return await read_answer(request, outcome)
+            return await read_answer(gateway, request, outcome)
         await begin_relay(request, relay, outcome.answer)
         try:
             return await _relay(gateway, request, relay, outcome)
--- a/siskinspoke/gateway/plain_attempts.py
+++ b/siskinspoke/gateway/plain_attempts.py
@@ -31,6 +31,7 @@
     release_connection,
     send,
 )
+from siskinspoke.gateway.whole_answers import read_whole_body
 from siskinspoke.gateway.wire import Answer, Dispatch
 from siskinspoke.transport.http1 import PeerError
 
@@ -154,7 +155,7 @@
             request.unsettled_attempts -= isinstance(outcome, NotRun)
             if isinstance(outcome, AnswerStarted):
                 give_up_at = began_at + timeout_ms
-                outcome = await _read_whole(gateway, server, outcome, attempt, give_up_at)
+                outcome = await _read_whole(gateway, request, server, outcome, attempt, give_up_at)
             run.end = run_end(outcome)
         if attempt.end_reason and isinstance(outcome, OutcomeUnknown):
             outcome = OutcomeUnknown(FailureKind.BROKEN, attempt.end_reason, server_lost=True)
@@ -181,20 +182,24 @@
 
 async def _read_whole(
     gateway: Gateway,
+    request: Request,
     server: ServerRecord,
     started: AnswerStarted,
     attempt: Attempt,
     give_up_at: float,
 ) -> WholeAnswer | OutcomeUnknown:
-    parts = []
+    async def read_part() -> bytes | None:
+        left_ms = give_up_at - now_ms()
+        if left_ms < 0:
+            # The next server is tried also if bytes arrive all the time.
+            attempt.fail_over()
+        seconds = max(MIN_READ_TIMEOUT_MS, left_ms) / 1000
+        return await read_body_part(started.connection, attempt, seconds)
+
     complete = False
     try:
-        while True:
-            seconds = max(MIN_READ_TIMEOUT_MS, give_up_at - now_ms()) / 1000
-            data = await read_body_part(started.connection, attempt, seconds)
-            if data is None:
-                break
-            parts.append(data)
+        name = server.announcement.server
+        body = await read_whole_body(gateway, request, name, read_part)
         complete = True
     except PeerError as error:
         return connection_failure(error)
@@ -204,4 +209,4 @@
         if not complete:
             started.connection.reset()
     release_connection(gateway, server, started)
-    return WholeAnswer(started.answer, b"".join(parts))
+    return WholeAnswer(started.answer, body)
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -19,6 +19,7 @@
     read_body_part,
     release_connection,
 )
+from siskinspoke.gateway.whole_answers import read_whole_body
 from siskinspoke.gateway.wire import Answer
 from siskinspoke.protocol.events import (
     MAX_EVENT_BYTES,
@@ -108,14 +109,15 @@
     started = stream.answer_started
     try:
         if started.answer.status >= 300:
-            parts = []
             seconds = silent_ms(request) / 1000
-            while (
-                data := await read_body_part(started.connection, stream.attempt, seconds)
-            ) is not None:
-                parts.append(data)
+
+            async def read_part() -> bytes | None:
+                return await read_body_part(started.connection, stream.attempt, seconds)
+
+            name = stream.assignment.name
+            body = await read_whole_body(gateway, request, name, read_part)
             complete = True
-            return WholeAnswer(started.answer, b"".join(parts))
+            return WholeAnswer(started.answer, body)
         await begin_relay(request, relay, started.answer)
         outcome = await _relay_events(gateway, request, relay, stream)
         complete = isinstance(outcome, StreamCompleted)
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -22,6 +22,8 @@
 READ_BYTES = 65_536
 # How many bytes of pipelined requests are buffered; further ones stay in the socket's buffer.
 MAX_PIPELINED_BYTES = 65_536
+# Longer bodies are not copied, in order to be sent together with the head.
+MAX_COPIED_BYTES = 262_144
 # Interim answers (status 1xx) before an answer.
 MAX_INTERIM_ANSWERS = 16
 # Parsing a chunk takes far longer than reading its bytes.  After MIN_CHUNKS chunks, the average one
@@ -199,10 +201,14 @@
         await self._send(self.encode_data(data))
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer in one write."""
+        """Send a whole answer, in one write unless its body is large."""
         head = h11.Response(status_code=status, headers=headers)
         data = self._h11.send(head)
-        if body:
+        if len(body) > MAX_COPIED_BYTES:
+            await self._send(data)
+            await self._send(self._h11.send(h11.Data(data=body)))
+            data = b""
+        elif body:
             data += self._h11.send(h11.Data(data=body))
         await self._send(data + self._h11.send(h11.EndOfMessage()))
 
