Limit frames between VMs to 32 MB

A program without the key (another one at a reused address) could have a VM buffer up to 256 MB on one connection with the length of a single frame, as the seal is checked on whole frames; that is the memory of a VM. Found by reading, while looking for the cause of answers without end on related paths.

The largest message holds a configuration, whose orders are limited to 16 MB and compress to a sixth. The test of the limit fails on the code before.

--- a/siskinspoke/transport/frames.py
+++ b/siskinspoke/transport/frames.py
@@ -10,7 +10,8 @@
 from siskinspoke.protocol import decode_message, encode_message, seal, unseal
 
 LENGTH_BYTES = 4
-MAX_FRAME_BYTES = 256_000_000
+# A frame is buffered whole before its seal can be checked.
+MAX_FRAME_BYTES = 32_000_000
 READ_BYTES = 262_144
 # Messages over this size are compressed; configurations shrink to a sixth. The first byte of a
 # zlib stream is "x", that of an uncompressed message a bracket.
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -1,9 +1,16 @@
 """Tests of sealed frames, small and large."""
 
 import pytest
+import trio
 
 from siskinspoke.protocol.feed import Publication
-from siskinspoke.transport.frames import LENGTH_BYTES, decode_frame, encode_frame, pop_frame
+from siskinspoke.transport.frames import (
+    LENGTH_BYTES,
+    MAX_FRAME_BYTES,
+    decode_frame,
+    encode_frame,
+    pop_frame,
+)
 
 
 class TestFrames:
@@ -24,3 +31,10 @@
     def test_another_key(self):
         frame = encode_frame(b"k", Publication(7, {}))[LENGTH_BYTES:]
         assert decode_frame(b"other", frame).is_error()
+
+    def test_long_frame_is_not_buffered(self):
+        """Guards against a program without the key that fills the memory with one frame."""
+        length = (MAX_FRAME_BYTES + 1).to_bytes(LENGTH_BYTES, "big")
+        with pytest.raises(trio.BrokenResourceError):
+            pop_frame(bytearray(length))
+        assert MAX_FRAME_BYTES <= 32_000_000
