Do not take a server for crashed that answers with a malformed head

At the product's own interface, a look whether a server's process is dead took bytes that are no answer for a closed connection, so a server that sent a head without end counted as crashed, and the requests open there as suspects of it.

Cause: httpx raises RemoteProtocolError for both. A malformed answer has an error of h11 as its cause, a closed connection has none.

test_malformed_head_is_no_crash fails on the code before, in both cases.

--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
+import h11
 import httpx
 import msgspec
 import trio
@@ -84,6 +85,16 @@
     return is_connection_refused(error.__cause__ or error.__context__)
 
 
+def is_closed_without_answer(error: httpx.HTTPError) -> bool:
+    """Return whether a connection was closed, as opposed to bytes that are no answer."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, h11.ProtocolError):
+            return False
+        cause = cause.__cause__ or cause.__context__
+    return isinstance(error, httpx.RemoteProtocolError | httpx.ReadError)
+
+
 @dataclass(eq=False, slots=True)
 class _WatchedAttempt:
     """An attempt whose server the watchdog monitors."""
@@ -285,8 +296,7 @@
             try:
                 await self._single_use.get(f"http://{target.host}:{target.port}/")
             except httpx.HTTPError as error:
-                is_closed = isinstance(error, httpx.RemoteProtocolError | httpx.ReadError)
-                if is_closed or is_connection_refused(error):
+                if is_closed_without_answer(error) or is_connection_refused(error):
                     return True
                 # Other errors do not prove that the process is dead.
                 self._counters.count("backend.exchange_failed")
