Limit what the product's own interface reads of an answer

Callers of a plain service whose server sent a body without end waited until their deadline, while the VM's memory filled; an engine that sent no line, or nothing new, was read until then too, and so were the answers to small requests and to probes, which need none.

Cause: httpx collects a body whole and without a limit, and the line reader of streams kept the rest of a line as long as it grew.

Answers of plain services may take up 32 MB together (the budget of the gateway, of a VM of 128 MB), those to small requests 4 MB each; a stream may send 1 MB that brings no piece; probes read the head only. Tiny chunks end an answer as at the gateway, by the same count. Bodies are asked for without a coding and are not decoded, as a short one could decode to any size.

Open: httpx skips interim answers (1xx) without a limit.

--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -12,15 +12,23 @@
 from loguru import logger
 
 from siskinspoke.coordination.back_off import BackOffs
+from siskinspoke.coordination.response_budget import ResponseBudget
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.assembly import Assembler, Complete, Gap, Ignored, Piece
 from siskinspoke.protocol.claims import Target
 from siskinspoke.protocol.decimals import parse_decimal
 from siskinspoke.protocol.engine import AttemptRequest, CacheEvents, CancelState, Chunk
-from siskinspoke.transport.http import make_client
+from siskinspoke.transport.chunks import ChunkCount
+from siskinspoke.transport.http import fetch, fetch_head, make_client
 
 EXCHANGE_TIMEOUT_SECONDS = 1.0
 SILENCE_SECONDS = 0.5
+# Memory for the answers of plain services that are being read, all together.
+MAX_RESPONSES_BYTES = 32_000_000
+# Longest answer to a small request.
+MAX_EXCHANGE_BYTES = 4_000_000
+# Bytes of a stream that bring no new piece of its answer.
+MAX_USELESS_BYTES = 1_048_576
 # Statuses whose Retry-After header asks this VM to back off.
 BACK_OFF_STATUSES = frozenset({429, 503})
 # The reason of a NotBegun whose connection was refused: the machine is up, the process is not.
@@ -117,6 +125,7 @@
         self._single_use = make_client(keep_alive=False, local_host=local_host)
         self._control = make_client(local_host=local_host)
         self._watched: set[_WatchedAttempt] = set()
+        self._responses = ResponseBudget(MAX_RESPONSES_BYTES)
 
     @property
     def back_offs(self) -> BackOffs:
@@ -208,13 +217,19 @@
         attempt: _WatchedAttempt,
     ) -> AttemptEnd:
         """Read and deliver chunks until the answer is complete or breaks off."""
-        partial_line = b""
+        partial_line, chunks = b"", ChunkCount()
+        useless_bytes = 0
         async for data in response.aiter_raw():
             attempt.last_data_at = trio.current_time()
+            offset = assembler.offset
             *lines, partial_line = (partial_line + data).split(b"\n")
             end = await self._process_lines(lines, assembler, deliver)
             if end is not None:
                 return end
+            chunks.add(len(data))
+            useless_bytes = 0 if assembler.offset != offset else useless_bytes + len(data)
+            if useless_bytes > MAX_USELESS_BYTES or chunks.are_tiny:
+                raise ValueError("the stream brings nothing new, or comes in tiny chunks")
         return Lost(assembler.offset, "the stream ended early")
 
     async def _process_lines(
@@ -244,7 +259,9 @@
     async def call(self, target: Target, body: dict) -> httpx.Response:
         """Call a plain service once, on a new connection."""
         url = f"http://{target.host}:{target.port}/v1/call"
-        response = await self._single_use.post(url, content=msgspec.json.encode(body))
+        response = await fetch(
+            self._single_use, "POST", url, self._responses, msgspec.json.encode(body)
+        )
         self._apply_back_off(target, response)
         return response
 
@@ -280,7 +297,14 @@
         url = f"http://{target.host}:{target.port}{path}"
         with trio.move_on_after(seconds):
             try:
-                response = await self._control.post(url, content=msgspec.json.encode(body))
+                response = await fetch(
+                    self._control,
+                    "POST",
+                    url,
+                    self._responses,
+                    msgspec.json.encode(body),
+                    MAX_EXCHANGE_BYTES,
+                )
                 if response.status_code == 200:
                     return msgspec.json.decode(response.content, type=dict)
             except (httpx.HTTPError, msgspec.MsgspecError):
@@ -294,7 +318,7 @@
         """
         with trio.move_on_after(EXCHANGE_TIMEOUT_SECONDS):
             try:
-                await self._single_use.get(f"http://{target.host}:{target.port}/")
+                await fetch_head(self._single_use, f"http://{target.host}:{target.port}/")
             except httpx.HTTPError as error:
                 if is_closed_without_answer(error) or is_connection_refused(error):
                     return True
@@ -306,7 +330,7 @@
         """Return whether a server answers anything on a new connection within a time."""
         with trio.move_on_after(seconds):
             try:
-                await self._single_use.get(f"http://{target.host}:{target.port}/")
+                await fetch_head(self._single_use, f"http://{target.host}:{target.port}/")
                 return True
             except httpx.HTTPError:
                 self._counters.count("backend.probe_failed")
@@ -317,7 +341,9 @@
         url = f"http://{target.host}:{target.port}/v1/cache-events?after={after}"
         with trio.move_on_after(EXCHANGE_TIMEOUT_SECONDS):
             try:
-                response = await self._control.get(url)
+                response = await fetch(
+                    self._control, "GET", url, self._responses, max_bytes=MAX_EXCHANGE_BYTES
+                )
                 return msgspec.json.decode(response.content, type=CacheEvents)
             except (httpx.HTTPError, msgspec.MsgspecError):
                 self._counters.count("backend.exchange_failed")
--- a/siskinspoke/transport/http.py
+++ b/siskinspoke/transport/http.py
@@ -1,5 +1,6 @@
 """HTTP servers (Quart on Hypercorn) and clients (HTTPX) configured for long streams."""
 
+import math
 from typing import NamedTuple
 
 import httpx
@@ -11,12 +12,20 @@
 from quart import Response
 from quart_trio import QuartTrio
 
+from siskinspoke.coordination.response_budget import HeldResponse, ResponseBudget
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
+from siskinspoke.transport.chunks import ChunkCount
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 30
 MAX_HEADER_BYTES = 32_768
 JSON_TYPE = "application/json"
+# Headers on how a body is coded, which do not hold for one that has been read.
+CODING_HEADERS = frozenset((b"content-encoding", b"transfer-encoding", b"content-length"))
+
+
+class InvalidAnswerError(httpx.HTTPError):
+    """An answer is too large, or comes in tiny chunks."""
 
 
 class HttpServer(NamedTuple):
@@ -97,7 +106,55 @@
     transport = httpx.AsyncHTTPTransport(
         limits=limits, local_address=local_host, verify=False, trust_env=False
     )
-    return httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
+    headers = {"Accept-Encoding": "identity"}
+    return httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False, headers=headers)
+
+
+async def fetch(
+    client: httpx.AsyncClient,
+    method: str,
+    url: str,
+    budget: ResponseBudget,
+    content: bytes | None = None,
+    max_bytes: float = math.inf,
+) -> httpx.Response:
+    """Send a request and return its whole answer, whose body is not decoded.
+
+    Raise InvalidAnswerError if the body exceeds ``max_bytes``, or what there is room for.
+    """
+    with trio.CancelScope() as scope:
+        held = budget.open(scope.cancel)
+        try:
+            async with client.stream(method, url, content=content) as response:
+                return await _read_answer(response, held, max_bytes)
+        finally:
+            held.release()
+    raise InvalidAnswerError("there is no room for the answer")
+
+
+async def _read_answer(
+    response: httpx.Response, held: HeldResponse, max_bytes: float
+) -> httpx.Response:
+    body, chunks = bytearray(), ChunkCount()
+    async for data in response.aiter_raw():
+        body += data
+        chunks.add(len(data))
+        if len(body) > max_bytes or chunks.are_tiny:
+            raise InvalidAnswerError(f"too large, or in tiny chunks: {len(body)} bytes")
+        held.add(len(data))
+        if held.is_evicted:
+            # The scope around this ends at the next checkpoint.
+            await trio.lowlevel.checkpoint()
+    headers = [item for item in response.headers.raw if item[0].lower() not in CODING_HEADERS]
+    return httpx.Response(
+        response.status_code, headers=headers, content=bytes(body), request=response.request
+    )
+
+
+async def fetch_head(client: httpx.AsyncClient, url: str) -> None:
+    """Send a request and read the head of its answer; raise httpx.HTTPError if none comes."""
+    async with client.stream("GET", url):
+        return
 
 
 def json_response(document, status: int = 200, headers: dict | None = None) -> Response:
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -13,6 +13,7 @@
 import h11
 import trio
 
+from siskinspoke.transport.chunks import ChunkCount
 from siskinspoke.transport.sockets import (
     SERVER_USER_TIMEOUT_MS,
     reset_connection,
@@ -26,9 +27,7 @@
 MAX_COPIED_BYTES = 262_144
 # Interim answers (status 1xx) before an answer.
 MAX_INTERIM_ANSWERS = 16
-# Parsing a chunk takes far longer than reading its bytes.  After MIN_CHUNKS chunks, the average one
-# of an answer must have MIN_CHUNK_BYTES.
-MIN_CHUNKS = 4_096
+# Chunks that are parsed in one turn of the event loop.
 CHUNKS_PER_TURN = 64
 MIN_CHUNK_BYTES = 3
 
@@ -251,8 +250,7 @@
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._body_sent = True
         self._is_chunked = False
-        self._chunks = 0
-        self._chunk_bytes = 0
+        self._chunks = ChunkCount()
         self.last_used_at = now
         self.request_count = 0
         self.idle_seconds: float | None = None
@@ -335,11 +333,10 @@
 
         One read may bring thousands of chunks; other tasks must run in between.
         """
-        self._chunks += 1
-        if not self._chunks % CHUNKS_PER_TURN:
+        self._chunks.add(size)
+        if not self._chunks.count % CHUNKS_PER_TURN:
             await trio.lowlevel.checkpoint()
-        self._chunk_bytes += size
-        if self._chunks >= MIN_CHUNKS and self._chunk_bytes < MIN_CHUNK_BYTES * self._chunks:
+        if self._chunks.are_tiny:
             raise InvalidAnswerError("the answer comes in tiny chunks")
 
     def prepare_reuse(self, now: float) -> bool:
@@ -357,7 +354,7 @@
         if trailing or closed:
             return False
         self._h11.start_next_cycle()
-        self._chunks = self._chunk_bytes = 0
+        self._chunks = ChunkCount()
         self.last_used_at = now
         self.idle = self.has_no_pending_data()
         return self.idle
--- a/tests/transport/test_server_connection.py
+++ b/tests/transport/test_server_connection.py
@@ -4,10 +4,10 @@
 import trio
 import trio.testing
 
+from siskinspoke.transport.chunks import MIN_CHUNKS
 from siskinspoke.transport.http1 import (
     CHUNKS_PER_TURN,
     MAX_INTERIM_ANSWERS,
-    MIN_CHUNKS,
     InvalidAnswerError,
     RequestHead,
     ServerConnection,
