Ignore stop signals while the interpreter is finalized, too

Cause: the interpreter sets signals with a Python handler back to their default action when it is finalized; SIG_IGN stays.

test_process_exits_cleanly[finalizing] fails on the code before.

--- a/siskinspoke/core/signals.py
+++ b/siskinspoke/core/signals.py
@@ -19,10 +19,15 @@
     early: list[int] = []
     for number in numbers:
         signal.signal(number, lambda received, _frame: early.append(received))
-    with trio.open_signal_receiver(*numbers) as signals:
-        for number in early:
-            signal.raise_signal(number)
-        yield signals
+    try:
+        with trio.open_signal_receiver(*numbers) as signals:
+            for number in early:
+                signal.raise_signal(number)
+            yield signals
+    finally:
+        # The interpreter removes handlers before the process exits, but not this.
+        for number in numbers:
+            signal.signal(number, signal.SIG_IGN)
 
 
 async def log_further_signals(
