Pass on an event once that a server repeats within one read

A server that sent one event over and over had all of those that arrived in one read passed on to its client: 4,096 times the event with id 1. The id of the last event was compared only between reads.

It is now taken from each event in turn. test_repeated_event_is_sent_once fails on the code before.

--- a/siskinspoke/gateway/forwarding/streams.py
+++ b/siskinspoke/gateway/forwarding/streams.py
@@ -74,4 +74,4 @@
         if request.first_token_ms is None:
             request.first_token_ms = now_ms() - request.arrived_ms
             gateway.latencies.record("first_token", request.first_token_ms)
-        await relay_events(request, relay, splitter, events)
+        await relay_events(request, relay, events)
--- a/siskinspoke/gateway/relaying.py
+++ b/siskinspoke/gateway/relaying.py
@@ -179,12 +179,10 @@
             if stream.work is not None:
                 gateway.peers.mark_first_token(stream.work)
             _record_first_event(gateway, request, stream, now)
-        await relay_events(request, relay, splitter, events)
+        await relay_events(request, relay, events)
 
 
-async def relay_events(
-    request: Request, relay: Relay, splitter: EventSplitter, events: list[bytes]
-) -> None:
+async def relay_events(request: Request, relay: Relay, events: list[bytes]) -> None:
     """Send the events to the client that it lacks.
 
     Raise InvalidStreamError if there are none for too long.
@@ -194,24 +192,29 @@
         pause = now - relay.last_event_at
         request.longest_pause_ms = max(request.longest_pause_ms, pause)
     relay.last_event_at = now
-    fresh = [event for event in events if _is_new(relay, event)]
+    fresh = [event for event in events if _take_if_new(relay, event)]
     relay.stale_bytes = 0 if fresh else relay.stale_bytes + sum(map(len, events))
     if relay.stale_bytes > MAX_EVENT_BYTES:
         raise InvalidStreamError("the stream brings no new events")
     if fresh:
         relay.events += len(fresh)
-        relay.last_id = splitter.last_id or relay.last_id
         await relay.client.send_data(b"".join(fresh))
         request.events = relay.events
 
 
-def _is_new(relay: Relay, event: bytes) -> bool:
-    """Tell whether the client lacks an event: a resumed stream may start too early."""
+def _take_if_new(relay: Relay, event: bytes) -> bool:
+    """Tell whether the client lacks an event, and record its ID.
+
+    A resumed stream may start too early, and a faulty server may repeat events.
+    """
     event_id = parse_event_id(event)
-    if event_id is None or relay.last_id is None:
+    if event_id is None:
         return True
-    if event_id.isdigit() and relay.last_id.isdigit():
-        return int(event_id) > int(relay.last_id)
+    last_id = relay.last_id
+    is_ordered = last_id is not None and event_id.isdigit() and last_id.isdigit()
+    if is_ordered and int(event_id) <= int(last_id):
+        return False
+    relay.last_id = event_id
     return True
 
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -163,6 +163,20 @@
 
         trio.run(run)
 
+    def test_repeated_event_is_sent_once(self, tmp_path):
+        """Guards against sending a client one event many times that arrives in one read."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                alternating(site, "engines", Endless("old events"), Events()),
+            ):
+                answer = await site.ask("/stream/x", **PROMPT)
+                assert answer.whole
+                assert answer.body.count(b"id: 1\n") == 1
+
+        trio.run(run)
+
     def test_failure_without_end(self, tmp_path):
         """Guards against the body of an error that is read without a limit."""
 
