Add a soak of stops in series and answers without end

Gateways with grace periods from 1 s to 8 s get signals in series until they are gone, one over the other, while clients keep using their connections, among the faults that the soak has anyway; servers send bytes without end. Checked: a plain call that reached a server gets an answer, processes end in time and with 0, and no gateway goes beyond its memory.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,10 +1,11 @@
 """A randomized soak test: real processes under injected faults, with invariant checks.
 
 Run seeds manually with
-``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS [UNEVEN [LINKS]]]]``.
+``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS [UNEVEN [LINKS [SHUTDOWNS]]]]]``.
 If UNEVEN is 1, the faults of ``tests.soak.uneven`` are added: evacuations and cold servers.
 If LINKS is 1, those of ``tests.soak.links_and_parts`` are: cut VMs, and a part that crashes
-servers.
+servers.  If SHUTDOWNS is 1, those of ``tests.soak.shutdowns`` are: stops in series, and answers
+without end.
 """
 
 import random
@@ -33,6 +34,7 @@
 )
 from tests.platform.test_streams import data_of
 from tests.soak.links_and_parts import LinkAndPartFaults
+from tests.soak.shutdowns import ShutdownFaults
 from tests.soak.uneven import UnevenFaults
 
 REGISTRIES, GATEWAYS = ("c1", "c2", "c3"), ("g1", "g2")
@@ -151,12 +153,17 @@
     )
     uneven: UnevenFaults | None = None
     links_and_parts: LinkAndPartFaults | None = None
+    shutdowns: ShutdownFaults | None = None
 
     def record_fault(self, fault: str) -> None:
         self.faults.append(f"{trio.current_time() - self.started_at:.2f} {fault}")
 
     def choose_behaviour(self, service: str):
         """Return how a backend server handles its next request."""
+        if self.shutdowns is not None:
+            endless = self.shutdowns.choose_endless()
+            if endless is not None:
+                return endless
         roll = self.rng.random()
         if service == "engines":
             if roll < 0.8:
@@ -181,7 +188,7 @@
             for number in range(PLAIN_SERVERS + ENGINE_SERVERS):
                 await self._start_server(nursery, number)
             for name in (*REGISTRIES, *self.gateways):
-                self._start_process(name, found=True)
+                self.start_process(name, found=True)
             await self._publish_until_accepted()
             nursery.start_soon(self._send_heartbeats_forever)
             await self._wait_until_served()
@@ -199,6 +206,8 @@
                         busy.start_soon(self.uneven.inject_forever)
                     if self.links_and_parts is not None:
                         busy.start_soon(self.links_and_parts.inject_forever)
+                    if self.shutdowns is not None:
+                        busy.start_soon(self.shutdowns.inject_forever)
                     for number in range(CLIENTS_PER_GATEWAY * len(self.gateways)):
                         busy.start_soon(self._send_requests_forever, number)
             await self._end_faults()
@@ -268,9 +277,14 @@
             await trio.sleep(self.limit_rng.uniform(1.0, 4.0))
             await self._restart_server(number)
 
-    def _start_process(self, name: str, found: bool = False) -> None:
+    def start_process(self, name: str, found: bool = False) -> None:
+        """Start a registry or a gateway."""
         follows_links = self.links_and_parts is not None and name in self.gateways
-        self.site.start(name, found, mutant="cut_links" if follows_links else None)
+        settings = {}
+        if self.shutdowns is not None and name in self.gateways:
+            settings = self.shutdowns.settings(name)
+        mutant = "cut_links" if follows_links else None
+        self.site.start(name, found, mutant=mutant, **settings)
 
     def mark_disturbed(self, gateway: str, *servers: StandinServer) -> None:
         """Exempt a disturbed gateway from earlier limits of servers, which it may have missed."""
@@ -369,10 +383,12 @@
             request_id = f"r{client}-{number}"
             kind = self.rng.choice(("once", "again", "stream", "solo"))
             headers = self._prompt_headers() if kind in ("stream", "solo") else {}
-            gateway = self.rng.choice(self.gateways)
+            gateway, sent_at = self.rng.choice(self.gateways), trio.current_time()
             status, body = await self.send_request(
                 gateway, f"/{kind}/x", request_id, client, **headers
             )
+            if self.shutdowns is not None and not status and kind in ("once", "again"):
+                self.shutdowns.record_unanswered(request_id, gateway, sent_at)
             self.outcomes[request_id] = (kind, status)
             self.status_counts[(kind, status)] += 1
             if status == 200:
@@ -445,25 +461,31 @@
             return
         self.record_fault(f"freeze {name}")
         self.down.add(name)
-        self.mark_disturbed(name)
+        self._record_disturbance(name)
         self.site.signal(name, signal.SIGSTOP)
         with trio.CancelScope(shield=True):
             await trio.sleep(self.rng.uniform(0.2, 2.0))
         self.site.signal(name, signal.SIGCONT)
-        self.mark_disturbed(name)
+        self._record_disturbance(name)
         self.down.discard(name)
 
+    def _record_disturbance(self, name: str) -> None:
+        """Record that a process is killed, or paused or resumed."""
+        self.mark_disturbed(name)
+        if self.shutdowns is not None:
+            self.shutdowns.record_disturbance(name)
+
     async def _kill(self) -> None:
         if (name := self._pick_process()) is None:
             return
         self.record_fault(f"kill {name}")
         self.down.add(name)
-        self.mark_disturbed(name)
+        self._record_disturbance(name)
         self.site.kill(name)
         with trio.CancelScope(shield=True):
             await trio.sleep(self.rng.uniform(0.0, 1.0))
         self.mark_disturbed(name)
-        self._start_process(name)
+        self.start_process(name)
         self.down.discard(name)
 
     async def _stop(self) -> None:
@@ -479,7 +501,7 @@
             self.violations.append(f"{name} did not stop in time")
             self.site.kill(name)
         self.mark_disturbed(name)
-        self._start_process(name)
+        self.start_process(name)
         self.down.discard(name)
 
     async def _send_sighup(self) -> None:
@@ -498,7 +520,7 @@
         with trio.CancelScope(shield=True):
             await trio.sleep(0.3)
         if not self.site.is_running(name):
-            self._start_process(name)
+            self.start_process(name)
         self.down.discard(name)
 
     async def _disturb_connections(self) -> None:
@@ -534,7 +556,7 @@
             if not self.site.is_running(name):
                 code = self.site.exit_code(name)
                 self.violations.append(f"{name} ended unexpectedly with exit code {code}")
-                self._start_process(name)
+                self.start_process(name)
 
     async def _check_results(self) -> None:
         """Check the executed requests against their answers and limits, and the final version."""
@@ -545,6 +567,8 @@
             for seen in server.seen:
                 if "Request-Id" in seen.headers and seen.ran:
                     runs[seen.headers["Request-Id"]] += 1
+        if self.shutdowns is not None:
+            self.shutdowns.check(runs)
         for request_id, (kind, status) in self.outcomes.items():
             if kind in ("once", "solo") and runs[request_id] > 1:
                 self.violations.append(f"{request_id} ({kind}) ran {runs[request_id]} times")
@@ -586,11 +610,12 @@
     gateways: int = 2,
     uneven: bool = False,
     links_and_parts: bool = False,
+    shutdowns: bool = False,
 ) -> Soak:
     """Run one seed and return the finished run.
 
     ``uneven`` adds evacuations and cold servers, ``links_and_parts`` cut VMs and requests with a
-    part that crashes servers.
+    part that crashes servers, ``shutdowns`` stops in series and answers without end.
     """
     names = tuple(f"g{number + 1}" for number in range(gateways))
     sources = [random.Random(seed + number * 1_000_000) for number in range(3)]
@@ -599,6 +624,8 @@
         soak.uneven = UnevenFaults(soak, random.Random(seed + 3_000_000), REGISTRIES)
     if links_and_parts:
         soak.links_and_parts = LinkAndPartFaults(soak, random.Random(seed + 4_000_000))
+    if shutdowns:
+        soak.shutdowns = ShutdownFaults(soak, random.Random(seed + 5_000_000))
     try:
         trio.run(soak.run, seconds)
     finally:
@@ -613,13 +640,14 @@
     gateways: float = 2,
     uneven: float = 0,
     links_and_parts: float = 0,
+    shutdowns: float = 0,
 ) -> int:
     """Run seeds in sequence and print the result of each."""
     failed = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         net = MANUAL_SOAK_NETS[first % len(MANUAL_SOAK_NETS)]
-        options = bool(uneven), bool(links_and_parts)
+        options = bool(uneven), bool(links_and_parts), bool(shutdowns)
         soak = run_soak(seed, folder, net, seconds, int(gateways), *options)
         served_count = sum(n for (_, status), n in soak.status_counts.items() if status == 200)
         request_count = sum(soak.status_counts.values())
@@ -628,7 +656,7 @@
             flush=True,
         )
         for line in soak.violations[:10]:
-            print(f"  VIOLATION {line} (logs in {folder})", flush=True)
+            print(f"  VIOLATION {line[:400]} (logs in {folder})", flush=True)
         if soak.violations:
             (folder / "faults.txt").write_text("\n".join(soak.faults))
         failed += bool(soak.violations)
@@ -637,4 +665,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:7])))
+    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:8])))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -62,6 +62,22 @@
         assert sum(soak.status_counts.values()) > 20
 
 
+class TestShutdownSoak:
+    """Gateways get signals in series until they are gone, and servers send without end.
+
+    Guards against calls that a stopping gateway accepts and cuts, a second signal that ends it, and
+    a gateway beyond its memory.
+    """
+
+    RUN_SECONDS = 12.0
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_invariants_hold(self, seed, tmp_path):
+        soak = run_soak(seed, tmp_path / "site", _next_net(), self.RUN_SECONDS, 3, shutdowns=True)
+        assert not soak.violations, soak.violations
+        assert sum(soak.status_counts.values()) > 20
+
+
 class TestStopTimeout:
     """The time limit of the soak for a process to stop."""
 
