--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -29,7 +29,6 @@
 MAX_INTERIM_ANSWERS = 16
 # Chunks that are parsed in one turn of the event loop.
 CHUNKS_PER_TURN = 64
-MIN_CHUNK_BYTES = 3
 
 Headers = list[tuple[bytes, bytes]]
 
