Search for the end of an event only as far as it is

Cause: each event looked for both of its possible ends, and so for the one that is not used in all that had arrived with it: time that grows with the square of the events in a read.

The new test of the splitter fails on the code before.

--- a/siskinspoke/protocol/events.py
+++ b/siskinspoke/protocol/events.py
@@ -2,13 +2,13 @@
 
 import re
 
-EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
 ID_FIELD = b"id:"
 # How a line of an event begins, a comment included.
 FIELDS = (b"data", b"id", b"event", b"retry", b":")
 LINE_ENDS = b"\r\n"
 NO_LINE_END = re.compile(rb"[^\r\n]")
-MAX_TERMINATOR_BYTES = max(map(len, EVENT_TERMINATORS))
+MAX_TERMINATOR_BYTES = 4
 # Longest event.
 MAX_EVENT_BYTES = 524_288
 
@@ -56,13 +56,9 @@
             begin = NO_LINE_END.search(self._rest, self._searched)
             self._has_begun = begin is not None
             self._searched = len(self._rest) if begin is None else begin.start()
-        ends = []
-        for mark in EVENT_TERMINATORS:
-            found = self._rest.find(mark, self._searched)
-            if found >= 0:
-                ends.append(found + len(mark))
-        if ends:
-            return min(ends)
+        found = TERMINATOR.search(self._rest, self._searched)
+        if found is not None:
+            return found.end()
         # A terminator may have arrived in part.
         if self._has_begun:
             self._searched = max(self._searched, len(self._rest) - MAX_TERMINATOR_BYTES + 1)
--- a/tests/protocol/test_events.py
+++ b/tests/protocol/test_events.py
@@ -1,5 +1,7 @@
 """Tests of splitting a stream into server-sent events."""
 
+import time
+
 import pytest
 
 from siskinspoke.protocol.events import (
@@ -71,3 +73,25 @@
         """Guards against a limit that cuts a long event."""
         event = b"data: " + b"x" * (MAX_EVENT_BYTES // 2) + b"\n\n"
         assert EventSplitter().feed(event) == [event]
+
+
+class TestManyEvents:
+    """The time of an event does not depend on how many arrive with it."""
+
+    COUNT = 20_000
+    MAX_RATIO = 5.0
+
+    def split_seconds(self, events_per_read: int) -> float:
+        """Return the processor time to split COUNT events, the best of three."""
+        data = b"id: 1\ndata: x\n\n" * events_per_read
+        times = []
+        for _ in range(3):
+            splitter, began = EventSplitter(), time.thread_time()
+            for _ in range(self.COUNT // events_per_read):
+                assert len(splitter.feed(data)) == events_per_read
+            times.append(time.thread_time() - began)
+        return min(times)
+
+    def test_one_read(self):
+        """Guards against searching all that has arrived for the end of each event."""
+        assert self.split_seconds(self.COUNT) < self.MAX_RATIO * self.split_seconds(100)
