Call a request shut down only while this VM drains

A request that ends at its deadline could be answered as if its VM stopped (502, or 503 "not run") in place of 504, on a VM that does not stop.

Cause: the end of its scope was told from a shutdown by the time left alone, with a comparison that has no margin: a timer that is early by a rounding error leaves more than the margin of the answer.

Only a draining VM ends requests before their deadlines. The new test fails on the code before: AttributeError in the branch for shutdowns.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -320,7 +320,7 @@
 
     def _late_failure(self, request: Request) -> Failure:
         """Return the answer to a request that ended at its deadline, or since this VM stops."""
-        if request.remaining_ms(now_ms()) > ANSWER_MARGIN_MS:
+        if self._gateway.draining and request.remaining_ms(now_ms()) > ANSWER_MARGIN_MS:
             request.end = "shutdown"
             return unfinished_failure(request)
         request.end = "timeout"
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -1,10 +1,13 @@
 """A VM that is about to stop: which requests it still accepts."""
 
+from types import SimpleNamespace
+
 import trio
 
 from siskinspoke.coordination.graceful_shutdown import MIN_DURATIONS
+from siskinspoke.core.codes import ResultCode
 from siskinspoke.gateway.accepting import Acceptor
-from siskinspoke.gateway.clients import ClientServer
+from siskinspoke.gateway.clients import ANSWER_MARGIN_MS, ClientServer
 from siskinspoke.gateway.context import now_ms
 from siskinspoke.gateway.draining import begin_drain, drain
 from siskinspoke.transport.early import listen
@@ -235,6 +238,18 @@
 
         trio.run(run)
 
+    def test_timeout_of_a_running_vm_is_no_shutdown(self, tmp_path):
+        """Guards against a timer that is early by a rounding error and looks like a shutdown."""
+
+        async def run():
+            async with gateway_site(tmp_path) as site:
+                early = SimpleNamespace(remaining_ms=lambda now: ANSWER_MARGIN_MS + 1e-6, end="")
+                failure = ClientServer(site.gateway)._late_failure(early)
+                assert failure.code is ResultCode.DEADLINE_PASSED
+                assert early.end == "timeout"
+
+        trio.run(run)
+
     def test_answer_in_time_is_delivered(self, tmp_path):
         """Guards against ending a call at once that is open when the shutdown begins."""
 
