Put a comment back beside the constants that it explains

The handled signals of a registry had come between the comment on heartbeats and elections and the two constants it is about. No change of behaviour.

--- a/siskinspoke/control/group_daemon.py
+++ b/siskinspoke/control/group_daemon.py
@@ -35,9 +35,9 @@
 if TYPE_CHECKING:
     from siskinspoke.transport.calls import BodyLimits, Call, OpenCalls, Reply
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # A small VM's disk may take 0.15 s for a sync; a leader whose heartbeats are delayed by a few such
 # syncs must not be deposed.
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 HEARTBEAT_MS = 100.0
 ELECTION_MS = 600.0
 # Journal entries between snapshots. Each holds a whole configuration, which takes several times its
