Wait for every request that has begun to arrive before the exit

A stopping VM could exit while a call waited for its first configuration, while a refusal was being sent, or between accepting a connection and its first byte; the client got a closed connection.

Cause: the drain counted requests being read and requests being served, with a gap between, and no connection that had just been accepted.

One count covers a request from its first byte to its answer, and the last wait also covers idle connections, which end after 0.1 s then.

--- a/siskinspoke/gateway/clients.py
+++ b/siskinspoke/gateway/clients.py
@@ -126,15 +126,15 @@
         limits = gateway.limits
         if not await self._wait_for_request(connection, limits.idle_ms / 1000 + IDLE_GRACE_SECONDS):
             return False
-        gateway.arriving_requests += 1
+        gateway.unanswered_requests += 1
         try:
             head, body = await self._read_request(connection, limits)
+            return await self._answer(connection, head, body)
         except BadRequestError as error:
             await self._refuse_unread(connection, error)
             return False
         finally:
-            gateway.arriving_requests -= 1
-        return await self._answer(connection, head, body)
+            gateway.unanswered_requests -= 1
 
     async def _read_request(
         self, connection: ClientConnection, limits: ClientLimits
--- a/siskinspoke/gateway/context.py
+++ b/siskinspoke/gateway/context.py
@@ -101,8 +101,8 @@
     table: RouteTable | None = None
     draining_since_ms: float | None = None
     open_requests: int = 0
-    # Requests of which a part has been received.
-    arriving_requests: int = 0
+    # Requests of which a part has been received and that are not answered yet.
+    unanswered_requests: int = 0
     # Scopes that end at the deadlines of open requests.
     response_scopes: set[trio.CancelScope] = field(default_factory=set)
     durations: RouteDurations = field(default_factory=RouteDurations)
--- a/siskinspoke/gateway/draining.py
+++ b/siskinspoke/gateway/draining.py
@@ -65,11 +65,12 @@
         # Connections that wait in the listener's queue are served, and no others.
         gateway.listening_ended.set()
         await trio.sleep(POLL_SECONDS)
-        await _until_idle(gateway)
+        while gateway.unanswered_requests or gateway.idle_connections:
+            await trio.sleep(POLL_SECONDS)
 
 
 async def _until_idle(gateway: Gateway) -> None:
-    while gateway.open_requests or gateway.arriving_requests:
+    while gateway.unanswered_requests:
         await trio.sleep(POLL_SECONDS)
 
 
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -299,6 +299,48 @@
 
         trio.run(run)
 
+    def test_call_waits_for_the_configuration(self, tmp_path):
+        """Guards against exiting while a call waits for a VM's first configuration."""
+
+        async def run():
+            settings = {"shutdown_seconds": 1.0}
+            async with gateway_site(tmp_path, configured=False, settings=settings) as site:
+                site.gateway.started_at = trio.current_time()
+                async with site.request_in_background("/once/x") as answers:
+                    await until(lambda: site.gateway.counters.totals.get("client.connections"))
+                    await trio.sleep(0.05)
+                    begin_drain(site.gateway)
+                    await drain(site.gateway)
+                    await trio.sleep(0.01)
+                    assert [answer.status for answer in answers] == [503]
+
+        trio.run(run)
+
+    def test_accepted_connection_may_send_its_call(self, tmp_path):
+        """Guards against exiting in the moment in which a connection has been accepted."""
+
+        async def run():
+            async with gateway_site(tmp_path) as site, trio.open_nursery() as nursery:
+                begin_drain(site.gateway)
+                site.gateway.draining_since_ms -= 3_500
+                ended = trio.Event()
+
+                async def exit_after_drain():
+                    await drain(site.gateway)
+                    ended.set()
+
+                nursery.start_soon(exit_after_drain)
+                await site.gateway.listening_ended.wait()
+                accepted = trio.CancelScope()
+                site.gateway.idle_connections.add(accepted)
+                await trio.sleep(0.2)
+                assert not ended.is_set()
+                site.gateway.idle_connections.discard(accepted)
+                with trio.fail_after(1):
+                    await ended.wait()
+
+        trio.run(run)
+
     def test_call_arrives_as_its_connection_is_closed(self, tmp_path):
         """Guards against closing a kept connection on which a call has just arrived."""
 
