Limit what servers may send of themselves to a registry to 64 KB

A registry read the body of a heartbeat or a deregistration up to 16 MB, the limit for configurations, so that some twenty servers which send bodies without end at the same moment have it hold more than the 296 MB of a control VM.

Cause: one limit for all paths. The paths of servers have their own now; a heartbeat takes some hundred bytes.

Found by reading. The tests of the two paths fail on the code before, where the 16 MB are read; configurations keep their limit.

--- a/siskinspoke/platform/control_app.py
+++ b/siskinspoke/platform/control_app.py
@@ -15,7 +15,11 @@
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.transport.calls import BodyLimits, Call, Reply
 
-BOUNDS = BodyLimits(max_bytes=16_000_000, timeout_seconds=5.0)
+# What servers say of themselves is short, and many may speak at once; configurations are long.
+ANNOUNCEMENT_BYTES = 65_536
+BOUNDS = BodyLimits(
+    max_bytes=16_000_000, timeout_seconds=5.0, by_prefix={"/instances/": ANNOUNCEMENT_BYTES}
+)
 JSON = "application/json"
 # A deregistration carries no sequence number; it supersedes every heartbeat of the same process.
 DEREGISTRATION_SEQ = 2**60
--- a/siskinspoke/transport/calls.py
+++ b/siskinspoke/transport/calls.py
@@ -5,8 +5,9 @@
 much of a small VM's startup time and memory.
 """
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from contextlib import contextmanager
+from types import MappingProxyType
 from typing import NamedTuple
 
 import trio
@@ -39,10 +40,21 @@
 
 
 class BodyLimits(NamedTuple):
-    """Limits on the size of a request body and on the time to receive it."""
+    """Limits on the size of a request body and on the time to receive it.
+
+    ``by_prefix`` are limits in bytes for the paths with a prefix, in place of ``max_bytes``.
+    """
 
     max_bytes: int
     timeout_seconds: float
+    by_prefix: Mapping[str, int] = MappingProxyType({})
+
+    def bytes_for(self, path: str) -> int:
+        """Return the limit on the size of a body that is sent to a path."""
+        for prefix, limit in self.by_prefix.items():
+            if path.startswith(prefix):
+                return limit
+        return self.max_bytes
 
 
 CallHandler = Callable[[Call], Awaitable[Reply]]
@@ -128,7 +140,7 @@
     with trio.move_on_after(limits.timeout_seconds) as timeout:
         head = await connection.read_head()
         try:
-            body = await connection.read_body(limits.max_bytes)
+            body = await connection.read_body(limits.bytes_for(head.target))
         except BadRequestError as error:
             await _send(connection, Reply(error.status or 400))
             return False
--- a/tests/platform/test_control_app.py
+++ b/tests/platform/test_control_app.py
@@ -1,6 +1,7 @@
 """Tests for the calls by which servers announce themselves to a control VM."""
 
 import msgspec
+import pytest
 import trio
 
 from siskinspoke.control.group_daemon import ControlParts
@@ -9,8 +10,8 @@
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.core.counters import Counters
 from siskinspoke.core.latencies import Latencies
-from siskinspoke.platform.control_app import ControlApp
-from siskinspoke.transport.calls import Call
+from siskinspoke.platform.control_app import ANNOUNCEMENT_BYTES, BOUNDS, ControlApp
+from siskinspoke.transport.calls import Call, serve_calls
 from tests.feeds.test_follower import NullDecisionLog
 
 LEASE_MS = 4_800
@@ -137,6 +138,50 @@
         trio.run(run)
 
 
+class TestBodyLimits:
+    """What servers send of themselves is short; what operators send may be long."""
+
+    SOCKET_BYTES = 8_000_000
+
+    async def send_endlessly(self, port: int, path: str) -> int:
+        """Send a body without end; return how many bytes were taken."""
+        head = f"POST {path} HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"10000\r\n" + b" " * 65_536 + b"\r\n"
+        sent = 0
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        async with stream:
+            try:
+                await stream.send_all(head.encode())
+                while True:
+                    await stream.send_all(chunk)
+                    sent += len(chunk)
+            except trio.BrokenResourceError:
+                return sent
+
+    @pytest.mark.parametrize("path", ["/instances/i-1/heartbeat", "/instances/i-1/deregister"])
+    def test_announcement_without_end(self, path):
+        """Guards against servers whose bodies without end fill the memory of a registry."""
+
+        async def answer(call):
+            raise AssertionError(call.path)
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(serve_calls, answer, BOUNDS, "127.0.0.1", 0)
+                port = listeners[0].socket.getsockname()[1]
+                with trio.fail_after(3):
+                    sent = await self.send_endlessly(port, path)
+                assert sent < ANNOUNCEMENT_BYTES + self.SOCKET_BYTES
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_configurations_may_be_long(self):
+        """Guards against a limit for servers that refuses a large configuration."""
+        assert BOUNDS.bytes_for("/config/replace") == BOUNDS.max_bytes
+        assert BOUNDS.bytes_for("/instances/i-1/heartbeat") == ANNOUNCEMENT_BYTES
+
+
 class TestCalls:
     """Unknown calls, and an exception while handling a valid one."""
 
