Bound connections and bodies at the product's own interface

Callers saw: an entry VM or control replica of several hundred megabytes, or without descriptors, while clients sent bodies of 16 MB that stop short of their end or only connected; strangers' bodies were read by replicas before their credentials were looked at.

Cause: Hypercorn accepts every connection, and Quart collects each body on its own.

Change: transport/http_server.py accepts the connections by the same table as the gateway, and reads each body within the shared budget before the application runs. Keys are checked by the head. The arrival of a request is still that of its head.

--- a/siskinspoke/entry/backend.py
+++ b/siskinspoke/entry/backend.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from siskinspoke.coordination.back_off import BackOffs
-from siskinspoke.coordination.response_budget import ResponseBudget
+from siskinspoke.coordination.read_budget import ReadBudget
 from siskinspoke.core.counters import Counters
 from siskinspoke.protocol.assembly import Assembler, Complete, Gap, Ignored, Piece
 from siskinspoke.protocol.claims import Target
@@ -125,7 +125,7 @@
         self._single_use = make_client(keep_alive=False, local_host=local_host)
         self._control = make_client(local_host=local_host)
         self._watched: set[_WatchedAttempt] = set()
-        self._responses = ResponseBudget(MAX_RESPONSES_BYTES)
+        self._responses = ReadBudget(MAX_RESPONSES_BYTES)
 
     @property
     def back_offs(self) -> BackOffs:
--- a/siskinspoke/entry/daemon.py
+++ b/siskinspoke/entry/daemon.py
@@ -10,10 +10,12 @@
 from loguru import logger
 
 from siskinspoke.conf import Settings
+from siskinspoke.conf.vm import process_descriptors
 from siskinspoke.coordination.configuration import ConfigurationHolder
 from siskinspoke.coordination.crash_watch import CrashWatch
 from siskinspoke.coordination.directory import Directory
 from siskinspoke.coordination.fairness import FairShares
+from siskinspoke.coordination.memory_plan import ENTRY_SHARES, memory_plan
 from siskinspoke.coordination.prefixes import PrefixIndex
 from siskinspoke.coordination.retries import RetryBudget
 from siskinspoke.coordination.routing import Router
@@ -34,13 +36,15 @@
 from siskinspoke.entry.forwarding.deciding import ForwardDecision
 from siskinspoke.entry.forwarding.probing import ServerProber
 from siskinspoke.entry.forwarding.sending import Forwarder
-from siskinspoke.entry.internal_app import internal_app
+from siskinspoke.entry.internal_app import internal_app, internal_rules
 from siskinspoke.entry.janitor import Janitor
-from siskinspoke.entry.public_app import public_app
+from siskinspoke.entry.public_app import public_app, public_rules
 from siskinspoke.protocol.claims import Target
 from siskinspoke.protocol.crashes import CrashNews
+from siskinspoke.transport.client_resources import client_resources
 from siskinspoke.transport.datagrams import open_datagram_port
-from siskinspoke.transport.http import HttpServer, serve
+from siskinspoke.transport.http import HttpServer
+from siskinspoke.transport.http_server import LimitedServer, serve_limited
 
 DRAIN_NOTICE_SECONDS = 0.5
 CLEANUP_SECONDS = 3.0
@@ -48,6 +52,10 @@
 MAX_PENDING_CRASH_NEWS = 256
 
 
+def _log_event(event: str, **fields: object) -> None:
+    logger.warning("{}: {}", event, fields)
+
+
 def make_context(
     settings: Settings,
     name: str,
@@ -109,6 +117,8 @@
         datagram_port = await open_datagram_port(
             vm.host, vm.internal_port, settings.internal_key, counters
         )
+        plan = memory_plan(ENTRY_SHARES, vm.memory_mb, process_descriptors())
+        clients = client_resources(plan, counters, _log_event)
         configuration_follower = ConfigurationFollower(context)
         configuration_follower.load()
         limits = context.holder.current.configuration.limits
@@ -134,14 +144,15 @@
         nursery.start_soon(prune_forever, context)
         nursery.start_soon(_drain_on_signal, context)
         async with trio.open_nursery() as servers:
-            for app, listen_port in (
-                (internal_app(context), vm.internal_port),
-                (public_app(context, forwarding), vm.port),
+            for app, rules, listen_port in (
+                (internal_app(context), internal_rules, vm.internal_port),
+                (public_app(context, forwarding), public_rules, vm.port),
             ):
                 if listen_port == vm.port:
                     await _wait_for_announcements(settings)
                 server = HttpServer(app, vm.host, listen_port, drain_seconds)
-                await servers.start(serve, server, shutdown)
+                limited = LimitedServer(server, partial(rules, context), clients)
+                await servers.start(serve_limited, limited, shutdown)
             logger.info("entry {} serves on {}:{}", name, vm.host, vm.port)
             await _until_drained(context, drain_seconds)
             shutdown.set()
--- a/siskinspoke/entry/internal_app.py
+++ b/siskinspoke/entry/internal_app.py
@@ -7,6 +7,7 @@
 from siskinspoke.core.codes import Failure, ResultCode
 from siskinspoke.entry.context import EntryContext, now_ms
 from siskinspoke.transport.http import failure_response, json_response, make_app
+from siskinspoke.transport.http_server import BodyRules, RequestHeaders, find_header
 
 MAX_BODY_BYTES = 65_536
 BODY_SECONDS = 5.0
@@ -43,6 +44,18 @@
     return app
 
 
+def internal_rules(context: EntryContext) -> BodyRules:
+    """Return the limits of requests by operators, whose key is in the head."""
+
+    def check_head(path: str, headers: RequestHeaders) -> Failure | None:
+        if operator_allowed(find_header(headers, "authorization"), context.settings.operator_key):
+            return None
+        context.counters.count("operator.refused")
+        return Failure(ResultCode.UNAUTHENTICATED, "send the operator key")
+
+    return BodyRules(MAX_BODY_BYTES, BODY_SECONDS, check_head)
+
+
 def entry_status(context: EntryContext) -> dict:
     """Return the status document of this VM."""
     now = now_ms()
--- a/siskinspoke/entry/public_app.py
+++ b/siskinspoke/entry/public_app.py
@@ -2,7 +2,6 @@
 
 import hashlib
 
-import trio
 from quart import Response, request
 
 from siskinspoke.conf.settings import Limits
@@ -29,9 +28,17 @@
 from siskinspoke.entry.stream_tokens import read_token
 from siskinspoke.protocol.forwarding import FORWARD_HEADER, RESULT_HEADER
 from siskinspoke.transport.http import failure_response, json_response, make_app
+from siskinspoke.transport.http_server import (
+    ARRIVED_AT,
+    BodyRules,
+    RequestHeaders,
+    find_header,
+)
 
 DRAIN_RETRY_MS = 500
 TOO_MANY_STREAMS_RETRY_MS = 1_000
+# Paths of requests that need a customer's key.
+AUTHENTICATED_PATHS = ("/v1/completions", "/v1/streams/resume", "/v1/services/")
 # Headers of a caller's request that are passed on when it is forwarded.
 CALLER_HEADERS = ("Authorization", "Idempotency-Key", "Content-Type")
 
@@ -41,6 +48,20 @@
     return "k" + hashlib.blake2b(name.encode(), digest_size=12).hexdigest()
 
 
+def public_rules(context: EntryContext) -> BodyRules:
+    """Return the limits of requests by callers, whose key is in the head."""
+    configuration = context.holder.current.configuration
+
+    def check_head(path: str, headers: RequestHeaders) -> Failure | None:
+        if not path.startswith(AUTHENTICATED_PATHS):
+            return None
+        found = authenticate(find_header(headers, "authorization"), configuration)
+        return None if found.is_ok() else context.refuse(found.error)
+
+    limits = configuration.limits
+    return BodyRules(limits.max_body_bytes, limits.body_timeout_ms / 1000, check_head)
+
+
 def public_app(context: EntryContext, forwarding: ForwardDecision):
     """Return the application for callers, and for peers that forward their requests."""
     limits = context.holder.current.configuration.limits
@@ -129,7 +150,7 @@
 
     @app.post("/v1/completions")
     async def completions() -> Response:
-        arrived_at = context.stall_detector.earliest_arrival(trio.current_time())
+        arrived_at = context.stall_detector.earliest_arrival(request.scope[ARRIVED_AT])
         caller = authenticate_caller()
         if isinstance(caller, Failure):
             return refuse(caller)
@@ -173,7 +194,7 @@
 
     @app.post("/v1/streams/resume")
     async def resume() -> Response:
-        arrived_at = context.stall_detector.earliest_arrival(trio.current_time())
+        arrived_at = context.stall_detector.earliest_arrival(request.scope[ARRIVED_AT])
         caller = authenticate_caller()
         if isinstance(caller, Failure):
             return refuse(caller)
@@ -209,7 +230,7 @@
 
     @app.post("/v1/services/<service>")
     async def services(service: str) -> Response:
-        arrived_at = context.stall_detector.earliest_arrival(trio.current_time())
+        arrived_at = context.stall_detector.earliest_arrival(request.scope[ARRIVED_AT])
         caller = authenticate_caller()
         if isinstance(caller, Failure):
             return refuse(caller)
