--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,11 +1,11 @@
 """A randomized soak test: real processes under injected faults, with invariant checks.
 
-Run seeds manually with
-``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS [UNEVEN [LINKS [SHUTDOWNS]]]]]``.
+Run seeds manually with ``python -m tests.soak.soak FIRST COUNT [SECONDS [GATEWAYS [UNEVEN [LINKS
+[SHUTDOWNS [CROWDS]]]]]]``.
 If UNEVEN is 1, the faults of ``tests.soak.uneven`` are added: evacuations and cold servers.
 If LINKS is 1, those of ``tests.soak.links_and_parts`` are: cut VMs, and a part that crashes
 servers.  If SHUTDOWNS is 1, those of ``tests.soak.shutdowns`` are: stops in series, and answers
-without end.
+without end.  If CROWDS is 1, those of ``tests.soak.crowds`` are: clients that exceed limits.
 """
 
 import random
@@ -33,6 +33,7 @@
     event,
 )
 from tests.platform.test_streams import data_of
+from tests.soak.crowds import CrowdFaults
 from tests.soak.links_and_parts import LinkAndPartFaults
 from tests.soak.shutdowns import ShutdownFaults
 from tests.soak.uneven import UnevenFaults
@@ -156,6 +157,7 @@
     uneven: UnevenFaults | None = None
     links_and_parts: LinkAndPartFaults | None = None
     shutdowns: ShutdownFaults | None = None
+    crowds: CrowdFaults | None = None
 
     def record_fault(self, fault: str) -> None:
         self.faults.append(f"{trio.current_time() - self.started_at:.2f} {fault}")
@@ -210,6 +212,8 @@
                         busy.start_soon(self.links_and_parts.inject_forever)
                     if self.shutdowns is not None:
                         busy.start_soon(self.shutdowns.inject_forever)
+                    if self.crowds is not None:
+                        busy.start_soon(self.crowds.inject_forever)
                     for number in range(CLIENTS_PER_GATEWAY * len(self.gateways)):
                         busy.start_soon(self._send_requests_forever, number)
             await self._end_faults()
@@ -285,6 +289,8 @@
         settings = {}
         if self.shutdowns is not None and name in self.gateways:
             settings = self.shutdowns.settings(name)
+        if self.crowds is not None:
+            settings = settings | self.crowds.settings()
         mutant = "cut_links" if follows_links else None
         self.site.start(name, found, mutant=mutant, **settings)
 
@@ -571,6 +577,8 @@
                     runs[seen.headers["Request-Id"]] += 1
         if self.shutdowns is not None:
             self.shutdowns.check(runs)
+        if self.crowds is not None:
+            self.crowds.check()
         for request_id, (kind, status) in self.outcomes.items():
             if kind in ("once", "solo") and runs[request_id] > 1:
                 self.violations.append(f"{request_id} ({kind}) ran {runs[request_id]} times")
@@ -613,11 +621,13 @@
     uneven: bool = False,
     links_and_parts: bool = False,
     shutdowns: bool = False,
+    crowds: bool = False,
 ) -> Soak:
     """Run one seed and return the finished run.
 
     ``uneven`` adds evacuations and cold servers, ``links_and_parts`` cut VMs and requests with a
-    part that crashes servers, ``shutdowns`` stops in series and answers without end.
+    part that crashes servers, ``shutdowns`` stops in series and answers without end, and ``crowds``
+    clients that exceed limits.
     """
     names = tuple(f"g{number + 1}" for number in range(gateways))
     sources = [random.Random(seed + number * 1_000_000) for number in range(3)]
@@ -628,6 +638,8 @@
         soak.links_and_parts = LinkAndPartFaults(soak, random.Random(seed + 4_000_000))
     if shutdowns:
         soak.shutdowns = ShutdownFaults(soak, random.Random(seed + 5_000_000))
+    if crowds:
+        soak.crowds = CrowdFaults(soak, random.Random(seed + 6_000_000))
     try:
         trio.run(soak.run, seconds)
     finally:
@@ -643,13 +655,14 @@
     uneven: float = 0,
     links_and_parts: float = 0,
     shutdowns: float = 0,
+    crowds: float = 0,
 ) -> int:
     """Run seeds in sequence and print the result of each."""
     failed = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         net = MANUAL_SOAK_NETS[first % len(MANUAL_SOAK_NETS)]
-        options = bool(uneven), bool(links_and_parts), bool(shutdowns)
+        options = bool(uneven), bool(links_and_parts), bool(shutdowns), bool(crowds)
         soak = run_soak(seed, folder, net, seconds, int(gateways), *options)
         served_count = sum(n for (_, status), n in soak.status_counts.items() if status == 200)
         request_count = sum(soak.status_counts.values())
@@ -667,4 +680,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:8])))
+    sys.exit(main(*map(int, sys.argv[1:3]), *map(float, sys.argv[3:9])))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -78,6 +78,22 @@
         assert sum(soak.status_counts.values()) > 20
 
 
+class TestCrowdSoak:
+    """Crowds of clients exceed limits at random processes, beside all other faults.
+
+    Guards against a process beyond its memory, one that ends by itself, and refusals that are not
+    true.
+    """
+
+    RUN_SECONDS = 12.0
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_invariants_hold(self, seed, tmp_path):
+        soak = run_soak(seed, tmp_path / "site", _next_net(), self.RUN_SECONDS, crowds=True)
+        assert not soak.violations, soak.violations
+        assert sum(soak.status_counts.values()) > 20
+
+
 class TestStopTimeout:
     """The time limit of the soak for a process to stop."""
 
