Do not wait for more of a refused request that is complete

A request without a body that was refused at the product's own interface kept its connection for two seconds, and data that arrived after a refusal made the connection count as one with a new request.

--- a/siskinspoke/transport/http_server.py
+++ b/siskinspoke/transport/http_server.py
@@ -88,7 +88,7 @@
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Receive data."""
         data = await self._stream.receive_some(max_bytes)
-        if data and self._tracked.state < TrackedState.ARRIVING:
+        if data and self._tracked.state in (TrackedState.SILENT, TrackedState.IDLE):
             self._fits = self._tracked.change(TrackedState.ARRIVING)
         return data
 
@@ -210,12 +210,12 @@
 
 
 async def _discard(receive) -> None:
-    """Read the rest of a request until the client closes, within limits."""
+    """Read the rest of a request, within limits."""
     size = 0
     with trio.move_on_after(DISCARD_SECONDS):
         while size < MAX_DISCARDED_BYTES:
             message = await receive()
-            if message["type"] == "http.disconnect":
+            if message["type"] == "http.disconnect" or not message["more_body"]:
                 return
             size += len(message["body"])
 
