Free closed connections at once, and reads without a body sooner

The function that evicts a connection refers to it, so each closed connection was a cycle that waited for the garbage collector with its socket and parser. Requests without a body open no place in the budget.

--- a/siskinspoke/coordination/connection_table.py
+++ b/siskinspoke/coordination/connection_table.py
@@ -30,6 +30,10 @@
 ACTIVE_STATES = (ConnectionState.REFUSED, ConnectionState.ARRIVING, ConnectionState.RUNNING)
 
 
+def _ignore() -> None:
+    """Do nothing: the connection has left the table."""
+
+
 class TrackedConnection:
     """A connection in the table."""
 
@@ -69,6 +73,7 @@
         self._capacity = capacity
         self._max_count = max_count
         self._bytes = 0
+        self._count = 0
         # In each state, the connection that has been in it for longest is the first.
         self._by_state: dict[ConnectionState, OrderedDict[TrackedConnection, None]] = {
             state: OrderedDict() for state in ConnectionState
@@ -77,7 +82,7 @@
     @property
     def count(self) -> int:
         """Return how many connections are open."""
-        return sum(len(connections) for connections in self._by_state.values())
+        return self._count
 
     @property
     def spare_count(self) -> int:
@@ -115,7 +120,7 @@
 
     def _make_room(self, size: int) -> bool:
         """Evict connections until there is room; return False if there is none."""
-        while self._bytes + size > self._capacity or self.count >= self._max_count:
+        while self._bytes + size > self._capacity or self._count >= self._max_count:
             victim = self._find_victim()
             if victim is None:
                 return False
@@ -129,18 +134,23 @@
         return None
 
     def _evict(self, connection: TrackedConnection) -> None:
+        on_evict = connection._on_evict
         self._remove(connection)
-        connection._on_evict()
+        on_evict()
 
     def _add(self, connection: TrackedConnection) -> None:
         self._by_state[connection.state][connection] = None
         self._bytes += self.bytes_in(connection.state)
+        self._count += 1
 
     def _take_out(self, connection: TrackedConnection) -> None:
         del self._by_state[connection.state][connection]
         self._bytes -= self.bytes_in(connection.state)
+        self._count -= 1
 
     def _remove(self, connection: TrackedConnection) -> None:
         if connection.is_open:
             self._take_out(connection)
             connection._is_open = False
+            # The function refers to the connection: without the cycle, both are freed at once.
+            connection._on_evict = _ignore
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -160,9 +160,12 @@
         Raise BadRequestError if it exceeds ``limit``, or has to give way to other bodies.
         """
         await self._ask_for_body()
+        first = await self._next_body_event()
+        if not isinstance(first, h11.Data):
+            return b""
         with trio.CancelScope() as evicted:
             self._held_body = arrivals.open(evicted.cancel)
-            body = await self._read_body(limit, arrivals, self._held_body)
+            body = await self._read_body(first, limit, arrivals, self._held_body)
             self._held_body.finish()
             return body
         message = "the VM holds too many bodies"
@@ -188,22 +191,29 @@
             informational = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(self._h11.send(informational))
 
-    async def _read_body(self, limit: int, arrivals: BodyArrivals, held: HeldData) -> bytes:
-        body = bytearray()
+    async def _next_body_event(self):
         try:
-            while isinstance(event := await self._next_event(), h11.Data):
-                body += event.data
-                if len(body) > limit:
-                    raise BadRequestError(413, f"the body exceeds {limit} bytes")
-                held.add(len(event.data))
-                if held.is_evicted:
-                    # The scope around this ends at the next checkpoint.
-                    await trio.lowlevel.checkpoint()
-                if self._events_since_read >= EVENTS_PER_TURN:
-                    self._events_since_read = 0
-                    await arrivals.turns.wait()
+            return await self._next_event()
         except h11.RemoteProtocolError as error:
             raise BadRequestError(error.error_status_hint or 400, str(error)) from error
+
+    async def _read_body(
+        self, event: h11.Data, limit: int, arrivals: BodyArrivals, held: HeldData
+    ) -> bytes:
+        """Read a body that begins with an event."""
+        body = bytearray()
+        while isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > limit:
+                raise BadRequestError(413, f"the body exceeds {limit} bytes")
+            held.add(len(event.data))
+            if held.is_evicted:
+                # The scope around this ends at the next checkpoint.
+                await trio.lowlevel.checkpoint()
+            if self._events_since_read >= EVENTS_PER_TURN:
+                self._events_since_read = 0
+                await arrivals.turns.wait()
+            event = await self._next_body_event()
         return bytes(body)
 
     def release_body(self) -> None:
