Free the body of a refused call before its connection is read on

Registries and pages kept the error of a refused call, and with it the frames that hold the body, while the connection was read on for up to two seconds; the body no longer counted by then. Clients that send chunks over the limit could take up memory that is in no share of the plan. TestRefusedBodies found the error alive before (1 failed), and passes now.

--- a/siskinspoke/transport/calls.py
+++ b/siskinspoke/transport/calls.py
@@ -150,13 +150,13 @@
                 if not error.status:
                     return False
                 self._arrivals.record_refusal(error.status, str(error))
-                refusal = error
+                tracked.change(ConnectionState.REFUSED)
+                await _refuse(connection, error)
             else:
                 tracked.change(ConnectionState.RUNNING)
                 await _send(connection, await self._reply(call))
                 return connection.next_cycle()
-            await _refuse(connection, refusal)
-        tracked.change(ConnectionState.REFUSED)
+        # The error, which refers to the body, must be gone by now.
         await connection.discard_until_closed()
         return False
 
--- a/tests/transport/test_calls.py
+++ b/tests/transport/test_calls.py
@@ -1,11 +1,14 @@
 """Tests of the minimal HTTP server: an invalid request closes only its own connection."""
 
+import gc
 import random
 
 import pytest
 import trio
 
+from siskinspoke.coordination.read_budget import HeldData
 from siskinspoke.transport.calls import BodyLimits, Call, Reply, serve_calls
+from siskinspoke.transport.http1 import BadRequestError
 from tests.client_resources import unlogged_resources
 
 BOUNDS = BodyLimits(max_bytes=1_000, timeout_seconds=0.3)
@@ -78,3 +81,32 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(run)
+
+
+class TestRefusedBodies:
+    """Bodies over the limit, whose connections are read on for a while."""
+
+    def test_body_is_freed(self):
+        """Guards against refused bodies that stay in memory and no longer count."""
+        resources = unlogged_resources()
+        limits = BodyLimits(max_bytes=1_000_000, timeout_seconds=2.0)
+        body = b"f4240\r\n" + b"x" * 1_000_000 + b"\r\n" + b"1\r\nx\r\n"
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(
+                    serve_calls, answer, limits, resources, "127.0.0.1", 0
+                )
+                port = listeners[0].socket.getsockname()[1]
+                async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                    await stream.send_all(head + body)
+                    assert (await stream.receive_some()).startswith(b"HTTP/1.1 413")
+                    await trio.sleep(0.05)
+                    held = [item for item in gc.get_objects() if type(item) is HeldData]
+                    frames = [item for item in gc.get_objects() if type(item) is BadRequestError]
+                    assert not [item for item in held if item.size]
+                    assert not frames
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
