Bound the time and the memory of answers of registries and pages

A client that asked an operators', readiness or metrics port for an answer and read none kept its connection for good: it counted as running, so it never gave way, and its answer stood in no share of the memory plan. Enough of them would have shut out operators and servers. Answers now share the budget of bodies, where the largest gives way, and have the time of a body; a counter and a log line tell of it.

--- a/siskinspoke/transport/calls.py
+++ b/siskinspoke/transport/calls.py
@@ -154,8 +154,7 @@
                 await _refuse(connection, error)
             else:
                 tracked.change(ConnectionState.RUNNING)
-                await _send(connection, await self._reply(call))
-                return connection.next_cycle()
+                return await self._send_reply(connection, await self._reply(call))
         # The error, which refers to the body, must be gone by now.
         await connection.discard_until_closed()
         return False
@@ -172,6 +171,22 @@
             return Call(head.method, head.target.partition("?")[0], body)
         raise BadRequestError(408, "the call did not arrive in time")
 
+    async def _send_reply(self, connection: ClientConnection, reply: Reply) -> bool:
+        """Send an answer; return False if the connection must be closed.
+
+        The answer shares the budget of bodies, and the client has the time of a body to take it.
+        """
+        with trio.move_on_after(self._limits.timeout_seconds) as scope:
+            held = self._arrivals.open(scope.cancel)
+            held.add(len(reply.body))
+            try:
+                await _send(connection, reply)
+                return connection.next_cycle()
+            finally:
+                held.release()
+        self._arrivals.record_unread_answer(len(reply.body))
+        return False
+
     async def _reply(self, call: Call) -> Reply:
         if call.method not in SUPPORTED_METHODS:
             return Reply(405)
--- a/siskinspoke/transport/client_resources.py
+++ b/siskinspoke/transport/client_resources.py
@@ -68,6 +68,7 @@
         self._counters = counters
         self._evicted = PeriodicNote(note, "body.evicted")
         self._refused = PeriodicNote(note, "body.refused")
+        self._unread = PeriodicNote(note, "answer.unread")
 
     @property
     def budget(self) -> ReadBudget:
@@ -94,6 +95,11 @@
         self._counters.count("body.refused")
         self._refused.record(status=status, reason=reason)
 
+    def record_unread_answer(self, size: int) -> None:
+        """Count an answer that its client did not take in time, or that gave way, and log it."""
+        self._counters.count("answer.unread")
+        self._unread.record(size=size)
+
 
 class OpenConnections:
     """The client connections of a process, within the limits of a table."""
--- a/tests/transport/test_calls.py
+++ b/tests/transport/test_calls.py
@@ -83,6 +83,36 @@
         trio.run(run)
 
 
+class TestUnreadAnswers:
+    """Clients that ask for long answers and read none."""
+
+    def test_connections_are_closed(self):
+        """Guards against answers that are held for good, in no share of the memory plan."""
+        resources = unlogged_resources()
+
+        async def answer_at_length(call):
+            return Reply(200, b"x" * 8_000_000)
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(
+                    serve_calls, answer_at_length, BOUNDS, resources, "127.0.0.1", 0
+                )
+                port = listeners[0].socket.getsockname()[1]
+                streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(3)]
+                for stream in streams:
+                    await stream.send_all(VALID_REQUEST)
+                with trio.fail_after(5):
+                    while resources.arrivals.budget.peak < 3 * 8_000_000:
+                        await trio.sleep(0.01)
+                    while resources.connections.table.count:
+                        await trio.sleep(0.01)
+                assert resources.arrivals.budget.held == 0
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+
 class TestRefusedBodies:
     """Bodies over the limit, whose connections are read on for a while."""
 
