Test answers whose head is invalid or unfinished

The stand-in server can now send any bytes, also before it has read a request, and end its connection in order, by a reset, or by a close with data unread. It takes the next entry of its script with the head of a request, since a report may arrive while a long body does.

--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -4,12 +4,14 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import ClassVar
 
 import trio
 
 from siskinspoke.testing.server_account import ServerAccount
+from siskinspoke.transport.http1 import has_unread_data
+from siskinspoke.transport.sockets import reset_connection
 
 STAMP = b"3e1b.07.5a2"
 # Send buffer of a connection with large events, in bytes.
@@ -94,6 +96,23 @@
     pause: float = 0.0
 
 
+@dataclass(frozen=True)
+class Raw:
+    """Send ``data``, in which ``{id}`` stands for the request ID, and end the connection.
+
+    ``end`` is "finish" (close in order, without reading on), "close unread" (close while some of
+    the request has arrived and is unread, which the kernel sends as a reset) or "reset". It comes
+    ``end_after`` seconds after the data. If ``reads_body`` is False, no more of the request is read
+    than came with its head; ``is_unread`` tells whether there is more.
+    """
+
+    data: bytes
+    end: str = "finish"
+    end_after: float = 0.0
+    reads_body: bool = True
+    is_unread: bool = False
+
+
 # What is sent once after the status line and Request-Id, and what is repeated after it.  Forms
 # that end in "head" never end the head.
 ENDLESS_FORMS: dict[str, tuple[bytes, bytes]] = {
@@ -114,7 +133,7 @@
 INTERIM_ANSWERS = b"HTTP/1.1 100 Continue\r\n\r\n" * 2_048
 
 
-Behaviour = Whole | Events | Refuse | Close | Silent | Unframed | Endless
+Behaviour = Whole | Events | Refuse | Close | Silent | Unframed | Endless | Raw
 
 
 @dataclass
@@ -217,10 +236,13 @@
                 lines = head.decode().split("\r\n")
                 headers = dict(line.split(": ", 1) for line in lines[1:])
                 length = int(headers.get("Content-Length", 0))
+                behaviour = self._next()
+                if isinstance(behaviour, Raw) and not behaviour.reads_body:
+                    behaviour = replace(behaviour, is_unread=length > len(buffered))
+                    length = min(length, len(buffered))
                 while len(buffered) < length:
                     buffered += await stream.receive_some()
                 body, buffered = buffered[:length], buffered[length:]
-                behaviour = self._next()
                 ran = not isinstance(behaviour, Refuse)
                 self.seen.append(ReceivedRequest(lines[0], body, headers, number, ran))
                 if "Request-Id" in headers:
@@ -289,6 +311,9 @@
             case Endless() as endless:
                 await self._send_endless(stream, endless, request_id)
                 return False
+            case Raw() as raw:
+                await _send_raw(stream, raw, request_id)
+                return False
 
     async def _send_endless(
         self, stream: trio.SocketStream, endless: Endless, request_id: bytes
@@ -309,6 +334,20 @@
             self.endless_open -= 1
 
 
+async def _send_raw(stream: trio.SocketStream, raw: Raw, request_id: bytes) -> None:
+    if raw.end == "close unread" and raw.is_unread:
+        while not has_unread_data(stream):
+            await trio.sleep(0.001)
+    await stream.send_all(raw.data.replace(b"{id}", request_id))
+    if raw.end_after:
+        await trio.sleep(raw.end_after)
+    match raw.end:
+        case "finish":
+            await stream.send_eof()
+        case "reset":
+            reset_connection(stream)
+
+
 def _peer(stream: trio.SocketStream) -> str:
     """Return the address of the connected VM."""
     try:
