Do not take a reset for the end of an answer without a length

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection, or closed it with the upload unread.

Cause: Linux reports a reset to a single call. The gateway writes a request while it reads the answer; where the write came first, it got the error, which send_request swallowed, and the reads after it returned the data that had come and then an ordinary end, which completes an answer without a length.

If no write has failed, a read reports the reset itself.

So the connection keeps what a failed write has proved, and its end is a reset unless that was EPIPE. Plain calls, streams, resumed streams, failures, reports, orders and forwarded requests read through the same class. Such an answer now counts against the health of its server; before, it was a fast success. The body of a peer's refusal is read after the request is no longer being written, since a write that has not returned yet may know of the reset.

Ruled out: the state of the connection (TCP_INFO) tells no more, as it is closed after either kind of end; a close while nothing is unread is an orderly end on the wire, and nothing tells it from a sound early answer.

--- a/siskinspoke/gateway/forwarding/sending.py
+++ b/siskinspoke/gateway/forwarding/sending.py
@@ -31,6 +31,7 @@
     Headers,
     PeerError,
     RequestHead,
+    ResponseHead,
     ServerConnection,
     connect,
 )
@@ -157,20 +158,25 @@
             (b"Content-Length", b"%d" % len(call.body)),
         ],
     )
-    outcomes: list[ForwardOutcome] = []
+    answers: list[ResponseHead | PeerError] = []
 
     async def read() -> None:
         try:
-            outcomes.append(await _read_head(gateway, connection))
+            answers.append(await connection.read_head())
         except PeerError as error:
-            outcomes.append(connection_failure(error))
+            answers.append(error)
         nursery.cancel_scope.cancel()
 
     with trio.move_on_after(patience_seconds(request)):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.send_request, head, call.body)
             nursery.start_soon(read)
-    return outcomes[0] if outcomes else OutcomeUnknown(FailureKind.SILENT, "no answer in time")
+        match answers:
+            case [PeerError() as error]:
+                return connection_failure(error)
+            case [ResponseHead() as answer]:
+                return await _read_outcome(gateway, connection, answer)
+    return OutcomeUnknown(FailureKind.SILENT, "no answer in time")
 
 
 def _encode(gateway: Gateway, request: Request, progress: Progress) -> ForwardedCall:
@@ -193,15 +199,20 @@
     )
 
 
-async def _read_head(gateway: Gateway, connection: ServerConnection) -> ForwardOutcome:
-    head = await connection.read_head()
+async def _read_outcome(
+    gateway: Gateway, connection: ServerConnection, head: ResponseHead
+) -> ForwardOutcome:
+    """Return the outcome of a forward whose answer has begun; read the body of a refusal."""
     results = [value for name, value in head.headers if name.lower() == RESULT_HEADER.lower()]
     if len(results) != 1 or not results[0].isdigit():
         return OutcomeUnknown(FailureKind.BROKEN, "the peer's answer has no result")
     if int(results[0]) == ResultCode.OK:
         answer = gateway.wire.decode_answer(head)
         return ForwardStarted(answer._replace(headers=answer_headers(head.headers)), connection)
-    failure = _decode_failure(await connection.read_short_body(MAX_REFUSAL_BYTES))
+    try:
+        failure = _decode_failure(await connection.read_short_body(MAX_REFUSAL_BYTES))
+    except PeerError as error:
+        return connection_failure(error)
     if failure is None:
         return OutcomeUnknown(FailureKind.BROKEN, "the peer's refusal cannot be read")
     return Refused(failure) if failure.run_status is RunStatus.NOT_RUN else failure
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -17,6 +17,7 @@
 from siskinspoke.coordination.read_budget import HeldData
 from siskinspoke.transport.chunks import ChunkCount
 from siskinspoke.transport.client_resources import EVENTS_PER_TURN, BodyArrivals
+from siskinspoke.transport.connection_ends import proves_end
 from siskinspoke.transport.sockets import (
     SERVER_USER_TIMEOUT_MS,
     reset_connection,
@@ -30,6 +31,7 @@
 MAX_COPIED_BYTES = 262_144
 # Interim answers (status 1xx) before an answer.
 MAX_INTERIM_ANSWERS = 16
+CONNECTION_RESET = "the server reset the connection"
 # Chunks that are parsed in one turn of the event loop.
 CHUNKS_PER_TURN = 64
 # How much is read after a refusal, and for how long, so that the client reads it: a connection
@@ -332,6 +334,8 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._body_sent = True
+        # Whether a write has reported a reset, which later reads do not report.
+        self._is_reset = False
         self._is_chunked = False
         self._chunks = ChunkCount()
         self.last_used_at = now
@@ -358,8 +362,9 @@
             elif body:
                 data += self._h11.send(h11.Data(data=body))
             await self._stream.send_all(data + self._h11.send(h11.EndOfMessage()))
-        except trio.BrokenResourceError:
+        except trio.BrokenResourceError as error:
             # The server may have sent an answer before it closed, which is still readable.
+            self._is_reset = not proves_end(error)
             return
         self._body_sent = True
 
@@ -376,7 +381,9 @@
                 data = await self._stream.receive_some(READ_BYTES)
             except trio.BrokenResourceError as error:
                 # A close ends an answer without a length; a reset does not.
-                raise PeerError("the server reset the connection", closed=True) from error
+                raise PeerError(CONNECTION_RESET, closed=True) from error
+            if not data and self._is_reset:
+                raise PeerError(CONNECTION_RESET, closed=True)
             self._h11.receive_data(data)
 
     async def read_head(self) -> ResponseHead:
@@ -395,7 +402,11 @@
         raise InvalidAnswerError("too many interim answers")
 
     async def read_body_part(self) -> bytes | None:
-        """Read part of the answer's body; return None at its end."""
+        """Read part of the answer's body; return None at its end.
+
+        The request must not be written any more: an answer without a length ends with its
+        connection, and a write that has not returned yet may know that this was a reset.
+        """
         event = await self._next_event()
         if isinstance(event, h11.Data):
             if self._is_chunked:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -9,11 +9,20 @@
 from tests.platform.broken_answers import (
     CUT_HEADS,
     EVENT_PARTS,
+    FIELDS,
     INVALID_FIELDS,
     INVALID_STATUSES,
+    LONG_BODY,
+    PART,
+    STATUS,
+    UNFRAMED,
+    UNREAD_ENDS,
+    unread,
 )
+from tests.platform.cell_site import cell_site
 from tests.platform.site import gateway_site, servers
 from tests.platform.standin_server import Events, Raw, Whole, event
+from tests.platform.test_forwarding import cut, find_out, forwards
 from tests.platform.test_streams import data_of
 
 PROMPT = {"Token_Counts": "5000,900"}
@@ -41,6 +50,196 @@
         return answer, sum(len(server.seen) for server in both)
 
 
+class TestUnreadRequests:
+    """A server answers before it has read a long request, without a length."""
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_answer_is_tried_elsewhere(self, tmp_path, end):
+        """Guards against taking a part of a body for the whole, where the end was a reset."""
+
+        async def run():
+            for _ in range(TRIES):
+                broken = unread(UNFRAMED + PART, *UNREAD_ENDS[end])
+                answer, runs = await ask_site(
+                    tmp_path, "plain", "/again/x", broken, Whole(), body=LONG_BODY
+                )
+                assert (answer.status, answer.body, runs) == (200, b"done", 2)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_answer_of_a_call_that_may_run_once(self, tmp_path, end):
+        """Guards against a part of a body as a success, or as a call that has not run."""
+
+        async def run():
+            for _ in range(TRIES):
+                broken = unread(UNFRAMED + PART, *UNREAD_ENDS[end])
+                answer, runs = await ask_site(
+                    tmp_path, "plain", "/once/x", broken, Whole(), body=LONG_BODY
+                )
+                assert (answer.status, runs) == (502, 1), answer.raw
+                assert b'"run":"unknown"' in answer.raw
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    @pytest.mark.parametrize("status", [400, 500])
+    def test_cut_failure(self, tmp_path, status, end):
+        """Guards against a part of a failure's body that is passed on as the server's body."""
+
+        async def run():
+            head = UNFRAMED.replace(b"200 OK", b"%d No" % status)
+            for _ in range(TRIES):
+                broken = unread(head + PART, *UNREAD_ENDS[end])
+                answer, _ = await ask_site(
+                    tmp_path, "plain", "/once/x", broken, Whole(), body=LONG_BODY
+                )
+                assert answer.status == 502, answer.raw
+                assert PART not in answer.raw
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_stream_continues_elsewhere(self, tmp_path, end):
+        """Guards against ending a stream as complete whose server has reset the connection."""
+
+        async def run():
+            for _ in range(TRIES):
+                broken = unread(UNFRAMED + EVENT_PARTS, *UNREAD_ENDS[end])
+                answer, runs = await ask_site(
+                    tmp_path,
+                    "engines",
+                    "/stream/x",
+                    broken,
+                    Events(last=4),
+                    body=LONG_BODY,
+                    **PROMPT,
+                )
+                assert answer.whole
+                assert (data_of(answer.body), runs) == (WHOLE_EVENTS, 2)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_rest_of_a_resumed_stream(self, tmp_path, end):
+        """Guards against ending a resumed stream as complete after a second reset."""
+
+        async def run():
+            for _ in range(TRIES):
+                broken = unread(UNFRAMED + event(3), *UNREAD_ENDS[end])
+                answer, runs = await ask_site(
+                    tmp_path,
+                    "engines",
+                    "/stream/x",
+                    broken,
+                    Events(last=4),
+                    body=LONG_BODY,
+                    Last_Event_Id="2",
+                    **PROMPT,
+                )
+                assert answer.whole
+                assert (data_of(answer.body), runs) == (event(3) + event(4), 2)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_stream_that_may_run_once(self, tmp_path, end):
+        """Guards against sending the last chunk of a stream that was cut."""
+
+        async def run():
+            for _ in range(TRIES):
+                broken = unread(UNFRAMED + EVENT_PARTS, *UNREAD_ENDS[end])
+                answer, runs = await ask_site(
+                    tmp_path, "engines", "/solo/x", broken, Whole(), body=LONG_BODY, **PROMPT
+                )
+                assert not answer.whole, answer.raw
+                assert answer.ended
+                assert runs == 1
+
+        trio.run(run)
+
+    def test_forwarded_call(self, tmp_path):
+        """Guards against a cut answer that a peer passes on as whole."""
+
+        async def run():
+            async with cell_site(tmp_path, 2, "plain") as cell:
+                await cell.start_servers([Whole()] * 3)
+                cut(cell, 0)
+                await find_out(cell)
+                for server in cell.servers:
+                    server.script[0] = unread(UNFRAMED + PART, "reset")
+                before = forwards(cell)
+                for number in range(TRIES):
+                    result = await cell.send(cell.sites[0], "/once/x", f"r{number}", body=LONG_BODY)
+                    assert not result.served, result.raw
+                    assert result.status != 503 or not cell.runs_of(f"r{number}")
+                assert forwards(cell) > before
+
+        trio.run(run)
+
+    def test_cut_answer_counts_against_the_server(self, tmp_path):
+        """Guards against taking a cut answer for a fast sound one of a healthy server."""
+
+        async def run():
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", [unread(UNFRAMED + PART, "reset")]),
+            ):
+                for number in range(TRIES):
+                    await site.ask("/once/x", f"r{number}", body=LONG_BODY)
+                assert site.gateway.counters.totals["attempt.broken"] == TRIES
+
+        trio.run(run)
+
+
+class TestSoundEarlyAnswers:
+    """A server may answer before it has read a request, and end its connection in order."""
+
+    @pytest.mark.parametrize("end_after", [0.0, 0.02])
+    def test_call(self, tmp_path, end_after):
+        """Guards against failing an early answer that is whole, though the rest was not read."""
+
+        async def run():
+            for _ in range(TRIES):
+                sound = unread(UNFRAMED + b"early", "finish", end_after)
+                answer, runs = await ask_site(
+                    tmp_path, "plain", "/once/x", sound, Whole(), body=LONG_BODY
+                )
+                assert (answer.status, answer.body, runs) == (200, b"early", 1)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end_after", [0.0, 0.02])
+    def test_stream(self, tmp_path, end_after):
+        """Guards against continuing a stream elsewhere that has ended in order."""
+
+        async def run():
+            for _ in range(TRIES):
+                sound = unread(UNFRAMED + EVENT_PARTS, "finish", end_after)
+                answer, runs = await ask_site(
+                    tmp_path, "engines", "/solo/x", sound, Whole(), body=LONG_BODY, **PROMPT
+                )
+                assert answer.whole
+                assert (data_of(answer.body), runs) == (EVENT_PARTS, 1)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_answer_with_a_length(self, tmp_path, end):
+        """Guards against failing an answer that its length proves whole."""
+
+        async def run():
+            for _ in range(TRIES):
+                data = STATUS + FIELDS + b"Content-Length: 5\r\n\r\nearly"
+                sound = unread(data, *UNREAD_ENDS[end])
+                answer, runs = await ask_site(
+                    tmp_path, "plain", "/once/x", sound, Whole(), body=LONG_BODY
+                )
+                assert (answer.status, answer.body, runs) == (200, b"early", 1)
+
+        trio.run(run)
+
+
 class TestInvalidHeads:
     """The head of an answer that is no HTTP."""
 
