Do not take a reset for the end of an answer behind HTTPX

A call of a plain service that may run once was answered 200 "ran" with that part, which its claim kept as the answer; a stream forwarded by a peer that is cut ended as complete.

Cause: as in the gateway. httpcore writes the whole request first and ignores a write error, so the reset is always reported to the write, and the reads end in order. The write error is visible to a network backend only, so the clients get one that wraps httpcore's for Trio and fails the read at that end. HTTPX has no parameter for it, hence the replaced pool; its other settings are those that HTTPX passed on.

Ruled out: streams of engines, which end with a line of their own; the commands for operators (the synchronous client), which decode a JSON object from replies of this system's own VMs, of which no part is a JSON object.

Early answers that end in order are still answers.

--- a/siskinspoke/transport/http.py
+++ b/siskinspoke/transport/http.py
@@ -3,6 +3,7 @@
 import math
 from typing import NamedTuple
 
+import httpcore
 import httpx
 import msgspec
 import trio
@@ -14,6 +15,7 @@
 
 from siskinspoke.coordination.read_budget import HeldData, ReadBudget
 from siskinspoke.core.codes import CODE_INFO, Failure, ResultCode
+from siskinspoke.transport.checked_streams import CheckedBackend
 from siskinspoke.transport.chunks import ChunkCount
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -107,12 +109,15 @@
     Peers use plain HTTP, so no certificates are loaded, which takes 20 ms per client.
     ``local_host`` is the VM's own address, which identifies it to peers.
     """
-    limits = httpx.Limits(
-        max_connections=None, max_keepalive_connections=64 if keep_alive else 0, keepalive_expiry=4
-    )
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS)
-    transport = httpx.AsyncHTTPTransport(
-        limits=limits, local_address=local_host, verify=False, trust_env=False
+    transport = httpx.AsyncHTTPTransport(verify=False, trust_env=False)
+    # HTTPX has no parameter for the network backend of its pool.
+    transport._pool = httpcore.AsyncConnectionPool(
+        max_connections=None,
+        max_keepalive_connections=64 if keep_alive else 0,
+        keepalive_expiry=4,
+        local_address=local_host,
+        network_backend=CheckedBackend(),
     )
     headers = {"Accept-Encoding": "identity"}
     return httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False, headers=headers)
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -10,10 +10,18 @@
 from siskinspoke.entry.backend import Backend, Lost
 from siskinspoke.protocol.assembly import Assembler
 from siskinspoke.protocol.claims import Target
+from siskinspoke.transport.sockets import reset_connection
+from tests.entry.test_forwarding import ask_peer
 from tests.platform.broken_answers import (
     CUT_HEADS,
+    FIELDS,
     INVALID_FIELDS,
     INVALID_STATUSES,
+    PART,
+    STATUS,
+    UNFRAMED,
+    UNREAD_ENDS,
+    unread,
 )
 from tests.platform.standin_server import Raw, StandinServer
 
@@ -57,6 +65,94 @@
     return end, delivered
 
 
+class TestUnreadRequests:
+    """A server answers before it has read a long request, without a length."""
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_answer(self, end):
+        """Guards against taking a part of a body for the whole, where the end was a reset."""
+
+        async def run():
+            broken = unread(UNFRAMED + PART, *UNREAD_ENDS[end])
+            async with backend_and_server(broken) as (backend, target):
+                for _ in range(TRIES):
+                    with pytest.raises(httpx.HTTPError):
+                        await backend.call(target, LONG_INPUT)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_answer_to_a_small_request(self, end):
+        """Guards against using a part of an answer to an order or a question."""
+
+        async def run():
+            broken = unread(UNFRAMED + b"{}", *UNREAD_ENDS[end])
+            async with backend_and_server(broken) as (backend, target):
+                for _ in range(TRIES):
+                    assert await backend.post(target, "/v1/cancel", LONG_INPUT, 5.0) is None
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_cut_stream(self, end):
+        """Guards against ending a stream as complete whose connection was reset."""
+
+        async def run():
+            broken = unread(UNFRAMED + PIECE, *UNREAD_ENDS[end])
+            async with backend_and_server(broken) as (backend, target):
+                for _ in range(TRIES):
+                    attempt_end, _ = await run_stream(backend, target, LONG_INPUT)
+                    assert isinstance(attempt_end, Lost)
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end_after", [0.0, 0.02])
+    def test_sound_early_answer(self, end_after):
+        """Guards against failing an early answer that is whole, though the rest was not read."""
+
+        async def run():
+            sound = unread(UNFRAMED + b'{"a":1}', "finish", end_after)
+            async with backend_and_server(sound) as (backend, target):
+                for _ in range(TRIES):
+                    response = await backend.call(target, LONG_INPUT)
+                    assert (response.status_code, response.content) == (200, b'{"a":1}')
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", UNREAD_ENDS)
+    def test_early_answer_with_a_length(self, end):
+        """Guards against failing an answer that its length proves whole."""
+
+        async def run():
+            data = STATUS + FIELDS + b"Content-Length: 7\r\n\r\n" + b'{"a":1}'
+            async with backend_and_server(unread(data, *UNREAD_ENDS[end])) as (backend, target):
+                for _ in range(TRIES):
+                    response = await backend.call(target, LONG_INPUT)
+                    assert (response.status_code, response.content) == (200, b'{"a":1}')
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("end", ["reset", "close"])
+    def test_forwarded_stream(self, end):
+        """Guards against ending a stream as complete whose peer has reset the connection."""
+        head = UNFRAMED.replace(b"\r\n\r\n", b"\r\nContent-Type: text/event-stream\r\n\r\n")
+
+        async def answer(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(head + b"data: x\n\n")
+            if end == "reset":
+                reset_connection(stream)
+            else:
+                await stream.aclose()
+
+        async def run():
+            events, _ = await ask_peer(answer, 3.0, LONG_INPUT["input"].encode())
+            assert events.startswith(b"data: x\n\n")
+            assert b"ENGINE_LOST" in events
+
+        trio.run(run)
+
+
 class TestInvalidHeads:
     """The head of an answer that is no HTTP."""
 
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -45,14 +45,14 @@
         assert read_origin(SimpleNamespace(), Counters(), {}, TARGET, b"body") is None
 
 
-async def ask_peer(answer, seconds: float) -> tuple[bytes | None, float]:
+async def ask_peer(answer, seconds: float, body: bytes | None = None) -> tuple[bytes | None, float]:
     """Forward a request to a peer that runs ``answer``; return the events and the time it took."""
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     port = listeners[0].socket.getsockname()[1]
     peer, began, ended = EntryVM("p", "a", HOST, port, 0, ""), trio.current_time(), []
     async with make_client() as client, trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, answer, listeners)
-        request = client.build_request("POST", f"http://127.0.0.1:{port}{TARGET}")
+        request = client.build_request("POST", f"http://127.0.0.1:{port}{TARGET}", content=body)
         deadline = trio.current_time() + seconds
         exchange = Exchange(client, peer, request, deadline, lambda: ended.append(True))
         nursery.start_soon(exchange.run)
--- a/tests/integration/test_broken_answers.py
+++ b/tests/integration/test_broken_answers.py
@@ -5,8 +5,14 @@
 import pytest
 import trio
 
+from siskinspoke.core.codes import ResultCode
+from siskinspoke.core.counters import Counters
+from siskinspoke.loadgen.client import idempotency_key
+from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.testing.group_site import PUBLIC_PORT, GroupSite
 from siskinspoke.testing.networks import group_nets, net_cycle
+from siskinspoke.testing.site import customer_key
+from siskinspoke.transport.datagrams import open_datagram_port
 from tests.integration.test_endless_answers import announce
 from tests.platform.broken_answers import EVENT_PARTS, LONG_BODY, PART, UNFRAMED, unread
 from tests.platform.site import KEY, document, read_answer, request_bytes
@@ -93,3 +99,52 @@
         script = [unread(UNFRAMED + body, "finish")]
         results = trio.run(run_gateway, tmp_path / "site", path, script)
         assert results["sound"] == REQUESTS, results
+
+
+def announcement(server: StandinServer, seq: int) -> Announcement:
+    """Return an announcement of a plain server of the product's own interface."""
+    return Announcement(
+        server.name, 1, seq, "sala-a", server.host, server.port, "plain", "despacho", False, False,
+        0, 0, 0, [], 0.0, 0,
+    )  # fmt: skip
+
+
+class TestOwnInterface:
+    """The only server answers each call in the broken way."""
+
+    @pytest.mark.parametrize("end", ["reset", "close unread"])
+    def test_no_part_is_taken_for_whole(self, make_site, end):
+        """Guards against a part of a body that a caller gets as the answer of a call that ran."""
+        site = make_site(services=0, engines_per_domain=0)
+        outcomes = []
+
+        async def announce_forever(server: StandinServer) -> None:
+            key = site.fleet.settings.internal_key
+            entry = site.fleet.settings.entry("entry-sala-a-1")
+            port = await open_datagram_port("127.0.0.1", 0, key, Counters())
+            with port._socket:
+                for seq in range(1, 1_000):
+                    message = announcement(server, seq)
+                    await port.send(message, entry.host, entry.internal_port)
+                    await trio.sleep(0.3)
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery, site.caller("entry-sala-a-1") as caller:
+                server = StandinServer("despacho-broken")
+                server.script.append(unread(UNFRAMED + PART, end))
+                await nursery.start(server.serve)
+                nursery.start_soon(announce_forever, server)
+                with trio.fail_after(10):
+                    while not site.fleet.status("entry-sala-a-1")["servers"]:
+                        await trio.sleep(0.1)
+                for number in range(3):
+                    key = idempotency_key(f"{end.split()[0]}-{number}")
+                    outcome = await caller.call(
+                        "despacho", customer_key("municipio-1"), LONG_TEXT, key
+                    )
+                    outcomes.append(outcome)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        assert [outcome.code for outcome in outcomes] == [ResultCode.FATE_UNKNOWN] * 3, outcomes
+        assert all(outcome.run != "not_run" for outcome in outcomes)
