Refuse answers with a folded line in their head

What callers saw: a line of an answer's head that began with a blank or a tab, as in " Content-Length: 4", was joined to the field before.

Cause: to h11 such a line is an obsolete fold (RFC 9112, 5.2), which it replaces by a blank and does not report. The RFC lets a gateway do so, or answer 502. A server in trouble may have meant a field of its own, so only the second keeps the line, and a body of unknown length, from the client.

The head of each answer, interim ones included, is now looked through as it arrives, up to the end that h11 finds. The attempt is broken: another server where the route allows it, else 502 and "unknown". Bodies may begin with blanks.

--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -18,6 +18,7 @@
 from siskinspoke.transport.chunks import ChunkCount
 from siskinspoke.transport.client_resources import EVENTS_PER_TURN, BodyArrivals
 from siskinspoke.transport.connection_ends import proves_end
+from siskinspoke.transport.heads import HeadCheck
 from siskinspoke.transport.sockets import (
     SERVER_USER_TIMEOUT_MS,
     reset_connection,
@@ -336,6 +337,7 @@
         self._body_sent = True
         # Whether a write has reported a reset, which later reads do not report.
         self._is_reset = False
+        self._head_check = HeadCheck()
         self._is_chunked = False
         self._chunks = ChunkCount()
         self.last_used_at = now
@@ -384,6 +386,10 @@
                 raise PeerError(CONNECTION_RESET, closed=True) from error
             if not data and self._is_reset:
                 raise PeerError(CONNECTION_RESET, closed=True)
+            try:
+                self._head_check.feed(data)
+            except h11.RemoteProtocolError as error:
+                raise PeerError(f"not HTTP: {error}", began=True) from error
             self._h11.receive_data(data)
 
     async def read_head(self) -> ResponseHead:
@@ -451,6 +457,7 @@
         if trailing or closed:
             return False
         self._h11.start_next_cycle()
+        self._head_check = HeadCheck()
         self._chunks = ChunkCount()
         self.last_used_at = now
         self.idle = self.has_no_pending_data()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -6,10 +6,13 @@
 import trio
 
 from siskinspoke.gateway.exchange import ask
+from siskinspoke.testing.server_links import LinkMode
 from tests.platform.broken_answers import (
     CUT_HEADS,
     EVENT_PARTS,
     FIELDS,
+    FOLDED,
+    FOREIGN,
     INVALID_FIELDS,
     INVALID_STATUSES,
     LONG_BODY,
@@ -29,7 +32,7 @@
 # The order in which the event loop runs two tasks decides what a call sees, so it is repeated.
 TRIES = 12
 WHOLE_EVENTS = b"".join(event(number) for number in range(1, 5))
-INVALID_HEADS = INVALID_STATUSES | INVALID_FIELDS
+INVALID_HEADS = INVALID_STATUSES | INVALID_FIELDS | FOLDED
 
 
 @asynccontextmanager
@@ -251,6 +254,7 @@
             broken = Raw(INVALID_HEADS[form])
             answer, runs = await ask_site(tmp_path, "plain", "/again/x", broken, Whole())
             assert (answer.status, answer.body, runs) == (200, b"done", 2)
+            assert FOREIGN not in answer.raw
             assert b"X-Name" not in answer.raw
 
         trio.run(run)
@@ -297,6 +301,34 @@
 
         trio.run(run)
 
+    @pytest.mark.parametrize("form", FOLDED)
+    def test_forwarded_call(self, tmp_path, form):
+        """Guards against an invalid head that a peer passes on."""
+
+        async def run():
+            async with cell_site(tmp_path, 2, "plain") as cell:
+                await cell.start_servers([Whole()] * 3)
+                cut(cell, 0, mode=LinkMode.RESET)
+                await find_out(cell)
+                for server in cell.servers:
+                    server.script[0] = Raw(FOLDED[form])
+                result = await cell.send(cell.sites[0], "/once/x", "r1")
+                assert result.status == 502
+                assert cell.runs_of("r1") == 1
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("data", [b"done", b" done", b"\r\n done", b"\n\tX: 1\r\n\r\ndone"])
+    def test_body_that_begins_with_a_blank(self, tmp_path, data):
+        """Guards against failing a sound answer for blanks in its body."""
+
+        async def run():
+            head = STATUS + FIELDS + b"Content-Length: %d\r\n\r\n" % len(data)
+            answer, _ = await ask_site(tmp_path, "plain", "/once/x", Raw(head + data), Whole())
+            assert (answer.status, answer.body) == (200, data)
+
+        trio.run(run)
+
 
 class TestCutHeads:
     """A server that stops in the middle of the head of its answer."""
