Refuse folded lines behind HTTPX

What callers saw: at the product's own interface, too, a line of a head that began with a blank was joined to the field before; without the length that it stated, a plain service's answer was given to the caller with bytes that are not its body, and pieces of such a stream were delivered.

--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -10,11 +10,14 @@
 from siskinspoke.entry.backend import Backend, Lost
 from siskinspoke.protocol.assembly import Assembler
 from siskinspoke.protocol.claims import Target
+from siskinspoke.transport.http import make_client
 from siskinspoke.transport.sockets import reset_connection
 from tests.entry.test_forwarding import ask_peer
 from tests.platform.broken_answers import (
     CUT_HEADS,
     FIELDS,
+    FOLDED,
+    FOREIGN,
     INVALID_FIELDS,
     INVALID_STATUSES,
     PART,
@@ -25,7 +28,7 @@
 )
 from tests.platform.standin_server import Raw, StandinServer
 
-INVALID_HEADS = INVALID_STATUSES | INVALID_FIELDS
+INVALID_HEADS = INVALID_STATUSES | INVALID_FIELDS | FOLDED
 # Longer than the buffers of a connection, so that it is still being written when the answer comes.
 LONG_INPUT = {"input": "x" * 16_000_000}
 # The order in which the event loop runs two tasks may decide what a call sees.
@@ -172,7 +175,7 @@
         """Guards against a stream that begins with an invalid head."""
 
         async def run():
-            data = INVALID_HEADS[form].replace(b"done", PIECE)
+            data = INVALID_HEADS[form].replace(b"done", PIECE).replace(FOREIGN, b"")
             async with backend_and_server(Raw(data)) as (backend, target):
                 end, delivered = await run_stream(backend, target, {})
                 assert isinstance(end, Lost)
@@ -185,7 +188,7 @@
         """Guards against orders and questions that are answered by an invalid head."""
 
         async def run():
-            data = INVALID_HEADS[form].replace(b"done", b"{  }")
+            data = INVALID_HEADS[form].replace(b"done", b"{  }").replace(FOREIGN, b"")
             async with backend_and_server(Raw(data)) as (backend, target):
                 assert await backend.post(target, "/v1/cancel", {}) is None
                 assert not await backend.answers(target, 1.0)
@@ -202,6 +205,17 @@
 
         trio.run(run)
 
+    @pytest.mark.parametrize("body", [b" {}", b"\r\n {}", b"\n\t{}\r\n\r\n"])
+    def test_body_that_begins_with_a_blank(self, body):
+        """Guards against failing a sound answer for blanks in its body."""
+
+        async def run():
+            data = STATUS + FIELDS + b"Content-Length: %d\r\n\r\n" % len(body) + body
+            async with backend_and_server(Raw(data)) as (backend, target):
+                assert (await backend.call(target, {})).content == body
+
+        trio.run(run)
+
 
 class TestCutHeads:
     """A server that stops in the middle of the head of its answer."""
@@ -217,3 +231,35 @@
                     await backend.call(target, {})
 
         trio.run(run)
+
+
+class TestKeptConnections:
+    """Several answers on one connection."""
+
+    def test_each_head_is_checked(self):
+        """Guards against checking only the first answer of a connection."""
+
+        async def run():
+            answers = [
+                STATUS + DONE,
+                STATUS + DONE,
+                STATUS + b"X-Name: 1\r\n X-Other: 1\r\n" + DONE,
+            ]
+
+            async def serve(stream: trio.SocketStream) -> None:
+                for answer in answers:
+                    await stream.receive_some()
+                    await stream.send_all(answer)
+                await trio.sleep_forever()
+
+            async with trio.open_nursery() as nursery, make_client() as client:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                for _ in range(2):
+                    assert (await client.get(f"http://127.0.0.1:{port}/")).content == b"done"
+                with pytest.raises(httpx.RemoteProtocolError):
+                    await client.get(f"http://127.0.0.1:{port}/")
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
