Remove the framing flag of answers, which nothing read

ResponseHead.framed and Answer.framed were to tell whether an answer that is cut can be told from a whole one. Nothing asked them; what the end of a connection proves is now decided where it is read.

--- a/siskinspoke/gateway/wire.py
+++ b/siskinspoke/gateway/wire.py
@@ -98,7 +98,6 @@
     at_fault: str | None
     closes: bool
     idle_seconds: float | None
-    framed: bool
     restrictions: Restrictions = Restrictions()
     load: ServerLoad | None = None
 
--- a/siskinspoke/platform/calls.py
+++ b/siskinspoke/platform/calls.py
@@ -137,7 +137,6 @@
             at_fault=_first_header(head.headers, names.FAULTY_SERVER),
             closes="close" in connection,
             idle_seconds=_parse_idle_seconds(_first_header(head.headers, b"Keep-Alive")),
-            framed=head.framed,
             restrictions=_parse_restrictions(head.status, head.headers),
             load=_parse_load(_first_header(head.headers, names.LOAD)),
         )
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -86,11 +86,10 @@
 
 
 class ResponseHead(NamedTuple):
-    """Status and headers of an answer; ``framed`` tells whether truncation can be detected."""
+    """Status and headers of an answer."""
 
     status: int
     headers: Headers
-    framed: bool
 
 
 def has_unread_data(stream: trio.SocketStream) -> bool:
@@ -401,10 +400,8 @@
             if not isinstance(event, h11.Response):
                 raise PeerError("the server closed without an answer", closed=True)
             headers = list(event.headers.raw_items())
-            names = {name.lower() for name, _ in headers}
-            self._is_chunked = b"transfer-encoding" in names
-            framed = bool(names & {b"content-length", b"transfer-encoding"})
-            return ResponseHead(event.status_code, headers, framed)
+            self._is_chunked = any(name.lower() == b"transfer-encoding" for name, _ in headers)
+            return ResponseHead(event.status_code, headers)
         raise InvalidAnswerError("too many interim answers")
 
     async def read_body_part(self) -> bytes | None:
--- a/tests/platform/test_plain_admission.py
+++ b/tests/platform/test_plain_admission.py
@@ -35,7 +35,7 @@
 
     def load(self, *values: bytes):
         headers = [(b"Server-Load", value) for value in values]
-        return PlatformWire().decode_answer(ResponseHead(200, headers, True)).load
+        return PlatformWire().decode_answer(ResponseHead(200, headers)).load
 
     def test_numbers(self):
         assert self.load(b"5,2,6") == (5, 2, 6)
--- a/tests/platform/test_restrictions.py
+++ b/tests/platform/test_restrictions.py
@@ -8,7 +8,7 @@
 
 def restrictions(*headers: tuple[bytes, bytes], status: int = 200):
     """Return the restrictions in a response with these headers."""
-    return PlatformWire().decode_answer(ResponseHead(status, list(headers), True)).restrictions
+    return PlatformWire().decode_answer(ResponseHead(status, list(headers))).restrictions
 
 
 class TestBackOff:
