--- a/siskinspoke/transport/checked_streams.py
+++ b/siskinspoke/transport/checked_streams.py
@@ -7,7 +7,7 @@
 import h11
 import httpcore
 
-from siskinspoke.transport.connection_ends import proves_end
+from siskinspoke.transport.connection_ends import proves_orderly_end
 from siskinspoke.transport.heads import HeadCheck
 
 
@@ -37,7 +37,7 @@
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
-            self._is_reset = not proves_end(error)
+            self._is_reset = not proves_orderly_end(error)
             raise
 
     async def aclose(self) -> None:
--- a/siskinspoke/transport/connection_ends.py
+++ b/siskinspoke/transport/connection_ends.py
@@ -8,7 +8,7 @@
 import errno
 
 
-def proves_end(error: BaseException) -> bool:
+def proves_orderly_end(error: BaseException) -> bool:
     """Return whether a failed write proves that the peer had ended its data in order before.
 
     Linux reports a reset as EPIPE after such an end, and as ECONNRESET without one.
--- a/siskinspoke/transport/http1.py
+++ b/siskinspoke/transport/http1.py
@@ -17,7 +17,7 @@
 from siskinspoke.coordination.read_budget import HeldData
 from siskinspoke.transport.chunks import ChunkCount
 from siskinspoke.transport.client_resources import EVENTS_PER_TURN, BodyArrivals
-from siskinspoke.transport.connection_ends import proves_end
+from siskinspoke.transport.connection_ends import proves_orderly_end
 from siskinspoke.transport.heads import HeadCheck
 from siskinspoke.transport.sockets import (
     SERVER_USER_TIMEOUT_MS,
@@ -365,7 +365,7 @@
             await self._stream.send_all(data + self._h11.send(h11.EndOfMessage()))
         except trio.BrokenResourceError as error:
             # The server may have sent an answer before it closed, which is still readable.
-            self._is_reset = not proves_end(error)
+            self._is_reset = not proves_orderly_end(error)
             return
         self._body_sent = True
 
--- a/tests/transport/test_connection_ends.py
+++ b/tests/transport/test_connection_ends.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from siskinspoke.transport.connection_ends import proves_end
+from siskinspoke.transport.connection_ends import proves_orderly_end
 from siskinspoke.transport.http1 import PeerError, RequestHead, ServerConnection
 from siskinspoke.transport.sockets import reset_connection
 
@@ -109,14 +109,14 @@
     @pytest.mark.parametrize("number", [errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH])
     def test_other_errors(self, number):
         """Guards against taking a broken connection for one that has ended in order."""
-        assert not proves_end(OSError(number, "broken"))
+        assert not proves_orderly_end(OSError(number, "broken"))
 
     def test_error_without_a_cause(self):
         """Guards against taking an error of another kind for a proof."""
-        assert not proves_end(trio.BrokenResourceError("the link is cut"))
+        assert not proves_orderly_end(trio.BrokenResourceError("the link is cut"))
 
     def test_wrapped_error(self):
         """Guards against missing the error of the socket behind that of a library."""
         error = trio.BrokenResourceError("broken")
         error.__cause__ = BrokenPipeError(errno.EPIPE, "Broken pipe")
-        assert proves_end(error)
+        assert proves_orderly_end(error)
