Have the tests of cut answers fail whenever the fix is missing

Cause: which of two tasks runs first decided whether a test met the fault.

Each is now also run with the write meeting the reset before the answer is read, and orders and questions of the VM itself have a test, which they lacked. No check or bound was changed.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Answers that are broken, or cut off, must not reach a client as whole ones."""
 
+from collections import defaultdict
 from contextlib import asynccontextmanager
 
 import pytest
@@ -7,6 +8,7 @@
 
 from siskinspoke.gateway.exchange import ask
 from siskinspoke.testing.server_links import LinkMode
+from siskinspoke.transport.http1 import RequestHead, ServerConnection
 from tests.platform.broken_answers import (
     CUT_HEADS,
     EVENT_PARTS,
@@ -53,6 +55,30 @@
         return answer, sum(len(server.seen) for server in both)
 
 
+@pytest.fixture(params=["any order", "write first"])
+def order(request, monkeypatch) -> str:
+    """Have requests written and answers read in any order, or the write meet the reset first."""
+    if request.param == "write first":
+        send, read = ServerConnection.send_request, ServerConnection.read_head
+        written: dict[ServerConnection, trio.Event] = defaultdict(trio.Event)
+
+        async def send_request(self, head, body):
+            try:
+                await send(self, head, body)
+            finally:
+                written[self].set()
+
+        async def read_head(self):
+            await written[self].wait()
+            del written[self]
+            return await read(self)
+
+        monkeypatch.setattr(ServerConnection, "send_request", send_request)
+        monkeypatch.setattr(ServerConnection, "read_head", read_head)
+    return request.param
+
+
+@pytest.mark.usefixtures("order")
 class TestUnreadRequests:
     """A server answers before it has read a long request, without a length."""
 
@@ -180,6 +206,25 @@
 
         trio.run(run)
 
+    @pytest.mark.parametrize(("end", "is_answered"), [("reset", False), ("finish", True)])
+    def test_answer_to_the_vm_itself(self, tmp_path, end, is_answered):
+        """Guards against using a part of the answer to an order or a question."""
+
+        async def run():
+            script = [unread(UNFRAMED + PART, end)]
+            headers = [(b"Host", b"h"), (b"Content-Length", b"%d" % len(LONG_BODY))]
+            async with (
+                gateway_site(tmp_path) as site,
+                servers(site, "plain", script) as (one,),
+            ):
+                record = site.gateway.directory.latest(one.name)
+                for _ in range(TRIES):
+                    head = RequestHead("POST", "/order", headers)
+                    reply = await ask(site.gateway, record, head, LONG_BODY, 5.0, 0.0)
+                    assert (reply is not None) == is_answered
+
+        trio.run(run)
+
     def test_cut_answer_counts_against_the_server(self, tmp_path):
         """Guards against taking a cut answer for a fast sound one of a healthy server."""
 
@@ -195,6 +240,7 @@
         trio.run(run)
 
 
+@pytest.mark.usefixtures("order")
 class TestSoundEarlyAnswers:
     """A server may answer before it has read a request, and end its connection in order."""
 
