Run the simulation of permits without the machine's clocks

Cause: the simulation runs in virtual time, but its VMs read lease_clock_ms, which adds the difference of two clocks of the machine. If the machine is suspended, the clock of all simulated VMs jumps; each then takes itself for newly started and waits 1.2 s before it grants or requests a lease.

The simulated VMs now read the clock of the simulation.

--- a/tests/gateway/test_cold_permits.py
+++ b/tests/gateway/test_cold_permits.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import random
+import time
 
 import pytest
 import trio
@@ -14,7 +15,8 @@
 from siskinspoke.coordination.cold_limiters import cold_budget
 from siskinspoke.coordination.directory import ServerRecord
 from siskinspoke.core.counters import Counters
-from siskinspoke.gateway.cold_permits import ColdPermits, lease_clock_ms
+from siskinspoke.gateway import cold_permits
+from siskinspoke.gateway.cold_permits import ColdPermits
 from siskinspoke.gateway.permits import Permit
 from siskinspoke.protocol.announcements import Announcement
 from siskinspoke.protocol.feed import EntryPeer
@@ -34,6 +36,11 @@
 RUNS = [(2, 1), (2, 2), (2, 3), (12, 1), (12, 2), (12, 3), (65, 1), (65, 2), (420, 1)]
 
 
+def virtual_clock_ms() -> float:
+    """Return the clock for leases and permits of all simulated VMs."""
+    return trio.current_time() * 1000
+
+
 class Simulation:
     """VMs that ask each other for permits, and the cold server to which they send."""
 
@@ -86,7 +93,7 @@
 
     def granter(self) -> str:
         """Return the VM that holds the lease of the server, or its first limiter."""
-        now = lease_clock_ms()
+        now = virtual_clock_ms()
         for host in self.hosts:
             if self.permits[host]._limiter.holds_lease("i-1", now):
                 return host
@@ -94,7 +101,7 @@
 
     def holders(self) -> list[str]:
         """Return the VMs that hold a lease; a paused one cannot use its own."""
-        now = lease_clock_ms()
+        now = virtual_clock_ms()
         return [
             host
             for host in self.hosts
@@ -175,14 +182,14 @@
                 # A connection is made before the permit is looked at for the last time.
                 await trio.sleep(self.rng.choice((0.0, 0.02, 0.25)))
                 await self.wait_running(host)
-                if lease_clock_ms() < found.until:
+                if virtual_clock_ms() < found.until:
                     self.sent.append((trio.current_time(), host))
                     self.account.record_request(host, trio.current_time())
 
             while True:
                 await trio.sleep(self.rng.expovariate(self.demand * share))
                 await self.wait_running(host)
-                if blocked_until <= lease_clock_ms():
+                if blocked_until <= virtual_clock_ms():
                     nursery.start_soon(send)
 
     async def kill(self, host: str) -> None:
@@ -264,11 +271,61 @@
 def simulate(vms: int, faults, seed: int = 1, **more) -> Simulation:
     """Run one simulation in virtual time, and check the bound in every second of it."""
     world = Simulation(vms, seed, **more)
-    trio.run(world.run, faults, clock=trio.testing.MockClock(autojump_threshold=0))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(cold_permits, "lease_clock_ms", virtual_clock_ms)
+        trio.run(world.run, faults, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not world.account.violations, world.account.violations[:3]
     return world
 
 
+class SuspendedMachine:
+    """The clocks of a machine, which can be suspended."""
+
+    def __init__(self):
+        self.seconds = {time.CLOCK_BOOTTIME: 100.0, time.CLOCK_MONOTONIC: 100.0}
+
+    def read(self, clock: int) -> float:
+        """Return the time of a clock."""
+        return self.seconds[clock]
+
+    def suspend(self, seconds: float) -> None:
+        """Suspend the machine, which stops its monotonic clock."""
+        self.seconds[time.CLOCK_BOOTTIME] += seconds
+
+
+@pytest.fixture
+def machine(monkeypatch) -> SuspendedMachine:
+    """Return the machine whose clocks the process reads."""
+    machine = SuspendedMachine()
+    monkeypatch.setattr(time, "clock_gettime", machine.read)
+    return machine
+
+
+class TestClocks:
+    """Leases follow the clock of their VM, simulated VMs that of the simulation."""
+
+    def test_clock_advances_while_machine_is_suspended(self, machine):
+        """A resumed VM took expired leases for valid."""
+
+        async def read_twice() -> float:
+            before = cold_permits.lease_clock_ms()
+            machine.suspend(1.0)
+            return cold_permits.lease_clock_ms() - before
+
+        elapsed_ms = trio.run(read_twice, clock=trio.testing.MockClock())
+        assert elapsed_ms == pytest.approx(1000)
+
+    def test_simulation_ignores_suspension_of_machine(self, machine):
+        """All simulated VMs lost their leases when the machine of the test was suspended."""
+
+        async def faults(world):
+            await trio.sleep(1.0)
+            machine.suspend(1.0)
+
+        world = simulate(12, faults)
+        assert world.longest_gap(WARM_UP_SECONDS) <= 1.0
+
+
 class TestSteady:
     """The rate is used, and never exceeded, for any number of VMs."""
 
